--- /dev/null
+++ b/internal/boot/node.go
@@ -0,0 +1,253 @@
+package boot
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+
+	"bulrushpond.example/bulrushpond/internal/admin"
+	"bulrushpond.example/bulrushpond/internal/burn"
+	"bulrushpond.example/bulrushpond/internal/core/fleet"
+	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/owner"
+	"bulrushpond.example/bulrushpond/internal/drive"
+	"bulrushpond.example/bulrushpond/internal/engine"
+	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/force"
+	"bulrushpond.example/bulrushpond/internal/front"
+	"bulrushpond.example/bulrushpond/internal/peer"
+	"bulrushpond.example/bulrushpond/internal/plat"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/setts"
+)
+
+// Node is one daemon with all its parts.
+type Node struct {
+	common   Common
+	file     File
+	platform *plat.HTTP
+	engines  *engine.HTTP
+	keeper   *force.Keeper
+	streams  *drive.Streams
+	calls    *drive.Calls
+	recorder *burn.Recorder
+	client   *peer.Client
+	server   *peer.Server
+	callers  net.Listener
+	admins   net.Listener
+
+	stopping atomic.Bool
+
+	mu sync.Mutex
+	// fleet and members are guarded by mu.
+	fleet   *fleet.State
+	members []model.Member
+}
+
+// NewNode opens a daemon's addresses and wires its parts. Nothing runs before
+// Run.
+func NewNode(common Common, file File) (*Node, error) {
+	process, base, err := newProcess()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		common: common, file: file,
+		platform: plat.NewHTTP(file.Platform),
+		engines:  engine.NewHTTP(),
+		fleet:    fleet.New(model.DaemonID(file.Daemon)),
+	}
+	n.keeper = force.NewKeeper(common.Log, n.platform, n.applyForce)
+	n.streams = drive.NewStreams(common.Log, n.engines, base)
+	n.calls = drive.NewCalls(common.Log, owner.DefaultConfig(n.self(), process), n.platform, n.engines)
+	n.recorder = burn.NewRecorder(n.limits)
+	return n, n.open()
+}
+
+// newProcess draws what tells this process from others of the same VM.
+func newProcess() (name string, base uint64, err error) {
+	var raw [16]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return "", 0, trace.Wrap(err)
+	}
+	return hex.EncodeToString(raw[8:]), binary.LittleEndian.Uint64(raw[:8]), nil
+}
+
+func (n *Node) self() model.DaemonID { return model.DaemonID(n.file.Daemon) }
+
+// open listens on the daemon's addresses.
+func (n *Node) open() error {
+	conf, err := n.file.Keys.TLS()
+	if err != nil {
+		return err
+	}
+	n.client = peer.NewClient(conf, n.resolve)
+	n.calls.Connect(n.client, n.ownerOf, n.shardChanged)
+	if n.server, err = peer.Listen(n.file.Peers, conf, n); err != nil {
+		return err
+	}
+	if n.callers, err = net.Listen("tcp", n.file.Callers); err != nil {
+		return trace.Wrap(err)
+	}
+	n.admins, err = net.Listen("tcp", n.file.Admin)
+	return trace.Wrap(err)
+}
+
+// CallersAddress is where callers are served.
+func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
+
+// AdminAddress is where operators are served.
+func (n *Node) AdminAddress() string { return n.admins.Addr().String() }
+
+// PeersAddress is where other daemons are served.
+func (n *Node) PeersAddress() string { return n.server.Address() }
+
+const (
+	// balancerLag is how long the platform's balancer may send new requests
+	// to a daemon that says it is not ready.
+	balancerLag = 2 * time.Second
+	// stopTimeout bounds a planned stop.
+	stopTimeout = 2 * time.Minute
+	stopPoll    = 20 * time.Millisecond
+)
+
+// Run serves until ctx ends, then stops in a planned way: unready first, on
+// through the balancer's lag, then finishing what runs and handing over what is
+// owned.
+func (n *Node) Run(ctx context.Context) error {
+	running, kill := context.WithCancel(context.WithoutCancel(ctx))
+	defer kill()
+	callers, admins := n.httpServers()
+	supervisor := n.supervise(callers, admins)
+	ended := supervisor.ServeBackground(running)
+	n.common.Log.Info(evlog.DaemonStarted, "daemon", n.file.Daemon, "callers", n.CallersAddress(), "admin", n.AdminAddress(), "peers", n.PeersAddress())
+	select {
+	case <-ctx.Done():
+	case err := <-ended:
+		return trace.Wrap(err)
+	}
+	err := n.stop(callers)
+	kill()
+	if end := <-ended; end != nil && !errors.Is(end, context.Canceled) {
+		err = errors.Join(err, end)
+	}
+	_ = admins.Close()
+	n.client.Close()
+	return err
+}
+
+func (n *Node) httpServers() (callers, admins *http.Server) {
+	f := front.New(n.common.Log, n.streams, n.calls, n.keeper.Force, front.WithObserver(n.recorder), front.WithReady(n.ready))
+	a := admin.New(n, n.file.AdminKeySHA256)
+	return f.Server(), a.Server()
+}
+
+func (n *Node) supervise(callers, admins *http.Server) *suture.Supervisor {
+	s := suture.New("daemon", suture.Spec{
+		EventHook: func(e suture.Event) {
+			if e.Type() != suture.EventTypeStopTimeout {
+				n.common.Log.Error(errors.New(e.String()), evlog.PartFailed)
+			}
+		},
+		Timeout: shutdownTimeout,
+	})
+	s.Add(n.streams)
+	s.Add(n.calls)
+	s.Add(n.keeper)
+	s.Add(n.server)
+	s.Add(part{name: "gossip", every: gossipEvery, do: n.gossip})
+	s.Add(part{name: "members", every: listEvery, do: n.readMembers})
+	s.Add(part{name: "reports", every: reportEvery, do: n.readReports})
+	s.Add(httpPart{name: "callers", server: callers, listener: n.callers})
+	s.Add(httpPart{name: "admin", server: admins, listener: n.admins})
+	return s
+}
+
+// shutdownTimeout is how long a part may take to end.
+const shutdownTimeout = 5 * time.Second
+
+// ready is the test behind /readyz.
+func (n *Node) ready() error {
+	if n.stopping.Load() {
+		return trace.ConnectionProblem(nil, "stopping")
+	}
+	return n.keeper.Current()
+}
+
+// stop is a planned stop.
+func (n *Node) stop(callers *http.Server) error {
+	n.common.Log.Info(evlog.DaemonStopping)
+	n.stopping.Store(true)
+	time.Sleep(balancerLag)
+	n.calls.Stop()
+	giveUp := time.Now().Add(stopTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), giveUp)
+	defer cancel()
+	// Shutdown closes the listener and waits for the requests in progress,
+	// which the carriers still serve.
+	err := callers.Shutdown(ctx)
+	for !n.calls.Idle() && time.Now().Before(giveUp) {
+		time.Sleep(stopPoll)
+	}
+	if err != nil || !n.calls.Idle() {
+		n.common.Log.Error(trace.LimitExceeded("work was still in progress"), evlog.DaemonStopForced)
+		return trace.LimitExceeded("the stop took longer than %s", stopTimeout)
+	}
+	n.tellRelease()
+	n.common.Log.Info(evlog.DaemonStopped)
+	return nil
+}
+
+// applyForce hands a new revision to the parts that use it.
+func (n *Node) applyForce(f *setts.Force) {
+	root := f.At(setts.Root)
+	n.streams.SetForce(f)
+	n.calls.SetShards(root.Shards, root.DrainServers)
+	go n.gossipNow()
+}
+
+func (n *Node) limits(team model.Team) burn.Limits {
+	p := setts.Defaults()
+	if f := n.keeper.Force(); f != nil {
+		p = f.At(string(team))
+	}
+	return burn.Limits{FirstToken: p.FirstToken, Gap: p.TokenGap, Share: p.ObjectiveShare}
+}
+
+func (n *Node) resolve(id model.DaemonID) (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, ok := n.fleet.Member(id)
+	return m.Address, ok
+}
+
+func (n *Node) ownerOf(shard int) (model.DaemonID, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.Owner(shard)
+}
+
+// shardChanged takes in that this daemon owns a shard or gave one back.
+func (n *Node) shardChanged(shard int, epoch uint64, released bool) {
+	go func() {
+		n.mu.Lock()
+		n.fleet.SetOwned(fleet.Ownership{Shard: shard, Epoch: epoch, Daemon: n.self(), Released: released})
+		n.mu.Unlock()
+		n.gossipNow()
+	}()
+}
+
+// fleetView is what the owners of shards need to know.
+func (n *Node) fleetView() msgs.Fleet {
+	return msgs.Fleet{Live: n.fleet.Live(time.Now()), Owners: n.fleet.Owners()}
+}
--- /dev/null
+++ b/internal/boot/parts.go
@@ -0,0 +1,303 @@
+package boot
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/core/fleet"
+	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/peer"
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+const (
+	gossipEvery = time.Second
+	listEvery   = time.Second
+	reportEvery = time.Second
+	// gossipPeers is how many daemons are told in one round.
+	gossipPeers = 3
+	askTimeout  = 2 * time.Second
+	// reportTimeout bounds how long an engine may take to report.
+	reportTimeout = time.Second
+	// reportsAtOnce bounds the reports read at the same time.
+	reportsAtOnce = 32
+)
+
+// part is a job of the daemon that is done again and again.
+type part struct {
+	name  string
+	every time.Duration
+	do    func(ctx context.Context)
+}
+
+// Serve implements suture.Service.
+func (p part) Serve(ctx context.Context) error {
+	tick := time.NewTicker(p.every)
+	defer tick.Stop()
+	for {
+		p.do(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// String names the part in events.
+func (p part) String() string { return p.name }
+
+// httpPart serves HTTP as a part of the daemon.
+type httpPart struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+// Serve implements suture.Service.
+func (p httpPart) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.server.Close() })
+	defer stop()
+	err := p.server.Serve(p.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+// String names the part in events.
+func (p httpPart) String() string { return p.name }
+
+// readMembers reads the platform's list.
+func (n *Node) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	list, err := n.platform.List(ctx)
+	if err != nil {
+		n.common.Log.Debug(evlog.ListUnreachable, "error", err.Error())
+		n.askSeeds(ctx)
+		return
+	}
+	n.applyMembers(list)
+}
+
+func (n *Node) applyMembers(list []model.Member) {
+	n.mu.Lock()
+	n.members = list
+	n.fleet.ApplyList(list)
+	count := n.fleet.Count()
+	n.mu.Unlock()
+	n.streams.SetList(list, count)
+	n.calls.SetList(list)
+}
+
+// readReports reads what each engine says of itself.
+func (n *Node) readReports(ctx context.Context) {
+	n.mu.Lock()
+	members := n.members
+	n.mu.Unlock()
+	var wg sync.WaitGroup
+	room := make(chan struct{}, reportsAtOnce)
+	for _, m := range members {
+		if m.Role != model.Engine {
+			continue
+		}
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			r, err := n.engines.Report(ctx, m.Address)
+			if err == nil && r.Server == model.ServerID(m.ID) {
+				r.Taken = time.Now()
+				n.streams.AddReport(r)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// gossip renews this daemon's heartbeat and tells a few others.
+func (n *Node) gossip(ctx context.Context) {
+	n.mu.Lock()
+	n.fleet.SetSelf(time.Now(), n.calls.CanOwn())
+	view := n.fleetView()
+	n.mu.Unlock()
+	n.calls.SetFleet(view)
+	n.tell(ctx)
+}
+
+// gossipNow tells a few others at once that something changed.
+func (n *Node) gossipNow() {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	n.tell(ctx)
+}
+
+// tellRelease tells all others that the shards of this daemon are free.
+func (n *Node) tellRelease() {
+	n.mu.Lock()
+	n.fleet.SetSelf(time.Now(), false)
+	peers := n.fleet.Peers()
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	n.tellPeers(ctx, peers)
+}
+
+func (n *Node) tell(ctx context.Context) {
+	n.mu.Lock()
+	peers := n.fleet.NextPeers(gossipPeers)
+	n.mu.Unlock()
+	n.tellPeers(ctx, peers)
+}
+
+func (n *Node) tellPeers(ctx context.Context, peers []model.DaemonID) {
+	n.mu.Lock()
+	g := n.fleet.Tell(n.keeper.Revision())
+	n.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, to := range peers {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			a, err := n.client.Ask(ctx, to, peer.Question{Gossip: &g})
+			if err != nil || a.Gossip == nil {
+				n.common.Log.Debug(evlog.PeerUnreachable, "peer", to)
+				return
+			}
+			n.hear(ctx, *a.Gossip)
+		})
+	}
+	wg.Wait()
+}
+
+// hear takes in what a peer told.
+func (n *Node) hear(ctx context.Context, g fleet.Gossip) {
+	n.mu.Lock()
+	released := n.fleet.Merge(time.Now(), g)
+	n.mu.Unlock()
+	if len(released) > 0 {
+		n.calls.Released(released)
+	}
+	mine := n.keeper.Revision()
+	switch {
+	case g.Revision > mine:
+		n.catchUp(ctx, g.From)
+	case mine > 0:
+		n.keeper.Confirm()
+	}
+}
+
+// catchUp asks a peer for the settings that this daemon lacks.
+func (n *Node) catchUp(ctx context.Context, from model.DaemonID) {
+	a, err := n.client.Ask(ctx, from, peer.Question{Settings: &peer.SettingsQuestion{After: n.keeper.Revision()}})
+	if err != nil || a.Settings == nil {
+		return
+	}
+	n.takeSettings(*a.Settings)
+}
+
+func (n *Node) takeSettings(s peer.Settings) {
+	if s.Tree != nil {
+		n.keeper.OfferTree(*s.Tree)
+	}
+	if _, err := n.keeper.OfferChanges(s.Changes); err != nil {
+		n.common.Log.Error(err, evlog.SettingsUnreadable)
+		return
+	}
+	n.keeper.Confirm()
+}
+
+// askSeeds asks the peers of the settings file for settings and the membership
+// list, while the platform is down and this daemon has neither.
+func (n *Node) askSeeds(ctx context.Context) {
+	n.mu.Lock()
+	known := len(n.members) > 0
+	n.mu.Unlock()
+	if known {
+		return
+	}
+	for _, seed := range n.file.Seeds {
+		a, err := n.client.AskAddress(ctx, seed, peer.Question{Settings: &peer.SettingsQuestion{}})
+		if err != nil || a.Settings == nil {
+			continue
+		}
+		n.takeSettings(*a.Settings)
+		if len(a.Settings.Members) > 0 {
+			n.applyMembers(a.Settings.Members)
+			return
+		}
+	}
+}
+
+// Answer implements peer.Handler.
+func (n *Node) Answer(ctx context.Context, q peer.Question) peer.Answer {
+	switch {
+	case q.Gossip != nil:
+		return n.answerGossip(*q.Gossip)
+	case q.Call != nil:
+		return n.answerCall(ctx, q)
+	case q.Settings != nil:
+		return n.answerSettings(q.Settings.After)
+	case q.Burn != nil:
+		return n.answerBurn()
+	}
+	return peer.Answer{}
+}
+
+func (n *Node) answerGossip(g fleet.Gossip) peer.Answer {
+	n.mu.Lock()
+	mine := n.fleet.Tell(n.keeper.Revision())
+	n.mu.Unlock()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		n.hear(ctx, g)
+	}()
+	return peer.Answer{Gossip: &mine}
+}
+
+func (n *Node) answerSettings(after model.Revision) peer.Answer {
+	s := peer.Settings{}
+	if n.keeper.Force() != nil {
+		s.Changes, s.Tree = n.keeper.Since(after)
+	}
+	n.mu.Lock()
+	s.Members = n.members
+	n.mu.Unlock()
+	return peer.Answer{Settings: &s, Revision: n.keeper.Revision()}
+}
+
+func (n *Node) answerBurn() peer.Answer {
+	s, err := n.recorder.Snapshot(n.self())
+	if err != nil {
+		return peer.Answer{}
+	}
+	raw, err := s.Encode()
+	if err != nil {
+		return peer.Answer{}
+	}
+	return peer.Answer{Burn: raw}
+}
+
+// answerCall runs a forwarded call. It goes on when the asking daemon is lost:
+// the call's outcome is recorded and a repetition gets it.
+func (n *Node) answerCall(ctx context.Context, q peer.Question) peer.Answer {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.Call.Deadline)
+	defer cancel()
+	stored, err := n.calls.DoHere(ctx, *q.Call)
+	if err != nil {
+		return peer.Answer{Failure: asFailure(err)}
+	}
+	return peer.Answer{Stored: &stored}
+}
+
+// View runs a function on the decision core, for the status page.
+func (n *Node) View(f func(*core.Core)) { n.streams.View(f) }
--- /dev/null
+++ b/internal/burn/report.go
@@ -0,0 +1,194 @@
+package burn
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"slices"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+// Report is the service-level burn of a fleet.
+type Report struct {
+	Taken time.Time `json:"taken"`
+	// Daemons answered; Missing did not, so their counts are not in the report.
+	Daemons []model.DaemonID `json:"daemons"`
+	Missing []model.DaemonID `json:"missing"`
+	Teams   []TeamReport     `json:"teams"`
+}
+
+// TeamReport is one team's part.
+type TeamReport struct {
+	Team       model.Team        `json:"team"`
+	Objectives []ObjectiveReport `json:"objectives"`
+	// FirstToken and Gap are quantiles since each daemon started.
+	FirstToken Quantiles `json:"first_token"`
+	Gap        Quantiles `json:"token_gap"`
+}
+
+// ObjectiveReport is one objective of one team.
+type ObjectiveReport struct {
+	Objective Objective      `json:"objective"`
+	Windows   []WindowReport `json:"windows"`
+}
+
+// WindowReport is one stretch of time.
+type WindowReport struct {
+	Minutes int    `json:"minutes"`
+	Good    uint64 `json:"good"`
+	Bad     uint64 `json:"bad"`
+	// Burn is the bad share over the share that the objective allows: above 1
+	// the error budget shrinks.
+	Burn float64 `json:"burn"`
+}
+
+// Quantiles are times in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+}
+
+// Merge makes a report of the snapshots of all daemons that answered.
+func Merge(now time.Time, snapshots []Snapshot, missing []model.DaemonID) (Report, error) {
+	r := Report{Taken: now, Missing: missing, Daemons: []model.DaemonID{}, Teams: []TeamReport{}}
+	teams := map[model.Team][]Snapshot{}
+	for _, s := range snapshots {
+		r.Daemons = append(r.Daemons, s.Daemon)
+		for team := range s.Teams {
+			teams[team] = append(teams[team], s)
+		}
+	}
+	slices.Sort(r.Daemons)
+	for team, from := range teams {
+		t, err := mergeTeam(team, from)
+		if err != nil {
+			return r, err
+		}
+		r.Teams = append(r.Teams, t)
+	}
+	sort.Slice(r.Teams, func(i, j int) bool { return r.Teams[i].Team < r.Teams[j].Team })
+	return r, nil
+}
+
+func mergeTeam(team model.Team, from []Snapshot) (TeamReport, error) {
+	t := TeamReport{Team: team}
+	limits := from[0].Limits[team]
+	var first, gap [][]byte
+	for _, s := range from {
+		first = append(first, s.Teams[team].First)
+		gap = append(gap, s.Teams[team].Gap)
+	}
+	var err error
+	if t.FirstToken, err = quantiles(first); err != nil {
+		return t, err
+	}
+	if t.Gap, err = quantiles(gap); err != nil {
+		return t, err
+	}
+	for o := range Lost + 1 {
+		report := ObjectiveReport{Objective: o}
+		for w, window := range Windows() {
+			sum := Count{}
+			for _, s := range from {
+				if counts := s.Teams[team].Counts; w < len(counts) && int(o) < len(counts[w]) {
+					sum.Good += counts[w][o].Good
+					sum.Bad += counts[w][o].Bad
+				}
+			}
+			report.Windows = append(report.Windows, WindowReport{
+				Minutes: int(window / time.Minute), Good: sum.Good, Bad: sum.Bad, Burn: burnOf(sum, limits.Share),
+			})
+		}
+		t.Objectives = append(t.Objectives, report)
+	}
+	return t, nil
+}
+
+func burnOf(c Count, share float64) float64 {
+	total := c.Good + c.Bad
+	if total == 0 || share >= 1 {
+		return 0
+	}
+	return float64(c.Bad) / float64(total) / (1 - share)
+}
+
+func quantiles(encoded [][]byte) (Quantiles, error) {
+	sum := hdrhistogram.New(1, histMax, histDigits)
+	for _, raw := range encoded {
+		h, err := hdrhistogram.Decode(raw)
+		if err != nil {
+			return Quantiles{}, trace.Wrap(err)
+		}
+		sum.Merge(h)
+	}
+	at := func(q float64) float64 {
+		return float64(sum.ValueAtQuantile(q)) * float64(HistUnit) / float64(time.Millisecond)
+	}
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99)}, nil
+}
+
+// WriteJSON writes the report for scripts.
+func (r Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return trace.Wrap(enc.Encode(r))
+}
+
+// WriteText writes the report for a terminal.
+func (r Report) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(tw, "service-level burn at %s, from %d daemons\n", r.Taken.Format(time.RFC3339), len(r.Daemons))
+	for _, d := range r.Missing {
+		_, _ = fmt.Fprintf(tw, "no answer from daemon %s: its counts are missing\n", d)
+	}
+	_, _ = fmt.Fprint(tw, "team\tobjective\twindow\tgood\tbad\tburn\n")
+	for _, t := range r.Teams {
+		for _, o := range t.Objectives {
+			for _, win := range o.Windows {
+				_, _ = fmt.Fprintf(tw, "%s\t%s\t%d min\t%d\t%d\t%.2f\n", t.Team, o.Objective, win.Minutes, win.Good, win.Bad, win.Burn)
+			}
+		}
+		_, _ = fmt.Fprintf(tw, "%s\tfirst token ms\tp50 %.1f\tp95 %.1f\tp99 %.1f\t\n", t.Team, t.FirstToken.P50, t.FirstToken.P95, t.FirstToken.P99)
+		_, _ = fmt.Fprintf(tw, "%s\ttoken gap ms\tp50 %.1f\tp95 %.1f\tp99 %.1f\t\n", t.Team, t.Gap.P50, t.Gap.P95, t.Gap.P99)
+	}
+	return trace.Wrap(tw.Flush())
+}
+
+//go:embed report.html.tmpl
+var page string
+
+// fullBar is the burn that fills a bar of the page.
+const fullBar = 4.0
+
+// WriteHTML writes the report as one self-contained page.
+func (r Report) WriteHTML(w io.Writer) error {
+	t, err := template.New("report").Funcs(template.FuncMap{
+		"width": func(burn float64) int { return int(100 * min(burn, fullBar) / fullBar) },
+		"level": level,
+	}).Parse(page)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(t.Execute(w, r))
+}
+
+// level names the colour of a burn.
+func level(burn float64) string {
+	switch {
+	case burn > 2:
+		return "high"
+	case burn > 1:
+		return "over"
+	}
+	return "fine"
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,263 @@
+// Package core is the router's decision core. It is pure: given the time and
+// what happened, a tick returns what is to be done. It has no goroutine, clock,
+// I/O or unseeded random number inside. Systems run over the tables in a fixed
+// order, and a tick costs what changed, not what the tables hold.
+package core
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bulrushpond.example/bulrushpond/internal/core/admit"
+	"bulrushpond.example/bulrushpond/internal/core/drain"
+	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/recov"
+	"bulrushpond.example/bulrushpond/internal/core/route"
+	"bulrushpond.example/bulrushpond/internal/core/table"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/setts"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
+)
+
+// busyRetry is how soon a backlog is tried again when nothing else happens,
+// since a place on a server may fall free without an event here.
+const busyRetry = 50 * time.Millisecond
+
+// Core is the state of one daemon's decisions.
+type Core struct {
+	servers  *table.Servers
+	requests *table.Requests
+	picker   route.Picker
+	force    *setts.Force
+	admit    *admit.State
+	drain    *drain.State
+	recov    *recov.State
+	// blocked is whether the last dispatch left requests that found no room.
+	blocked bool
+}
+
+// Option adjusts a core.
+type Option func(*Core)
+
+// WithPicker replaces the routing policy.
+func WithPicker(p route.Picker) Option { return func(c *Core) { c.picker = p } }
+
+// New returns a core that knows no servers and no settings.
+func New(opts ...Option) *Core {
+	c := &Core{
+		servers:  table.NewServers(),
+		requests: table.NewRequests(),
+		picker:   route.NewFlow(),
+		admit:    admit.NewState(),
+		drain:    drain.NewState(),
+		recov:    &recov.State{},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+func (c *Core) tables() recov.Tables {
+	return recov.Tables{Requests: c.requests, Servers: c.servers, Picker: c.picker, Left: c.admit.Left}
+}
+
+// Tick takes in what happened and fills out with what is to be done. The order
+// is: settings and servers, then streams, then new requests, then routes, then
+// deadlines.
+func (c *Core) Tick(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
+	out.Reset()
+	c.applyState(now, in, out)
+	c.applyStreams(now, in, out)
+	c.applyArrivals(now, in, out)
+	c.expire(now, out)
+	c.moveOff(now, out)
+	c.dispatch(now, out)
+	out.Wake = c.wake(now)
+}
+
+func (c *Core) applyState(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
+	if in.Force != nil && (c.force == nil || in.Force.Revision >= c.force.Revision) {
+		c.force = in.Force
+		c.drain.ApplyForce(now, in.Force, c.servers, out)
+	}
+	if in.List != nil {
+		c.drain.ApplyList(now, in.List, c.servers, out)
+	}
+	for _, r := range in.Reports {
+		c.drain.ApplyReport(now, r, c.servers, out)
+	}
+	if in.Daemons > 0 {
+		c.admit.ApplyDaemons(now, in.Daemons)
+	}
+	if in.Stop {
+		c.admit.Stopping = true
+	}
+}
+
+func (c *Core) applyStreams(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
+	t := c.tables()
+	for _, tok := range in.Tokens {
+		c.recov.Accept(now, tok, t, out)
+	}
+	for _, e := range in.Ends {
+		c.recov.End(now, e, t, out)
+	}
+	for _, id := range in.Gone {
+		if r := c.requests.Get(id); r != nil {
+			c.giveUp(now, r, verdt.CallerGone, "the caller closed its connection", out)
+		}
+	}
+}
+
+func (c *Core) applyArrivals(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
+	for _, a := range in.Arrivals {
+		if f := c.admit.Arrive(now, a, c.force, c.requests); f != nil {
+			out.Finishes = append(out.Finishes, msgs.Finish{Request: a.ID, Failure: f})
+		}
+	}
+}
+
+// giveUp ends a request in whatever phase it is.
+func (c *Core) giveUp(now time.Time, r *table.Request, reason verdt.Reason, message string, out *msgs.Outbox) {
+	if r.Phase == table.Queued {
+		c.admit.Withdraw(r)
+	}
+	c.recov.GiveUp(now, r, reason, message, c.tables(), out)
+}
+
+// expire gives up what is past its deadline or was stranded for too long.
+func (c *Core) expire(now time.Time, out *msgs.Outbox) {
+	for r := c.requests.Due(now); r != nil; r = c.requests.Due(now) {
+		c.giveUp(now, r, verdt.DeadlinePassed, "the deadline passed", out)
+	}
+	for id := range c.requests.Stranded {
+		r := c.requests.Get(id)
+		if !now.Before(r.StrandedUntil) {
+			c.giveUp(now, r, verdt.NoRoute, "no other servers could go on with the request", out)
+		}
+	}
+}
+
+// moveOff moves work off servers whose time to finish it is over.
+func (c *Core) moveOff(now time.Time, out *msgs.Outbox) {
+	for _, s := range c.drain.Due(now, c.servers) {
+		for _, id := range slices.Sorted(maps.Keys(s.Users)) {
+			c.recov.Move(now, id, c.tables(), out)
+		}
+	}
+}
+
+// dispatch gives routes, to requests that lost theirs first.
+func (c *Core) dispatch(now time.Time, out *msgs.Outbox) {
+	c.blocked = false
+	if c.force == nil {
+		return
+	}
+	models := c.force.At(setts.Root).Models
+	for _, id := range slices.Sorted(maps.Keys(c.requests.Stranded)) {
+		r := c.requests.Get(id)
+		c.start(now, r, models[r.Model], out)
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.admit.Queues)) {
+		c.drainQueue(now, c.admit.Queues[name], models[name], out)
+	}
+}
+
+// drainQueue dispatches the requests of one model until there is no room.
+func (c *Core) drainQueue(now time.Time, q *table.Queue, layers int, out *msgs.Outbox) {
+	for q.Length > 0 {
+		r := c.requests.Get(q.Head())
+		switch c.start(now, r, layers, out) {
+		case route.Found:
+			c.admit.Dispatched(now, q, costOf(r))
+		case route.NoChain:
+			c.giveUp(now, r, verdt.NoRoute, "no chain of live servers covers the model", out)
+		case route.Busy:
+			return
+		}
+	}
+}
+
+// costOf is what a dispatch costs its team, in tokens. Prompt tokens are cheaper
+// than generated ones, because they run in parallel.
+func costOf(r *table.Request) float64 {
+	const (
+		promptShare = 10
+		usualAnswer = 256
+		leastCost   = 1
+	)
+	answer := usualAnswer
+	if r.MaxTokens > 0 {
+		answer = min(answer, r.MaxTokens)
+	}
+	return leastCost + float64(answer) + float64(r.PromptTokens)/promptShare
+}
+
+func (c *Core) start(now time.Time, r *table.Request, layers int, out *msgs.Outbox) route.Result {
+	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.admit.Daemons})
+	if result == route.Found {
+		c.recov.Start(now, r, chain, c.tables(), out)
+	} else {
+		c.blocked = true
+	}
+	return result
+}
+
+// wake returns when the next tick is needed.
+func (c *Core) wake(now time.Time) time.Time {
+	next := c.requests.NextDeadline()
+	for _, at := range []time.Time{c.drain.NextMove(), c.retryAt(now)} {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
+
+func (c *Core) retryAt(now time.Time) time.Time {
+	if !c.blocked {
+		return time.Time{}
+	}
+	return now.Add(busyRetry)
+}
+
+// LastRoute is the route of the request that was answered whole last.
+func (c *Core) LastRoute() model.Route { return c.recov.LastRoute }
+
+// Servers is the number of model engines known.
+func (c *Core) Servers() int { return c.servers.Len() }
+
+// InProgress is the number of requests in progress.
+func (c *Core) InProgress() int { return c.requests.Len() }
+
+// Dropped is the number of tokens that were not accepted.
+func (c *Core) Dropped() uint64 { return c.recov.Dropped }
+
+// Recovered is the number of streams that went on by another route.
+func (c *Core) Recovered() uint64 { return c.recov.Recovered }
+
+// Server returns one server's row for status pages, or false.
+func (c *Core) Server(id model.ServerID) (table.Server, bool) {
+	s := c.servers.Get(id)
+	if s == nil {
+		return table.Server{}, false
+	}
+	return *s, true
+}
+
+// ServerIDs returns the names of all servers known.
+func (c *Core) ServerIDs() []model.ServerID { return c.servers.IDs() }
+
+// Check returns the first broken invariant of the tables.
+func (c *Core) Check() error {
+	if err := c.requests.Check(); err != nil {
+		return fmt.Errorf("requests: %w", err)
+	}
+	if err := c.servers.Check(c.requests); err != nil {
+		return fmt.Errorf("servers: %w", err)
+	}
+	return c.admit.Check(c.requests)
+}
--- /dev/null
+++ b/internal/core/table/queue.go
@@ -0,0 +1,172 @@
+package table
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+// Lane is the queue of one team for one model.
+type Lane struct {
+	Team model.Team
+	// Weight is the team's latest share, above 0.
+	Weight float64
+	// Waiting are requests in the order of their arrival.
+	Waiting []model.RequestID
+	// Start is the virtual time at which the first waiting request starts.
+	Start float64
+	// Finish is the virtual time at which the last dispatched one finished.
+	Finish float64
+}
+
+// Queue holds the requests that wait for one model, and shares its capacity
+// between teams by start-time fair queueing.
+type Queue struct {
+	lanes map[model.Team]*Lane
+	heap  *Heap[*Lane]
+	// virtual is the start of the request dispatched last. It never goes down.
+	virtual float64
+	// Weights is the sum over the lanes that have requests waiting.
+	Weights float64
+	// Length is the number of waiting requests.
+	Length int
+	// Interval is the smoothed time between two dispatches while requests
+	// wait; 0 before the first.
+	Interval time.Duration
+	// Dispatched is when the last dispatch with a backlog took place.
+	Dispatched time.Time
+}
+
+// NewQueue returns an empty queue.
+func NewQueue() *Queue {
+	return &Queue{
+		lanes: map[model.Team]*Lane{},
+		heap: NewHeap(func(a, b *Lane) bool {
+			if a.Start != b.Start {
+				return a.Start < b.Start
+			}
+			return a.Team < b.Team
+		}),
+	}
+}
+
+// Push adds a request to its team's lane.
+func (q *Queue) Push(team model.Team, weight float64, id model.RequestID) {
+	l := q.lanes[team]
+	if l == nil {
+		l = &Lane{Team: team}
+		q.lanes[team] = l
+	}
+	l.Waiting = append(l.Waiting, id)
+	q.Length++
+	if len(l.Waiting) > 1 {
+		return
+	}
+	l.Weight = weight
+	l.Start = max(q.virtual, l.Finish)
+	q.Weights += weight
+	q.heap.Push(l)
+}
+
+// Head returns the request whose turn it is; the queue must not be empty.
+func (q *Queue) Head() model.RequestID { return q.heap.Min().Waiting[0] }
+
+// Pop removes the request whose turn it is and charges its team with cost.
+func (q *Queue) Pop(cost float64) {
+	l := q.heap.Min()
+	q.Length--
+	q.virtual = max(q.virtual, l.Start)
+	l.Finish = l.Start + cost/l.Weight
+	l.Waiting = l.Waiting[1:]
+	if len(l.Waiting) > 0 {
+		l.Start = l.Finish
+		q.heap.Fix()
+		return
+	}
+	q.heap.Pop()
+	q.forgetWeight(l)
+	if len(q.lanes) > 4*q.heap.Len()+laneSlack {
+		q.sweep()
+	}
+}
+
+// Drop removes a waiting request that is no longer wanted.
+func (q *Queue) Drop(team model.Team, id model.RequestID) {
+	l := q.lanes[team]
+	if l == nil {
+		return
+	}
+	i := slices.Index(l.Waiting, id)
+	if i < 0 {
+		return
+	}
+	l.Waiting = slices.Delete(l.Waiting, i, i+1)
+	q.Length--
+	if len(l.Waiting) == 0 {
+		q.heap.Remove(func(other *Lane) bool { return other == l })
+		q.forgetWeight(l)
+	}
+}
+
+// forgetWeight takes a lane without waiting requests out of the sum.
+func (q *Queue) forgetWeight(l *Lane) {
+	q.Weights -= l.Weight
+	if q.heap.Len() == 0 {
+		q.Weights = 0
+	}
+}
+
+// laneSlack is how many idle lanes are kept before a sweep.
+const laneSlack = 64
+
+// sweep forgets idle lanes that owe nothing.
+func (q *Queue) sweep() {
+	for team, l := range q.lanes {
+		if len(l.Waiting) == 0 && l.Finish <= q.virtual {
+			delete(q.lanes, team)
+		}
+	}
+}
+
+// Behind returns how many requests of a team wait, and the share of the
+// capacity that the team would have with one more.
+func (q *Queue) Behind(team model.Team, weight float64) (waiting int, share float64) {
+	l := q.lanes[team]
+	if l != nil && len(l.Waiting) > 0 {
+		return len(l.Waiting), l.Weight / q.Weights
+	}
+	return 0, weight / (q.Weights + weight)
+}
+
+// Observe takes in that a waiting request was dispatched.
+func (q *Queue) Observe(now time.Time) {
+	const smoothing = 8
+	if !q.Dispatched.IsZero() {
+		q.Interval += (now.Sub(q.Dispatched) - q.Interval) / smoothing
+	}
+	q.Dispatched = now
+}
+
+// Idle takes in that no request waits, so that the time until the next backlog
+// does not count as time between dispatches.
+func (q *Queue) Idle() { q.Dispatched = time.Time{} }
+
+// Check returns the first broken invariant.
+func (q *Queue) Check(requests *Requests) error {
+	waiting := 0
+	for team, l := range q.lanes {
+		waiting += len(l.Waiting)
+		for _, id := range l.Waiting {
+			r := requests.Get(id)
+			if r == nil || r.Phase != Queued || r.Team != team {
+				return fmt.Errorf("request %d waits in the lane of %s but is not queued there", id, team)
+			}
+		}
+	}
+	if waiting != q.Length {
+		return fmt.Errorf("%d requests wait, but %d are counted", waiting, q.Length)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/table/request.go
@@ -0,0 +1,144 @@
+package table
+
+import (
+	"fmt"
+	"time"
+
+	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
+)
+
+//go:generate enumer -type=Phase -transform=snake -output=phase_enumer.go
+
+// Phase is where a request stands.
+type Phase uint8
+
+const (
+	// Queued requests wait for their first route.
+	Queued Phase = iota
+	// Running requests have a stream open.
+	Running
+	// Stranded requests have lost their stream and wait for another route.
+	Stranded
+)
+
+// Request is one model request in progress.
+type Request struct {
+	msgs.Arrival
+	Phase Phase
+	// Epoch is that of the newest route; 0 before the first.
+	Epoch model.Epoch
+	// Route is empty unless Phase is Running.
+	Route model.Route
+	// Trail is the digest that the tokens of Route carry.
+	Trail uint64
+	// Next is the position of the next token to accept: the caller was sent
+	// all positions below it. It never goes down.
+	Next int
+	// Recoveries counts the routes after the first.
+	Recoveries int
+	// Failed are the servers that failed during this request.
+	Failed []model.ServerID
+	// Moved is the route that the request was moved off, whose servers still
+	// hold its cache; empty after a failure without such a server.
+	Moved model.Route
+	// Verdict is what a failure now would have to say.
+	Verdict verdt.Verdict
+	// StrandedUntil is when a stranded request is given up.
+	StrandedUntil time.Time
+	// Started is when the first stream was opened.
+	Started time.Time
+	// LastToken is when the last token was accepted.
+	LastToken time.Time
+	// Weight is the team's share when the request arrived.
+	Weight float64
+	// Priority and MaxRecoveries are the team's policy when the request arrived.
+	Priority      int
+	MaxRecoveries int
+}
+
+type deadline struct {
+	at time.Time
+	id model.RequestID
+}
+
+// Requests is the table of requests in progress.
+type Requests struct {
+	rows      map[model.RequestID]*Request
+	deadlines *Heap[deadline]
+	// Stranded are the requests that wait for another route.
+	Stranded map[model.RequestID]struct{}
+}
+
+// NewRequests returns an empty table.
+func NewRequests() *Requests {
+	return &Requests{
+		rows:      map[model.RequestID]*Request{},
+		deadlines: NewHeap(func(a, b deadline) bool { return a.at.Before(b.at) }),
+		Stranded:  map[model.RequestID]struct{}{},
+	}
+}
+
+// Get returns a row, or nil.
+func (t *Requests) Get(id model.RequestID) *Request { return t.rows[id] }
+
+// Len returns the number of rows.
+func (t *Requests) Len() int { return len(t.rows) }
+
+// Add puts a new row in the table.
+func (t *Requests) Add(r *Request) {
+	t.rows[r.ID] = r
+	t.deadlines.Push(deadline{at: r.Deadline, id: r.ID})
+}
+
+// Remove drops a row.
+func (t *Requests) Remove(id model.RequestID) {
+	delete(t.rows, id)
+	delete(t.Stranded, id)
+}
+
+// Due removes and returns a request whose deadline has passed, or nil. Deadlines
+// of requests that ended earlier are dropped on the way.
+func (t *Requests) Due(now time.Time) *Request {
+	for t.deadlines.Len() > 0 {
+		d := t.deadlines.Min()
+		r := t.rows[d.id]
+		if r != nil && d.at.After(now) {
+			return nil
+		}
+		t.deadlines.Pop()
+		if r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// NextDeadline returns the earliest deadline known, or zero.
+func (t *Requests) NextDeadline() time.Time {
+	if t.deadlines.Len() == 0 {
+		return time.Time{}
+	}
+	return t.deadlines.Min().at
+}
+
+// Check returns the first broken invariant.
+func (t *Requests) Check() error {
+	for id, r := range t.rows {
+		_, stranded := t.Stranded[id]
+		if stranded != (r.Phase == Stranded) {
+			return fmt.Errorf("request %d is %s, but its stranded mark is %t", id, r.Phase, stranded)
+		}
+		if (r.Phase == Running) != (len(r.Route.Hops) > 0) {
+			return fmt.Errorf("request %d is %s with a route of %d hops", id, r.Phase, len(r.Route.Hops))
+		}
+		if r.Phase == Queued && (r.Epoch != 0 || r.Verdict != verdt.NotRun) {
+			return fmt.Errorf("request %d is queued after epoch %d", id, r.Epoch)
+		}
+		if r.Next > 0 && r.Verdict != verdt.Ran {
+			return fmt.Errorf("request %d has %d tokens but verdict %s", id, r.Next, r.Verdict)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/table/server.go
@@ -0,0 +1,127 @@
+// Package table holds the decision core's entities. Each table keeps its own
+// invariants, stated on the fields, and can check them.
+package table
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+// Server is one model engine.
+type Server struct {
+	ID      model.ServerID
+	Address string
+	Zone    string
+	// Listed is whether the latest believed list names the server.
+	Listed bool
+	// Reported is whether Report holds anything.
+	Reported bool
+	Report   model.Report
+	// ListLeaving, ReportLeaving and SettingsLeaving are the three sources
+	// that may say that the server leaves.
+	ListLeaving     bool
+	ReportLeaving   bool
+	SettingsLeaving bool
+	// BackAt is when a server that was leaving may get work again at the
+	// earliest; zero when it never left. It keeps a flapping list from sending
+	// work to a server that is on its way out.
+	BackAt time.Time
+	// MoveAt is when work in progress is moved away; zero unless leaving.
+	MoveAt time.Time
+	// AvoidUntil is when a server that failed may get work again.
+	AvoidUntil time.Time
+	// Failures counts failures since the last success.
+	Failures int
+	// Users are the requests whose current route passes through the server.
+	Users map[model.RequestID]struct{}
+	// OwnAtReport is len(Users) when the report was taken in.
+	OwnAtReport int
+}
+
+// Leaving reports whether any source says that the server leaves.
+func (s *Server) Leaving() bool { return s.ListLeaving || s.ReportLeaving || s.SettingsLeaving }
+
+// Usable reports whether the server may get new work.
+func (s *Server) Usable(now time.Time) bool {
+	return s.Listed && s.Reported && !s.Leaving() && !now.Before(s.BackAt) && !now.Before(s.AvoidUntil)
+}
+
+// Others estimates the streams that other daemons run on the server, from a
+// report that lags.
+func (s *Server) Others() int { return max(0, s.Report.Running+s.Report.Queued-s.OwnAtReport) }
+
+// Load estimates all streams on the server.
+func (s *Server) Load() int { return s.Others() + len(s.Users) }
+
+// Servers is the table of model engines.
+type Servers struct {
+	rows map[model.ServerID]*Server
+	// Version goes up with every change that may change a route.
+	Version uint64
+}
+
+// NewServers returns an empty table.
+func NewServers() *Servers { return &Servers{rows: map[model.ServerID]*Server{}} }
+
+// Get returns a row, or nil.
+func (t *Servers) Get(id model.ServerID) *Server { return t.rows[id] }
+
+// Ensure returns a row, made where it was missing.
+func (t *Servers) Ensure(id model.ServerID) *Server {
+	s := t.rows[id]
+	if s == nil {
+		s = &Server{ID: id, Users: map[model.RequestID]struct{}{}}
+		t.rows[id] = s
+	}
+	return s
+}
+
+// Remove drops a row that no request uses.
+func (t *Servers) Remove(id model.ServerID) {
+	if s := t.rows[id]; s != nil && len(s.Users) == 0 {
+		delete(t.rows, id)
+		t.Version++
+	}
+}
+
+// Len returns the number of rows.
+func (t *Servers) Len() int { return len(t.rows) }
+
+// IDs returns all names in order.
+func (t *Servers) IDs() []model.ServerID { return slices.Sorted(maps.Keys(t.rows)) }
+
+// Take counts a request on all servers of a route.
+func (t *Servers) Take(id model.RequestID, r model.Route) {
+	for _, h := range r.Hops {
+		t.Ensure(h.Server).Users[id] = struct{}{}
+	}
+}
+
+// Release takes a request off all servers of a route.
+func (t *Servers) Release(id model.RequestID, r model.Route) {
+	for _, h := range r.Hops {
+		if s := t.rows[h.Server]; s != nil {
+			delete(s.Users, id)
+		}
+	}
+}
+
+// Check returns the first broken invariant.
+func (t *Servers) Check(requests *Requests) error {
+	for id, s := range t.rows {
+		if !s.MoveAt.IsZero() && !s.Leaving() {
+			return fmt.Errorf("server %s is not leaving but has a time to move", id)
+		}
+		for user := range s.Users {
+			r := requests.Get(user)
+			if r == nil || !r.Route.Uses(id) {
+				return fmt.Errorf("server %s counts request %d, which does not use it", id, user)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fakes/http.go
@@ -0,0 +1,209 @@
+package fakes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"bulrushpond.example/bulrushpond/internal/engine"
+	"bulrushpond.example/bulrushpond/internal/plat"
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+// Platform serves the key-value and membership stand-ins over HTTP.
+type Platform struct {
+	KV *KV
+
+	mu      sync.Mutex
+	members []model.Member
+}
+
+// NewPlatform returns a platform with an empty list.
+func NewPlatform() *Platform { return &Platform{KV: NewKV()} }
+
+// SetMember adds or replaces one row of the list.
+func (p *Platform) SetMember(m model.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.members {
+		if p.members[i].ID == m.ID {
+			p.members[i] = m
+			return
+		}
+	}
+	p.members = append(p.members, m)
+}
+
+// RemoveMember drops one row of the list.
+func (p *Platform) RemoveMember(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.members[:0]
+	for _, m := range p.members {
+		if m.ID != id {
+			kept = append(kept, m)
+		}
+	}
+	p.members = kept
+}
+
+// List implements plat.Members.
+func (p *Platform) List(context.Context) ([]model.Member, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]model.Member(nil), p.members...), nil
+}
+
+// Handler serves the platform's protocol.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv", func(w http.ResponseWriter, r *http.Request) {
+		e, out := p.KV.Get(r.Context(), r.URL.Query().Get("key"))
+		reply(w, out, e)
+	})
+	mux.HandleFunc("POST /kv", func(w http.ResponseWriter, r *http.Request) {
+		var op model.CAS
+		if !decode(w, r, &op) {
+			return
+		}
+		rev, out := p.KV.CAS(r.Context(), op)
+		reply(w, out, plat.RevisionAnswer{Revision: rev})
+	})
+	mux.HandleFunc("GET /watch", func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after is not a revision", http.StatusBadRequest)
+			return
+		}
+		e, out := p.KV.Watch(r.Context(), r.URL.Query().Get("key"), after)
+		reply(w, out, e)
+	})
+	mux.HandleFunc("POST /lease/grant", func(w http.ResponseWriter, r *http.Request) {
+		var q plat.LeaseAnswer
+		if !decode(w, r, &q) {
+			return
+		}
+		id, out := p.KV.Grant(r.Context(), q.TTL)
+		reply(w, out, plat.LeaseAnswer{Lease: id, TTL: q.TTL})
+	})
+	mux.HandleFunc("POST /lease/keepalive", func(w http.ResponseWriter, r *http.Request) {
+		var q plat.LeaseAnswer
+		if !decode(w, r, &q) {
+			return
+		}
+		reply(w, p.KV.KeepAlive(r.Context(), q.Lease), q)
+	})
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
+		members, _ := p.List(r.Context())
+		reply(w, model.Done, members)
+	})
+	mux.HandleFunc("PUT /members", func(w http.ResponseWriter, r *http.Request) {
+		var m model.Member
+		if decode(w, r, &m) {
+			p.SetMember(m)
+		}
+	})
+	mux.HandleFunc("PUT /fault/{fault}", func(w http.ResponseWriter, r *http.Request) {
+		f, err := FaultString(r.PathValue("fault"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.KV.SetFault(f)
+	})
+	return mux
+}
+
+// Handler serves the engine's protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/stream", func(w http.ResponseWriter, r *http.Request) {
+		var s engine.Stream
+		if !decode(w, r, &s) {
+			return
+		}
+		enc, flush := json.NewEncoder(w), http.NewResponseController(w)
+		e.Stream(r.Context(), s, func(l engine.Line) {
+			_ = enc.Encode(l)
+			_ = flush.Flush()
+		})
+	})
+	mux.HandleFunc("POST /v1/activate", func(w http.ResponseWriter, r *http.Request) {
+		var a Activation
+		if !decode(w, r, &a) {
+			return
+		}
+		_ = json.NewEncoder(w).Encode(e.Activate(r.Context(), a))
+	})
+	mux.HandleFunc("POST /v1/cancel", func(w http.ResponseWriter, r *http.Request) {
+		var c engine.CancelOrder
+		if decode(w, r, &c) {
+			e.Cancel(c.Request, c.Epoch)
+		}
+	})
+	mux.HandleFunc("POST /v1/order", func(w http.ResponseWriter, r *http.Request) {
+		var o engine.Order
+		if !decode(w, r, &o) {
+			return
+		}
+		if err := e.Order(o); err != nil {
+			http.Error(w, err.Error(), http.StatusPreconditionFailed)
+		}
+	})
+	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(e.Report())
+	})
+	return mux
+}
+
+// HTTPLink carries activations between engine processes.
+func HTTPLink(client *http.Client) Link {
+	return func(ctx context.Context, next model.Hop, a Activation) (Activation, error) {
+		raw, err := json.Marshal(a)
+		if err != nil {
+			return a, err
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+next.Address+"/v1/activate", bytes.NewReader(raw))
+		if err != nil {
+			return a, err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return a, err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if resp.StatusCode != http.StatusOK {
+			return a, fmt.Errorf("stage answered %d", resp.StatusCode)
+		}
+		var done Activation
+		err = json.NewDecoder(resp.Body).Decode(&done)
+		return done, err
+	}
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	err := json.NewDecoder(io.LimitReader(r.Body, 2*maxValueBytes)).Decode(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func reply(w http.ResponseWriter, out model.Outcome, v any) {
+	switch out {
+	case model.Done:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v)
+	case model.Conflict:
+		http.Error(w, "compare failed", http.StatusConflict)
+	case model.Refused:
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+	case model.Unknown:
+		http.Error(w, "answer lost", http.StatusGatewayTimeout)
+	}
+}
--- /dev/null
+++ b/internal/fakes/service.go
@@ -0,0 +1,49 @@
+package fakes
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Service is a plain service that counts what it ran, by the booking's name.
+type Service struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// Before, where set, runs before a booking is counted.
+	Before func(name string)
+}
+
+// NewService returns a service that ran nothing.
+func NewService() *Service { return &Service{runs: map[string]int{}} }
+
+// Runs returns how often a booking ran.
+func (s *Service) Runs(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[name]
+}
+
+// ServeHTTP books the body's text; GET tells how often it ran.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxValueBytes))
+	if err != nil {
+		http.Error(w, "body cut short", http.StatusBadRequest)
+		return
+	}
+	name := string(raw)
+	if r.Method == http.MethodGet {
+		_, _ = fmt.Fprintf(w, "%d\n", s.Runs(r.URL.Query().Get("name")))
+		return
+	}
+	if s.Before != nil {
+		s.Before(name)
+	}
+	s.mu.Lock()
+	s.runs[name]++
+	n := s.runs[name]
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, "{\"booked\":%q,\"runs\":%d}\n", name, n)
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,111 @@
+// Package peer carries messages between daemons: one question and one answer on
+// each QUIC stream, both in CBOR, with mutual TLS.
+package peer
+
+import (
+	"context"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"bulrushpond.example/bulrushpond/internal/core/fleet"
+	"bulrushpond.example/bulrushpond/internal/drive"
+	"bulrushpond.example/bulrushpond/internal/rings"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/setts"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
+)
+
+// Question is what one daemon asks another; exactly one field is set.
+type Question struct {
+	Gossip *fleet.Gossip      `cbor:"1,keyasint,omitempty"`
+	Call   *drive.CallRequest `cbor:"2,keyasint,omitempty"`
+	// Settings asks for all changes after a revision.
+	Settings *SettingsQuestion `cbor:"3,keyasint,omitempty"`
+	// Burn asks for the service-level counts.
+	Burn *BurnQuestion `cbor:"4,keyasint,omitempty"`
+}
+
+// SettingsQuestion asks for the settings after a revision.
+type SettingsQuestion struct {
+	After model.Revision `cbor:"1,keyasint"`
+}
+
+// BurnQuestion asks for the service-level counts.
+type BurnQuestion struct{}
+
+// Answer is what a daemon answers.
+type Answer struct {
+	Gossip   *fleet.Gossip `cbor:"1,keyasint,omitempty"`
+	Stored   *rings.Stored `cbor:"2,keyasint,omitempty"`
+	Failure  *verdt.Error  `cbor:"3,keyasint,omitempty"`
+	Settings *Settings     `cbor:"4,keyasint,omitempty"`
+	Burn     []byte        `cbor:"5,keyasint,omitempty"`
+	// Revision is the settings revision in force, in answers about settings.
+	Revision model.Revision `cbor:"6,keyasint,omitempty"`
+}
+
+// Settings are the changes after a revision, or the whole tree where the
+// changes are not all known any more.
+type Settings struct {
+	Changes []setts.Change `cbor:"1,keyasint,omitempty"`
+	Tree    *setts.Tree    `cbor:"2,keyasint,omitempty"`
+	// Members is the platform's list as the daemon last read it, for a daemon
+	// that starts while the platform is down.
+	Members []model.Member `cbor:"3,keyasint,omitempty"`
+}
+
+// Handler answers questions of other daemons.
+type Handler interface {
+	Answer(ctx context.Context, q Question) Answer
+}
+
+// maxMessageBytes bounds one message: the largest settings tree, or a call's
+// body, with room for the rest.
+const maxMessageBytes = 16 << 20
+
+func codec() (cbor.EncMode, cbor.DecMode, error) {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339Nano
+	enc, err := opts.EncMode()
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	dec, err := cbor.DecOptions{MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17, MaxNestedLevels: 16}.DecMode()
+	return enc, dec, trace.Wrap(err)
+}
+
+// DecodeQuestion reads a question.
+func DecodeQuestion(raw []byte) (Question, error) {
+	var q Question
+	_, dec, err := codec()
+	if err != nil {
+		return q, err
+	}
+	return q, trace.Wrap(dec.Unmarshal(raw, &q))
+}
+
+func writeMessage(w io.Writer, v any) error {
+	enc, _, err := codec()
+	if err != nil {
+		return err
+	}
+	raw, err := enc.Marshal(v)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = w.Write(raw)
+	return trace.Wrap(err)
+}
+
+func readAll(r io.Reader) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if len(raw) > maxMessageBytes {
+		return nil, trace.LimitExceeded("a peer's message is too large")
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/pkg/model/model.go
@@ -0,0 +1,140 @@
+// Package model holds the plain data that the router's packages share.
+package model
+
+import "time"
+
+// ServerID names a backend server; the platform's membership list gives it.
+type ServerID string
+
+// DaemonID names one daemon; it is stable over the life of its VM.
+type DaemonID string
+
+// Team names a team by its path in the settings tree, such as /lisbon/rosters/a.
+type Team string
+
+// RequestID is unique for the life of one daemon process. The upper bits are
+// drawn at start, so that engines can tell the requests of two daemons apart.
+type RequestID uint64
+
+// Epoch numbers the routes of one request, from 1. A higher epoch replaces all
+// lower ones.
+type Epoch uint32
+
+// Revision numbers the changes of the settings, from 1. It never goes down.
+type Revision uint64
+
+//go:generate enumer -type=Role -transform=snake -text -output=role_enumer.go
+
+// Role is what a member of the platform's list does.
+type Role uint8
+
+const (
+	// Engine is a model engine.
+	Engine Role = iota
+	// Service is a plain service.
+	Service
+	// Daemon is one of the router's own VMs.
+	Daemon
+)
+
+//go:generate enumer -type=MemberState -transform=snake -text -output=memberstate_enumer.go
+
+// MemberState is the platform's word on a VM.
+type MemberState uint8
+
+const (
+	// Live VMs take work.
+	Live MemberState = iota
+	// Leaving VMs finish their work and take no more.
+	Leaving
+)
+
+// Member is one row of the platform's membership list.
+type Member struct {
+	// ID is unique in the list and not empty.
+	ID string `json:"id"`
+	// Address is an IP number and port.
+	Address string      `json:"address"`
+	Zone    string      `json:"availability_zone"`
+	Role    Role        `json:"role"`
+	State   MemberState `json:"state"`
+	// Service is the plain service's name; empty for other roles.
+	Service string `json:"service,omitempty"`
+}
+
+// Span is a half-open range of layers.
+type Span struct {
+	// From is the first layer; To is one past the last. From < To.
+	From int `json:"from" cbor:"1,keyasint"`
+	To   int `json:"to" cbor:"2,keyasint"`
+}
+
+// Hop is one stage of a route.
+type Hop struct {
+	Server  ServerID `json:"server"`
+	Address string   `json:"address"`
+	Span    Span     `json:"span"`
+	// ImportFrom is the address of a server that still holds this stage's
+	// cache of the request; empty where the prefix has to be replayed.
+	ImportFrom string `json:"import_from,omitempty"`
+}
+
+// Route is a chain of stages.
+type Route struct {
+	// Hops cover the model's layers in order, without gap or overlap.
+	Hops []Hop `json:"hops"`
+}
+
+// Covers reports whether the route runs layers 0 to layers-1 once each, in order.
+func (r Route) Covers(layers int) bool {
+	next := 0
+	for _, h := range r.Hops {
+		if h.Span.From != next || h.Span.To <= h.Span.From {
+			return false
+		}
+		next = h.Span.To
+	}
+	return next == layers && layers > 0
+}
+
+// Uses reports whether the route passes through a server.
+func (r Route) Uses(id ServerID) bool {
+	for _, h := range r.Hops {
+		if h.Server == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Token is one generated token, or the end of a stream.
+type Token struct {
+	Request RequestID `json:"request"`
+	Epoch   Epoch     `json:"epoch"`
+	// Position counts the answer's tokens from 0. With End set it is the
+	// number of tokens of the whole answer.
+	Position int    `json:"position"`
+	Text     string `json:"text"`
+	// Trail is the digest of the stages that the token passed, or 0 where
+	// the engine reports none. See TrailOf.
+	Trail uint64 `json:"trail,omitempty"`
+	End   bool   `json:"end,omitempty"`
+}
+
+// Report is what an engine last said of itself. It lags.
+type Report struct {
+	Server ServerID `json:"server"`
+	Model  string   `json:"model"`
+	Span   Span     `json:"span"`
+	// Slots is how many streams the engine batches at full speed, at least 1.
+	Slots   int `json:"slots"`
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// TokensPerSecond is the engine's rate with all slots in use.
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	// Leaving is set by an engine that wants no more work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Fence is the highest fencing number that the engine has obeyed.
+	Fence uint64    `json:"fence,omitempty"`
+	Taken time.Time `json:"taken"`
+}
