--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -129,7 +129,9 @@
 }
 
 // Owns reports whether this daemon may take calls for a shard.
-func (st *State) Owns(shard int) bool { return st.shards[shard].phase == Active }
+func (st *State) Owns(shard int) bool {
+	return shard < len(st.shards) && st.shards[shard].phase == Active
+}
 
 // Owned lists the shards that this daemon owns.
 func (st *State) Owned() []int {
--- a/internal/fakes/kv.go
+++ b/internal/fakes/kv.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	maxValueBytes = 1 << 20
-	watchLimit    = 20 * time.Second
+	watchLimit = 20 * time.Second
+	// watchPoll is how soon a watch sees that a lease has lapsed.
+	watchPoll = 50 * time.Millisecond
 )
 
 //go:generate enumer -type=Fault -transform=snake -text -output=fault_enumer.go
@@ -37,17 +38,10 @@
 	Gets, Writes, Watches, Leases int
 }
 
-type lease struct {
-	ttl     time.Duration
-	expires time.Time
-}
-
 // KV is an in-memory key-value service.
 type KV struct {
 	mu      sync.Mutex
-	entries map[string]model.Entry
-	leases  map[model.LeaseID]lease
-	last    uint64
+	store   *Store
 	changed chan struct{}
 	fault   Fault
 	// SlowBy is the delay of each call under the Slow fault.
@@ -58,8 +52,7 @@
 // NewKV returns an empty healthy service.
 func NewKV() *KV {
 	return &KV{
-		entries: map[string]model.Entry{},
-		leases:  map[model.LeaseID]lease{},
+		store:   NewStore(),
 		changed: make(chan struct{}),
 		SlowBy:  time.Second,
 	}
@@ -107,14 +100,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts.Gets++
-	return k.read(key), model.Done
+	return k.store.Get(time.Now(), key), model.Done
 }
 
 // CAS implements plat.KV.
 func (k *KV) CAS(ctx context.Context, op model.CAS) (uint64, model.Outcome) {
-	if len(op.Value) > maxValueBytes {
-		return 0, model.Refused
-	}
 	fault, out := k.enter(ctx)
 	if out != model.Done {
 		return 0, out
@@ -122,7 +112,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts.Writes++
-	rev, out := k.write(op)
+	rev, out := k.store.CAS(time.Now(), op)
+	k.wake()
 	if fault == LostAnswers {
 		return 0, model.Unknown
 	}
@@ -139,13 +130,14 @@
 		}
 		k.mu.Lock()
 		k.counts.Watches++
-		e, changed := k.read(key), k.changed
+		e, changed := k.store.Get(time.Now(), key), k.changed
 		k.mu.Unlock()
 		if e.Revision != after {
 			return e, model.Done
 		}
 		select {
 		case <-changed:
+		case <-time.After(watchPoll):
 		case <-limit.C:
 			return e, model.Done
 		case <-ctx.Done():
@@ -163,9 +155,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts.Leases++
-	k.last++
-	id := model.LeaseID(k.last)
-	k.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	id := k.store.Grant(time.Now(), ttl)
 	if fault == LostAnswers {
 		return 0, model.Unknown
 	}
@@ -181,64 +171,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts.Leases++
-	k.expire()
-	l, ok := k.leases[id]
-	if !ok {
-		return model.Conflict
-	}
-	l.expires = time.Now().Add(l.ttl)
-	k.leases[id] = l
+	out = k.store.KeepAlive(time.Now(), id)
 	if fault == LostAnswers {
 		return model.Unknown
 	}
-	return model.Done
-}
-
-// read returns the live entry of a key. The caller holds mu.
-func (k *KV) read(key string) model.Entry {
-	k.expire()
-	e, ok := k.entries[key]
-	if !ok {
-		return model.Entry{Key: key}
-	}
-	return e
-}
-
-// write carries out a conditional write. The caller holds mu.
-func (k *KV) write(op model.CAS) (uint64, model.Outcome) {
-	if k.read(op.Key).Revision != op.Expect {
-		return 0, model.Conflict
-	}
-	if op.Lease != 0 {
-		if _, ok := k.leases[op.Lease]; !ok {
-			return 0, model.Conflict
-		}
-	}
-	k.last++
-	if op.Delete {
-		delete(k.entries, op.Key)
-	} else {
-		k.entries[op.Key] = model.Entry{Key: op.Key, Value: append([]byte(nil), op.Value...), Revision: k.last, Lease: op.Lease}
-	}
-	k.wake()
-	return k.last, model.Done
-}
-
-// expire drops lapsed leases with their keys. The caller holds mu.
-func (k *KV) expire() {
-	now := time.Now()
-	for id, l := range k.leases {
-		if now.Before(l.expires) {
-			continue
-		}
-		delete(k.leases, id)
-		for key, e := range k.entries {
-			if e.Lease == id {
-				delete(k.entries, key)
-			}
-		}
-		k.wake()
-	}
+	return out
 }
 
 func (k *KV) wake() {
