Prove that accepted settings stay, and mend two answers about lost changes

Ruled out: treating every read error as unknown (an operator would have to look after each outage, though nothing was written yet).

--- a/internal/rings/head.go
+++ b/internal/rings/head.go
@@ -112,10 +112,10 @@
 	if h.Snapshot > 0 {
 		e, out := l.kv.Get(ctx, SnapshotKey(h.Snapshot))
 		if out != model.Done {
-			return t, trace.ConnectionProblem(nil, "settings snapshot: %s", out.String())
+			return t, trace.Wrap(ErrDown, "reading the settings snapshot")
 		}
 		if e.Revision == 0 {
-			return t, trace.NotFound("settings snapshot %d", h.Snapshot)
+			return t, trace.Wrap(errOldHead)
 		}
 		var err error
 		if t, err = DecodeTree(e.Value); err != nil {
@@ -146,6 +146,10 @@
 // refuses calls.
 var ErrDown = errors.New("the key-value service is down: the change was not accepted")
 
+// errOldHead means that a head was replaced, and its snapshot deleted, since it
+// was read.
+var errOldHead = errors.New("the settings snapshot was replaced while it was read")
+
 // submitTries bounds the races that a submission survives.
 const submitTries = 20
 
@@ -171,8 +175,10 @@
 		}
 		out, accepted, err := l.append(ctx, e, h, c)
 		switch {
-		case isConflict(err) && unsure:
-			// The conflict may be with this very change.
+		case errors.Is(err, errOldHead):
+			continue
+		case err != nil && unsure:
+			// The change may be in the log; a conflict may be with itself.
 			return c, ErrUnknown
 		case err != nil:
 			return c, err
@@ -187,11 +193,6 @@
 	return c, endOf(model.Unknown, unsure)
 }
 
-func isConflict(err error) bool {
-	var conflict *setts.ConflictError
-	return errors.As(err, &conflict)
-}
-
 func endOf(out model.Outcome, unsure bool) error {
 	if out == model.Refused && !unsure {
 		return ErrDown
--- /dev/null
+++ b/pkg/setts/setts_test.go
@@ -0,0 +1,151 @@
+package setts
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+const goodTree = `settings: {deadline: 30s, models: {m: 4}}
+nodes:
+  lisbon:
+    kind: place
+    settings: {weight: 2}
+    nodes:
+      a:
+        kind: team
+        settings: {weight: 3, api_key_sha256: ["` + digest + `"]}
+`
+
+const digest = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+func TestParseProblems(t *testing.T) {
+	type scenario struct {
+		name string
+		text string
+		want string
+	}
+	scenarios := []scenario{
+		{"unknown setting", "settings:\n  wieght: 2\n", "f:2:11: /:wieght: unknown setting; accepted: one of deadline"},
+		{"wrong type", "settings: {weight: heavy}\n", "f:1:20: /:weight: has the wrong type; accepted: a number from 0.01 to 1000"},
+		{"out of range", "settings: {deadline: 0s}\n", "/:deadline: is out of range; accepted: a duration such as 30s from 100ms to 1h"},
+		{"not a number", "settings: {weight: .nan}\n", "/:weight: is out of range"},
+		{"null", "settings: {weight: null}\n", "/:weight: has the wrong type"},
+		{"twice", "settings: {weight: 1, weight: 2}\n", "stands twice"},
+		{"team setting at root", "settings: {api_key_sha256: []}\n", "may be set at a team only"},
+		{"root setting at place", "nodes: {a: {kind: place, settings: {shards: 3}}}\n", "may be set at the root only"},
+		{"bad key", "nodes: {a: {kind: team, settings: {api_key_sha256: [abc]}}}\n", "64 hexadecimal digits"},
+		{"same key twice", "nodes: {a: {kind: team, settings: {api_key_sha256: [" + digest + "]}}, b: {kind: team, settings: {api_key_sha256: [" + strings.ToUpper(digest) + "]}}}\n", "a key belongs to /"},
+		{"bad kind", "nodes: {a: {kind: region}}\n", "unknown kind; accepted: firm, place, service, team"},
+		{"no kind", "nodes: {a: {}}\n", "has no kind"},
+		{"place below team", "nodes: {a: {kind: team, nodes: {b: {kind: place}}}}\n", "a place cannot stand here"},
+		{"bad name", "nodes: {a b: {kind: team}}\n", "not a node's name"},
+		{"two documents", "settings: {}\n---\nsettings: {}\n", "more than one YAML document"},
+		{"unknown part", "values: {}\n", "unknown name; accepted: kind, settings, nodes"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			_, err := Parse("f", []byte(s.text))
+			assert.ErrorContains(t, err, s.want)
+			var problems CheckErrors
+			assert.Assert(t, errors.As(err, &problems))
+		})
+	}
+}
+
+func TestMergeAndExplain(t *testing.T) {
+	tree, err := Parse("f", []byte(goodTree))
+	assert.NilError(t, err)
+	f := NewForce(tree)
+	p := f.At("/lisbon/a")
+	assert.Equal(t, p.Weight, 3.0)
+	assert.Equal(t, p.Deadline, 30*time.Second)
+	assert.Equal(t, f.At("/lisbon").Weight, 2.0)
+	team, ok := f.TeamOf(strings.ToUpper(digest))
+	assert.Assert(t, ok)
+	assert.Equal(t, team, model.Team("/lisbon/a"))
+	from := map[string]string{}
+	for _, o := range f.Explain("/lisbon/a") {
+		from[o.Name] = o.From
+	}
+	assert.Equal(t, from["weight"], "/lisbon/a")
+	assert.Equal(t, from["deadline"], "/")
+	assert.Equal(t, from["token_gap"], "default")
+}
+
+func TestChanges(t *testing.T) {
+	tree, err := Parse("f", []byte(goodTree))
+	assert.NilError(t, err)
+	f := NewForce(tree)
+	next, err := f.Next(Change{Path: "/lisbon", Set: map[string]string{"weight": "7"}})
+	assert.NilError(t, err)
+	assert.Equal(t, next.At("/lisbon").Weight, 7.0)
+	assert.Equal(t, next.At("/lisbon/a").Weight, 3.0)
+	assert.Equal(t, f.At("/lisbon").Weight, 2.0)
+
+	var conflict *ConflictError
+	_, err = next.Next(Change{Path: "/lisbon", Set: map[string]string{"weight": "8"}})
+	assert.Assert(t, errors.As(err, &conflict))
+	_, err = next.Next(Change{Path: "/lisbon", Base: 1, Set: map[string]string{"weight": "-8"}})
+	assert.ErrorContains(t, err, "out of range")
+	_, err = next.Next(Change{Path: "/", Remove: true})
+	assert.ErrorContains(t, err, "root cannot be removed")
+
+	gone, err := next.Next(Change{Path: "/lisbon", Base: 1, Remove: true})
+	assert.NilError(t, err)
+	_, ok := gone.TeamOf(digest)
+	assert.Assert(t, !ok)
+}
+
+// TestRemoveSeesChangesBelow: a removal based on an old state must not take a
+// change below it away.
+func TestRemoveSeesChangesBelow(t *testing.T) {
+	tree, err := Parse("f", []byte(goodTree))
+	assert.NilError(t, err)
+	tree, err = tree.Apply(Change{Path: "/lisbon/a", Set: map[string]string{"weight": "9"}})
+	assert.NilError(t, err)
+	_, err = tree.Apply(Change{Path: "/lisbon", Remove: true})
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Path, "/lisbon/a")
+}
+
+func TestReferencePage(t *testing.T) {
+	want, err := Reference()
+	assert.NilError(t, err)
+	const page = "../../docs/SETTINGS.md"
+	if os.Getenv("UPDATE_PAGES") != "" {
+		assert.NilError(t, os.WriteFile(page, []byte(want), 0o644))
+	}
+	got, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), want, "run UPDATE_PAGES=1 go test ./pkg/setts")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(goodTree)
+	f.Add("settings: {weight: *x}\n")
+	f.Add("a: &a [*a]\n")
+	f.Add("nodes: {a: {kind: team, settings: {weight: !!float 1}}}\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		tree, err := Parse("f", []byte(text))
+		if err != nil {
+			return
+		}
+		force := NewForce(tree)
+		for _, path := range tree.Paths() {
+			p := force.At(path)
+			assert.Assert(t, p.Weight >= 0.01 && p.Weight <= 1000)
+			assert.Assert(t, p.MaxBodyBytes >= 1024 && p.MaxBodyBytes <= 8388608)
+			for name, value := range tree.Nodes[path].Says {
+				assert.NilError(t, checkValue(path, tree.Nodes[path].Kind, name, value))
+			}
+		}
+	})
+}
