--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -47,6 +47,8 @@
 	admins   net.Listener
 
 	stopping atomic.Bool
+	// warm is set once the engines' first reports were read.
+	warm atomic.Bool
 
 	mu sync.Mutex
 	// fleet and members are guarded by mu.
@@ -119,6 +121,8 @@
 	// stopTimeout bounds a planned stop.
 	stopTimeout = 2 * time.Minute
 	stopPoll    = 20 * time.Millisecond
+	// forwardLinger is how long a forward may be on its way.
+	forwardLinger = 500 * time.Millisecond
 )
 
 // Run serves until ctx ends, then stops in a planned way: unready first, on
@@ -181,6 +185,9 @@
 	if n.stopping.Load() {
 		return trace.ConnectionProblem(nil, "stopping")
 	}
+	if !n.warm.Load() {
+		return trace.ConnectionProblem(nil, "the backend servers are not known yet")
+	}
 	return n.keeper.Current()
 }
 
@@ -203,7 +210,13 @@
 		n.common.Log.Error(trace.LimitExceeded("work was still in progress"), evlog.DaemonStopForced)
 		return trace.LimitExceeded("the stop took longer than %s", stopTimeout)
 	}
+	// Another daemon may have forwarded a call before it heard of the release.
+	// It gets its refusal, which says not_run and is true, before the process
+	// ends; without one it would have to say may_have_run.
 	n.tellRelease()
+	for linger := time.Now().Add(forwardLinger); time.Now().Before(linger) || (!n.server.Idle() && time.Now().Before(giveUp)); {
+		time.Sleep(stopPoll)
+	}
 	n.common.Log.Info(evlog.DaemonStopped)
 	return nil
 }
--- a/internal/boot/parts.go
+++ b/internal/boot/parts.go
@@ -85,6 +85,18 @@
 		return
 	}
 	n.applyMembers(list)
+	n.warmUp(ctx)
+}
+
+// warmUp reads the first reports right after the first list. Before that this
+// daemon knows no route and must not say that it is ready: the balancer would
+// send it requests that another daemon could have taken.
+func (n *Node) warmUp(ctx context.Context) {
+	if n.warm.Load() {
+		return
+	}
+	n.readReports(ctx)
+	n.warm.Store(true)
 }
 
 func (n *Node) applyMembers(list []model.Member) {
@@ -232,6 +244,7 @@
 		n.takeSettings(*a.Settings)
 		if len(a.Settings.Members) > 0 {
 			n.applyMembers(a.Settings.Members)
+			n.warmUp(ctx)
 			return
 		}
 	}
--- a/internal/integ/site_test.go
+++ b/internal/integ/site_test.go
@@ -100,6 +100,15 @@
 	assert.NilError(s.t, resp.Body.Close())
 }
 
+func (s *site) fault(name string) {
+	s.t.Helper()
+	req, err := http.NewRequest(http.MethodPut, "http://"+s.platform+"/fault/"+name, nil)
+	assert.NilError(s.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, resp.Body.Close())
+}
+
 // engines starts pairs of engines, each with half of the layers.
 func (s *site) engines(pairs int) {
 	for i := range 2 * pairs {
@@ -184,13 +193,17 @@
 
 // post sends one request as a caller and returns the status, and body.
 func (s *site) post(name, path, key, body string) (int, string) {
+	return s.postWithin(patience, name, path, key, body)
+}
+
+func (s *site) postWithin(wait time.Duration, name, path, key, body string) (int, string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+s.daemons[name].file.Callers+path, bytes.NewBufferString(body))
 	assert.NilError(s.t, err)
 	req.Header.Set("Authorization", "Bearer "+apiKey)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := (&http.Client{Timeout: wait}).Do(req)
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -33,6 +34,8 @@
 type Server struct {
 	listener *quic.Listener
 	handler  Handler
+	// active counts the questions that were not answered yet.
+	active atomic.Int64
 }
 
 // Listen opens the server at an IP number and port.
@@ -57,6 +60,9 @@
 // Address is where the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Idle reports whether every question that arrived was answered.
+func (s *Server) Idle() bool { return s.active.Load() == 0 }
+
 // Serve answers until the context ends. It implements suture.Service.
 func (s *Server) Serve(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -87,6 +93,8 @@
 const questionTimeout = 10 * time.Second
 
 func (s *Server) serveStream(stream *quic.Stream) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	defer func() { _ = stream.Close() }()
 	if err := stream.SetReadDeadline(time.Now().Add(questionTimeout)); err != nil {
 		return
--- a/internal/rings/log_test.go
+++ b/internal/rings/log_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -104,7 +105,7 @@
 	if rapid.IntRange(0, 9).Draw(t, "remove") == 9 {
 		c.Remove = true
 	} else {
-		c.Set = map[string]string{"weight": fmt.Sprint(1 + w.next)}
+		c.Set = map[string]string{"weight": strconv.Itoa(1 + w.next)}
 	}
 	if rapid.IntRange(0, 5).Draw(t, "stale") == 5 && c.Base > 0 {
 		c.Base--
@@ -262,7 +263,7 @@
 		ahead.OfferTree(setts.NewTree())
 		for i := range rapid.IntRange(1, 100).Draw(t, "changes") {
 			f := ahead.Force()
-			c := setts.Change{Revision: f.Revision + 1, Path: "/", Base: f.Tree.Nodes["/"].Changed, Set: map[string]string{"weight": fmt.Sprint(i + 1)}}
+			c := setts.Change{Revision: f.Revision + 1, Path: "/", Base: f.Tree.Nodes["/"].Changed, Set: map[string]string{"weight": strconv.Itoa(i + 1)}}
 			done, err := ahead.OfferChanges([]setts.Change{c})
 			assert.NilError(t, err)
 			assert.Assert(t, done)
