Route by own counts: the lagging reports made daemons herd

Cause: all daemons see the same reports, up to 1.5 s old, and turn to the same servers together. Found by taking the parts of the policy away one by one. Change: a daemon counts only its own streams against its even share of a server's room; links are compared with other links into the same server; an engine reports how many streams fit, beside its batch; the fake engines hold no more than that.

--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -31,12 +31,15 @@
 
 // fakeEngine batches what waits.
 type fakeEngine struct {
-	spec    Engine
-	queue   []item
-	batch   []item
-	busy    bool
-	dead    bool
-	streams int
+	spec  Engine
+	queue []item
+	batch []item
+	busy  bool
+	dead  bool
+	// streams are the jobs that are here; those beyond the memory wait.
+	streams  int
+	resident map[*job]bool
+	waiting  []item
 	// cache holds prefixes, the oldest first.
 	cache []uint64
 	// linkFree is when each link to another engine is free again.
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -121,7 +121,7 @@
 func (r *run) build() {
 	var list []model.Member
 	for i, spec := range r.site.Engines {
-		r.engines = append(r.engines, &fakeEngine{spec: spec, linkFree: map[int]time.Time{}})
+		r.engines = append(r.engines, &fakeEngine{spec: spec, linkFree: map[int]time.Time{}, resident: map[*job]bool{}})
 		r.index[spec.ID] = i
 		list = append(list, model.Member{ID: string(spec.ID), Address: string(spec.ID), Role: model.Engine})
 	}
@@ -168,7 +168,7 @@
 			continue
 		}
 		d.in.Reports = append(d.in.Reports, model.Report{
-			Server: e.spec.ID, Model: benchModel, Span: e.spec.Span, Slots: e.spec.Kind.Slots,
+			Server: e.spec.ID, Model: benchModel, Span: e.spec.Span, Slots: e.spec.Kind.Slots, Streams: e.spec.streams(),
 			Running: e.reported, TokensPerSecond: e.spec.Kind.rate(), Taken: r.now,
 		})
 	}
@@ -256,7 +256,14 @@
 // leave gives a job's places at its engines back.
 func (r *run) leave(j *job) {
 	for _, h := range j.hops {
-		r.engines[h].streams--
+		e := r.engines[h]
+		e.streams--
+		delete(e.resident, j)
+		for len(e.waiting) > 0 && len(e.resident) < e.spec.streams() {
+			it := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			r.reach(it)
+		}
 	}
 }
 
@@ -285,6 +292,13 @@
 		r.lost(it.job, e)
 		return
 	}
+	if !e.resident[it.job] {
+		if len(e.resident) >= e.spec.streams() {
+			e.waiting = append(e.waiting, it)
+			return
+		}
+		e.resident[it.job] = true
+	}
 	e.queue = append(e.queue, it)
 	if !e.busy {
 		r.batch(e)
@@ -293,17 +307,16 @@
 
 func (r *run) batch(e *fakeEngine) {
 	e.queue = slices.DeleteFunc(e.queue, func(it item) bool { return it.job.cancelled })
-	if len(e.queue) == 0 || e.dead {
+	if len(e.queue) == 0 || e.dead || e.busy {
 		return
 	}
 	r.after(e.start(), func() {
-		e.busy = false
-		batch := slices.Clone(e.batch)
 		if !e.dead {
-			for _, it := range batch {
+			for _, it := range e.batch {
 				r.pass(e, it)
 			}
 		}
+		e.busy = false
 		r.batch(e)
 	})
 }
--- a/internal/bench/site.go
+++ b/internal/bench/site.go
@@ -20,7 +20,8 @@
 	Base, Item time.Duration
 	// Prefill is the time of one prompt token that is not cached.
 	Prefill time.Duration
-	// Slots is the largest batch, and the most streams that fit the memory.
+	// Slots is the largest batch, and the most streams that fit the memory of an
+	// engine that holds all layers.
 	Slots int
 	// CachePrefixes is how many prompt prefixes the cache holds.
 	CachePrefixes int
@@ -88,6 +89,12 @@
 	return s
 }
 
+// streams is how many streams fit the engine's memory. A stream takes memory for
+// each layer that the engine holds.
+func (e Engine) streams() int {
+	return e.Kind.Slots * benchLayers / (e.Span.To - e.Span.From)
+}
+
 // linkRate is what a link carries, in tokens a second.
 func (s Site) linkRate(from, to int) float64 {
 	if s.Engines[from].Rack == s.Engines[to].Rack {
--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -100,7 +100,7 @@
 	if !s.Reported || changesRoutes(s.Report, r) {
 		servers.Version++
 	}
-	s.Reported, s.Report, s.OwnAtReport = true, r, len(s.Users)
+	s.Reported, s.Report = true, r
 	st.change(now, s, servers, out, func() { s.ReportLeaving = r.Leaving })
 }
 
@@ -109,7 +109,7 @@
 
 func changesRoutes(was, is model.Report) bool {
 	diff := was.TokensPerSecond - is.TokensPerSecond
-	return was.Model != is.Model || was.Span != is.Span || was.Slots != is.Slots ||
+	return was.Model != is.Model || was.Span != is.Span || was.Room() != is.Room() ||
 		diff > rateStep*was.TokensPerSecond || -diff > rateStep*was.TokensPerSecond
 }
 
--- a/internal/core/route/balance.go
+++ b/internal/core/route/balance.go
@@ -96,7 +96,8 @@
 	s.tried[layer] = append(s.tried[layer], server)
 }
 
-// cheapest returns the stage with the least load for its share of the flow.
+// cheapest returns the stage with the fewest of this daemon's streams for its
+// share of the flow.
 func (s *search) cheapest(layer int, prev model.ServerID) *stage {
 	var best *stage
 	lowest := 0.0
@@ -106,7 +107,7 @@
 		if !HasCredit(st.server, s.query.Daemons) || s.excluded(layer, st.server) {
 			continue
 		}
-		cost := float64(st.server.Load()+1) / st.rate * s.flow.links.Price(prev, st.server.ID)
+		cost := float64(len(st.server.Users)+1) / st.rate * s.flow.links.Price(prev, st.server.ID)
 		if best == nil || cost < lowest {
 			best, lowest = st, cost
 		}
@@ -152,15 +153,17 @@
 	}
 	extra := fullest(servers, cached) - fullest(servers, chosen)
 	saved := float64(q.Request.PromptTokens) / affinityTokensPerStream
-	return extra*float64(max(1, servers.Get(cached.Hops[0].Server).Report.Slots)) <= saved
+	room := servers.Get(cached.Hops[0].Server).Report.Room() / max(1, q.Daemons)
+	return extra*float64(max(1, room)) <= saved
 }
 
-// fullest returns the highest share of slots in use along a route.
+// fullest returns the highest share of a server's room along a route that this
+// daemon's streams take.
 func fullest(servers *table.Servers, r model.Route) float64 {
 	worst := 0.0
 	for _, h := range r.Hops {
 		if s := servers.Get(h.Server); s != nil {
-			worst = max(worst, float64(s.Load())/float64(max(1, s.Report.Slots)))
+			worst = max(worst, float64(len(s.Users))/float64(s.Report.Room()))
 		}
 	}
 	return worst
--- a/internal/core/route/links.go
+++ b/internal/core/route/links.go
@@ -10,27 +10,29 @@
 
 type linkRow struct {
 	// gap is the smoothed time between tokens of routes over the link.
-	gap float64
-	// price is at least 1.
+	gap   float64
 	price float64
 	seen  int
 }
 
 // Links prices the links between stages by what they were seen to carry. The
-// first stage's link comes from the empty name, so that slow servers are priced
-// the same way.
+// way from a daemon to the first stage has no price.
 type Links struct {
 	rows map[link]*linkRow
-	// usual is the smoothed gap over all routes, in seconds.
-	usual float64
+	// usual is the smoothed gap over all links into a server, in seconds. A
+	// link is compared with its equals, so a slow server does not look like a
+	// slow link.
+	usual map[model.ServerID]float64
 }
 
 const (
-	linkSmoothing = 8
-	maxPrice      = 8
+	linkSmoothing  = 8
+	usualSmoothing = 64
+	// A link's price lies between 1/maxPrice and maxPrice.
+	maxPrice = 8.0
 	// A price changes only when it is off by this factor. Hysteresis keeps
 	// routes from swinging between links that differ little.
-	priceStep = 1.5
+	priceStep = 1.15
 	// minSeen is how many observations a price needs.
 	minSeen = 3
 	// maxLinks bounds the table; at this many rows it is emptied.
@@ -38,7 +40,7 @@
 )
 
 // NewLinks returns an empty table.
-func NewLinks() *Links { return &Links{rows: map[link]*linkRow{}} }
+func NewLinks() *Links { return &Links{rows: map[link]*linkRow{}, usual: map[model.ServerID]float64{}} }
 
 // Price returns the factor by which a link makes a route dearer.
 func (l *Links) Price(from, to model.ServerID) float64 {
@@ -53,19 +55,18 @@
 
 // Observe takes in the mean time between tokens of a route.
 func (l *Links) Observe(r model.Route, gap time.Duration) {
-	seconds := gap.Seconds()
-	if l.usual == 0 {
-		l.usual = seconds
-	}
-	l.usual += (seconds - l.usual) / (linkSmoothing * linkSmoothing)
-	prev := model.ServerID("")
-	for _, h := range r.Hops {
-		l.update(link{prev, h.Server}, seconds)
-		prev = h.Server
+	for i := 1; i < len(r.Hops); i++ {
+		l.update(link{r.Hops[i-1].Server, r.Hops[i].Server}, gap.Seconds())
 	}
 }
 
 func (l *Links) update(key link, seconds float64) {
+	usual, ok := l.usual[key.to]
+	if !ok {
+		usual = seconds
+	}
+	usual += (seconds - usual) / usualSmoothing
+	l.usual[key.to] = usual
 	r := l.rows[key]
 	if r == nil {
 		if len(l.rows) >= maxLinks {
@@ -76,10 +77,11 @@
 	}
 	r.gap += (seconds - r.gap) / linkSmoothing
 	r.seen++
-	if r.seen < minSeen || l.usual <= 0 {
+	if r.seen < minSeen || usual <= 0 {
 		return
 	}
-	fair := min(maxPrice, max(1, r.gap/l.usual))
+	ratio := r.gap / usual
+	fair := min(maxPrice, max(1/maxPrice, ratio*ratio))
 	if fair > r.price*priceStep || fair < r.price/priceStep {
 		r.price = fair
 	}
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -45,17 +45,17 @@
 }
 
 // HasCredit reports whether a server has room for one more stream of this
-// daemon. The daemon's own share is counted exactly; the reports of the whole,
-// which lag, can only lower it.
+// daemon, by the daemon's own count alone. The engines' reports are seconds old,
+// and all daemons see the same ones: daemons that believe them turn to the same
+// servers together, and away from the same servers together.
 func HasCredit(s *table.Server, daemons int) bool {
-	slots := max(1, s.Report.Slots)
-	own := (slots*shareBurst/shareBase + daemons - 1) / max(1, daemons)
-	return len(s.Users) < max(1, min(own, slots)) && s.Load() < slots
+	share := (s.Report.Room()*shareBurst + shareBase*daemons - 1) / (shareBase * max(1, daemons))
+	return len(s.Users) < max(1, min(share, s.Report.Room()))
 }
 
 // shareBurst over shareBase is how far a daemon may exceed its even share of a
 // server, since callers do not spread evenly.
 const (
-	shareBurst = 3
-	shareBase  = 2
+	shareBurst = 4
+	shareBase  = 4
 )
--- a/internal/core/route/plan.go
+++ b/internal/core/route/plan.go
@@ -2,10 +2,13 @@
 package route
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/table"
+	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
 // stage is one server as the plan sees it.
@@ -30,8 +33,8 @@
 	Bound float64
 }
 
-// idleShare is the part of its own rate that a server outside the maximum flow
-// is given, so that it is used once the others are full.
+// idleShare is the part of its own rate that a group outside the maximum flow is
+// given, so that it is used once the others are full.
 const idleShare = 0.02
 
 // NewPlan works out the plan for a model with a number of layers.
@@ -61,12 +64,28 @@
 	}
 }
 
-// solve computes the maximum flow. Its nodes are the layers between servers, so
-// that the number of edges follows the servers and not their pairs.
+// group is all servers that hold the same layers.
+type group struct {
+	servers []*table.Server
+	rate    float64
+	edge    int
+}
+
+// solve computes the maximum flow. Its nodes are the layers between servers, and
+// its edges are groups of servers with the same layers, so that the work follows
+// the number of groups. Within a group the flow is shared by the servers' rates:
+// a flow over single servers would fill some and leave others idle.
 func (p *Plan) solve(usable []*table.Server) {
+	groups := map[model.Span]*group{}
 	nodes := []int{0, p.layers}
 	for _, s := range usable {
-		nodes = append(nodes, s.Report.Span.From, s.Report.Span.To)
+		span := s.Report.Span
+		if groups[span] == nil {
+			groups[span] = &group{}
+			nodes = append(nodes, span.From, span.To)
+		}
+		groups[span].servers = append(groups[span].servers, s)
+		groups[span].rate += max(s.Report.TokensPerSecond, epsilon)
 	}
 	slices.Sort(nodes)
 	nodes = slices.Compact(nodes)
@@ -74,16 +93,25 @@
 		i, _ := slices.BinarySearch(nodes, layer)
 		return i
 	}
+	spans := slices.SortedFunc(maps.Keys(groups), func(a, b model.Span) int {
+		return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To))
+	})
 	net := NewNetwork(len(nodes))
-	edges := make([]int, len(usable))
-	for i, s := range usable {
-		edges[i] = net.Add(node(s.Report.Span.From), node(s.Report.Span.To), max(s.Report.TokensPerSecond, epsilon))
+	for _, span := range spans {
+		groups[span].edge = net.Add(node(span.From), node(span.To), groups[span].rate)
 	}
 	p.Bound = net.Solve(node(0), node(p.layers))
-	for i, s := range usable {
-		rate := max(net.Flow(edges[i]), idleShare*s.Report.TokensPerSecond, epsilon)
-		from := s.Report.Span.From
-		p.starts[from] = append(p.starts[from], stage{server: s, rate: rate, to: s.Report.Span.To})
+	for _, span := range spans {
+		g := groups[span]
+		p.share(span, g, max(net.Flow(g.edge)/g.rate, idleShare))
+	}
+}
+
+// share gives each server of a group its part of the group's flow.
+func (p *Plan) share(span model.Span, g *group, used float64) {
+	for _, s := range g.servers {
+		rate := used * max(s.Report.TokensPerSecond, epsilon)
+		p.starts[span.From] = append(p.starts[span.From], stage{server: s, rate: rate, to: span.To})
 	}
 }
 
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -38,8 +38,6 @@
 	Failures int
 	// Users are the requests whose current route passes through the server.
 	Users map[model.RequestID]struct{}
-	// OwnAtReport is len(Users) when the report was taken in.
-	OwnAtReport int
 }
 
 // Leaving reports whether any source says that the server leaves.
@@ -50,13 +48,6 @@
 	return s.Listed && s.Reported && !s.Leaving() && !now.Before(s.BackAt) && !now.Before(s.AvoidUntil)
 }
 
-// Others estimates the streams that other daemons run on the server, from a
-// report that lags.
-func (s *Server) Others() int { return max(0, s.Report.Running+s.Report.Queued-s.OwnAtReport) }
-
-// Load estimates all streams on the server.
-func (s *Server) Load() int { return s.Others() + len(s.Users) }
-
 // Servers is the table of model engines.
 type Servers struct {
 	rows map[model.ServerID]*Server
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -121,13 +121,20 @@
 	End   bool   `json:"end,omitempty"`
 }
 
+// Room is how many streams fit the engine, at least 1.
+func (r Report) Room() int { return max(1, r.Slots, r.Streams) }
+
 // Report is what an engine last said of itself. It lags.
 type Report struct {
 	Server ServerID `json:"server"`
 	Model  string   `json:"model"`
 	Span   Span     `json:"span"`
 	// Slots is how many streams the engine batches at full speed, at least 1.
-	Slots   int `json:"slots"`
+	Slots int `json:"slots"`
+	// Streams is how many streams fit the engine's memory; 0 means Slots. An
+	// engine that holds part of the layers has room for more streams than one
+	// batch, since each is at another stage for part of the time.
+	Streams int `json:"streams,omitempty"`
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
 	// TokensPerSecond is the engine's rate with all slots in use.
