Price cached prefixes in time, and draw stages instead of taking the cheapest

Cause: at 0.8 the gaps between tokens were longer than those of two choices. Taking the parts away one by one showed affinity: it compared shares of room with a limit that they can never reach, so each team stayed on one route. Change: a remembered route is taken only if the prompt work that it saves is more than what its longer queues cost over an answer, both in seconds.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -29,7 +29,7 @@
 
 func pickers() map[string]func(*rand.Rand) route.Picker {
 	return map[string]func(*rand.Rand) route.Picker{
-		"flow":           func(*rand.Rand) route.Picker { return route.NewFlow() },
+		"flow":           func(r *rand.Rand) route.Picker { return route.NewFlow(r.Uint64()) },
 		"round_robin":    func(*rand.Rand) route.Picker { return route.NewBaseline(route.RoundRobin()) },
 		"least_reported": func(*rand.Rand) route.Picker { return route.NewBaseline(route.LeastReported()) },
 		"two_choices":    func(r *rand.Rand) route.Picker { return route.NewBaseline(route.TwoChoices(r)) },
@@ -39,6 +39,13 @@
 func main() {
 	var c cli
 	kong.Parse(&c, kong.Name("measure"), kong.Description("Measures the routing policy in virtual time."))
+	if err := c.run(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(2)
+	}
+}
+
+func (c *cli) run() error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	defer func() { _ = w.Flush() }()
 	_, _ = fmt.Fprintln(w, "user\tpolicy\tdaemons\tload\tseed\tbound\ttokens/s\tshare\tgoodput\tfirst p50\tp95\tp99 ms\tgap p50\tp95\tp99 ms\trefused\tlost\tlate\trecovery p50\tp99 ms\tcore us/token")
@@ -50,8 +57,7 @@
 		for _, name := range c.Pickers {
 			picker, ok := pickers()[name]
 			if !ok {
-				_, _ = fmt.Fprintln(os.Stderr, "measure: unknown policy", name)
-				os.Exit(2)
+				return fmt.Errorf("unknown policy %q", name)
 			}
 			for _, d := range c.Daemons {
 				for _, load := range c.Loads {
@@ -63,6 +69,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 func (c *cli) print(w *tabwriter.Writer, name string, p bench.Plan, r bench.Result) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,7 +49,7 @@
 	c := &Core{
 		servers:  table.NewServers(),
 		requests: table.NewRequests(),
-		picker:   route.NewFlow(),
+		picker:   route.NewFlow(1),
 		admit:    admit.NewState(),
 		drain:    drain.NewState(),
 		recov:    &recov.State{},
--- a/internal/core/route/balance.go
+++ b/internal/core/route/balance.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/table"
@@ -14,11 +16,13 @@
 	plans    map[string]*Plan
 	links    *Links
 	affinity *Affinity
+	rng      *rand.Rand
 }
 
-// NewFlow returns a picker that knows nothing yet.
-func NewFlow() *Flow {
-	return &Flow{plans: map[string]*Plan{}, links: NewLinks(), affinity: NewAffinity()}
+// NewFlow returns a picker that knows nothing yet. Daemons should have different
+// seeds.
+func NewFlow(seed uint64) *Flow {
+	return &Flow{plans: map[string]*Plan{}, links: NewLinks(), affinity: NewAffinity(), rng: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // maxSteps bounds the search for a chain with room, in stages tried.
@@ -96,9 +100,43 @@
 	s.tried[layer] = append(s.tried[layer], server)
 }
 
+// sampled is how many stages are drawn before the cheapest of them is taken.
+const sampled = 4
+
+// draw returns the cheapest of a few stages drawn by their share of the flow.
+// Daemons that all take the cheapest of all stages pair the same heads with the
+// same tails, and crowd the links between them.
+func (s *search) draw(layer int, prev model.ServerID) *stage {
+	stages := s.plan.starts[layer]
+	if len(stages) <= sampled {
+		return nil
+	}
+	total := s.plan.total(layer)
+	var best *stage
+	lowest := 0.0
+	for range sampled {
+		st := s.plan.at(layer, s.flow.rng.Float64()*total)
+		if !HasCredit(st.server, s.query.Daemons) || s.excluded(layer, st.server) {
+			continue
+		}
+		cost := s.cost(st, prev)
+		if best == nil || cost < lowest {
+			best, lowest = st, cost
+		}
+	}
+	return best
+}
+
+func (s *search) cost(st *stage, prev model.ServerID) float64 {
+	return float64(len(st.server.Users)+1) / st.rate * s.flow.links.Price(prev, st.server.ID)
+}
+
 // cheapest returns the stage with the fewest of this daemon's streams for its
 // share of the flow.
 func (s *search) cheapest(layer int, prev model.ServerID) *stage {
+	if st := s.draw(layer, prev); st != nil {
+		return st
+	}
 	var best *stage
 	lowest := 0.0
 	stages := s.plan.starts[layer]
@@ -107,7 +145,7 @@
 		if !HasCredit(st.server, s.query.Daemons) || s.excluded(layer, st.server) {
 			continue
 		}
-		cost := float64(len(st.server.Users)+1) / st.rate * s.flow.links.Price(prev, st.server.ID)
+		cost := s.cost(st, prev)
 		if best == nil || cost < lowest {
 			best, lowest = st, cost
 		}
@@ -122,49 +160,57 @@
 			return true
 		}
 	}
-	for _, id := range s.query.Request.Failed {
-		if id == server.ID {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.query.Request.Failed, server.ID)
 }
 
-// affinityTokensPerStream is how many cached prompt tokens outweigh one more
-// stream on a server.
-const affinityTokensPerStream = 64
+const (
+	// promptSpeed is how much faster an engine works through a prompt than it
+	// generates tokens.
+	promptSpeed = 10
+	// usualAnswer is the number of tokens that a longer queue is paid for.
+	usualAnswer = 128
+)
 
 // worthwhile reports whether a route with a cached prefix saves more prompt
-// work than its longer queue costs.
+// work than its longer queues cost over an answer.
 func (f *Flow) worthwhile(now time.Time, servers *table.Servers, q Query, cached, chosen model.Route) bool {
-	if !cached.Covers(q.Layers) {
+	if !cached.Covers(q.Layers) || !usable(now, servers, q, cached) {
 		return false
 	}
+	extra := f.stepTime(servers, cached) - f.stepTime(servers, chosen)
+	saved := 0.0
 	for _, h := range cached.Hops {
+		saved += float64(q.Request.PromptTokens) / (promptSpeed * rateOf(servers.Get(h.Server)))
+	}
+	return extra*usualAnswer <= saved
+}
+
+// usable reports whether every server of a remembered route can take one more
+// stream and still holds the same layers.
+func usable(now time.Time, servers *table.Servers, q Query, r model.Route) bool {
+	for _, h := range r.Hops {
 		s := servers.Get(h.Server)
 		if s == nil || !s.Usable(now) || s.Report.Span != h.Span || s.Report.Model != q.Request.Model || !HasCredit(s, q.Daemons) {
 			return false
 		}
-		for _, id := range q.Request.Failed {
-			if id == h.Server {
-				return false
-			}
+		if slices.Contains(q.Request.Failed, h.Server) {
+			return false
 		}
 	}
-	extra := fullest(servers, cached) - fullest(servers, chosen)
-	saved := float64(q.Request.PromptTokens) / affinityTokensPerStream
-	room := servers.Get(cached.Hops[0].Server).Report.Room() / max(1, q.Daemons)
-	return extra*float64(max(1, room)) <= saved
+	return true
 }
 
-// fullest returns the highest share of a server's room along a route that this
-// daemon's streams take.
-func fullest(servers *table.Servers, r model.Route) float64 {
-	worst := 0.0
+func rateOf(s *table.Server) float64 { return max(s.Report.TokensPerSecond, epsilon) }
+
+// stepTime estimates the time between two tokens of a stream on a route, in
+// seconds, from this daemon's own streams.
+func (f *Flow) stepTime(servers *table.Servers, r model.Route) float64 {
+	total := 0.0
+	prev := model.ServerID("")
 	for _, h := range r.Hops {
-		if s := servers.Get(h.Server); s != nil {
-			worst = max(worst, float64(len(s.Users))/float64(s.Report.Room()))
-		}
+		s := servers.Get(h.Server)
+		total += float64(len(s.Users)+1) / rateOf(s) * f.links.Price(prev, h.Server)
+		prev = h.Server
 	}
-	return worst
+	return total
 }
--- a/internal/core/route/baseline.go
+++ b/internal/core/route/baseline.go
@@ -20,7 +20,7 @@
 }
 
 // NewBaseline returns a picker with a policy.
-func NewBaseline(choose Choose) *Baseline { return &Baseline{flow: NewFlow(), choose: choose} }
+func NewBaseline(choose Choose) *Baseline { return &Baseline{flow: NewFlow(0), choose: choose} }
 
 // RoundRobin takes the candidates in turn.
 func RoundRobin() Choose {
--- a/internal/core/route/plan.go
+++ b/internal/core/route/plan.go
@@ -28,6 +28,8 @@
 	layers  int
 	// starts lists the stages by their first layer.
 	starts map[int][]stage
+	// sums are the running sums of the stages' rates, by their first layer.
+	sums map[int][]float64
 	// Bound is the maximum flow, in tokens a second; 0 means that no chain of
 	// usable servers covers all layers.
 	Bound float64
@@ -39,7 +41,7 @@
 
 // NewPlan works out the plan for a model with a number of layers.
 func NewPlan(now time.Time, servers *table.Servers, model string, layers int) *Plan {
-	p := &Plan{version: servers.Version, layers: layers, starts: map[int][]stage{}}
+	p := &Plan{version: servers.Version, layers: layers, starts: map[int][]stage{}, sums: map[int][]float64{}}
 	var usable []*table.Server
 	for _, id := range servers.IDs() {
 		s := servers.Get(id)
@@ -112,9 +114,25 @@
 	for _, s := range g.servers {
 		rate := used * max(s.Report.TokensPerSecond, epsilon)
 		p.starts[span.From] = append(p.starts[span.From], stage{server: s, rate: rate, to: span.To})
+		p.sums[span.From] = append(p.sums[span.From], p.total(span.From)+rate)
 	}
 }
 
+// total is the rate of all stages that start at a layer.
+func (p *Plan) total(layer int) float64 {
+	sums := p.sums[layer]
+	if len(sums) == 0 {
+		return 0
+	}
+	return sums[len(sums)-1]
+}
+
+// at returns the stage of a layer at a point between 0 and total.
+func (p *Plan) at(layer int, point float64) *stage {
+	i, _ := slices.BinarySearch(p.sums[layer], point)
+	return &p.starts[layer][min(i, len(p.starts[layer])-1)]
+}
+
 // valid reports whether the plan still holds.
 func (p *Plan) valid(now time.Time, servers *table.Servers, layers int) bool {
 	return p.version == servers.Version && p.layers == layers && (p.expires.IsZero() || now.Before(p.expires))
