--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -20,6 +20,14 @@
 	// daemonsHeld is how long a lower number of daemons must last before a
 	// daemon's part of the limits grows.
 	daemonsHeld = time.Minute
+	// expectedWait, in parts of the objective for the first token, is the longest
+	// expected wait of a request that is taken in. The rest is for the prompt
+	// and for waits that turn out longer.
+	expectedWait = 4
+	// longestWait, in the same parts, is when a request that still waits is
+	// given up: its first token could not come in time any more.
+	longestWait = 8
+	inParts     = 10
 	// leastBurst is the least number of requests that a rate limit lets
 	// through at once.
 	leastBurst = 1
@@ -84,13 +92,23 @@
 	if fail := st.withinLimits(now, a.Team, p); fail != nil {
 		return fail
 	}
-	requests.Add(&table.Request{Arrival: a, Weight: p.Weight, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries})
+	requests.Add(&table.Request{
+		Arrival: a, Weight: p.Weight, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries,
+		QueueUntil: earlier(a.Deadline, now.Add(p.FirstToken*longestWait/inParts)),
+	})
 	q.Push(a.Team, p.Weight, a.ID)
 	st.Waiting++
 	st.running[a.Team]++
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func refuse(now time.Time, reason verdt.Reason, message string, wait time.Duration) *verdt.Error {
 	return verdt.New(verdt.NotRun, reason, message, verdt.RetryAt(now.Add(wait)))
 }
@@ -120,7 +138,7 @@
 		return nil
 	}
 	wait := time.Duration(float64(q.Interval) * float64(ahead) / share)
-	patience := min(p.FirstToken, a.Deadline.Sub(now))
+	patience := min(p.FirstToken*expectedWait/inParts, a.Deadline.Sub(now))
 	if wait <= patience {
 		return nil
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,6 +131,10 @@
 // expire gives up what is past its deadline or was stranded for too long.
 func (c *Core) expire(now time.Time, out *msgs.Outbox) {
 	for r := c.requests.Due(now); r != nil; r = c.requests.Due(now) {
+		if now.Before(r.Deadline) {
+			c.giveUp(now, r, verdt.Overloaded, "the first token would come too late", out)
+			continue
+		}
 		c.giveUp(now, r, verdt.DeadlinePassed, "the deadline passed", out)
 	}
 	for id := range c.requests.Stranded {
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -51,6 +51,9 @@
 	Started time.Time
 	// LastToken is when the last token was accepted.
 	LastToken time.Time
+	// QueueUntil is when a request that still waits is given up, because its
+	// first token would come too late. It is not after Deadline.
+	QueueUntil time.Time
 	// Weight is the team's share when the request arrived.
 	Weight float64
 	// Priority and MaxRecoveries are the team's policy when the request arrived.
@@ -89,7 +92,7 @@
 // Add puts a new row in the table.
 func (t *Requests) Add(r *Request) {
 	t.rows[r.ID] = r
-	t.deadlines.Push(deadline{at: r.Deadline, id: r.ID})
+	t.deadlines.Push(deadline{at: r.QueueUntil, id: r.ID})
 }
 
 // Remove drops a row.
@@ -98,8 +101,8 @@
 	delete(t.Stranded, id)
 }
 
-// Due removes and returns a request whose deadline has passed, or nil. Deadlines
-// of requests that ended earlier are dropped on the way.
+// Due returns a request whose time is over, or nil: its deadline, or its time in
+// the queue. Entries of requests that ended earlier are dropped on the way.
 func (t *Requests) Due(now time.Time) *Request {
 	for t.deadlines.Len() > 0 {
 		d := t.deadlines.Min()
@@ -108,9 +111,14 @@
 			return nil
 		}
 		t.deadlines.Pop()
-		if r != nil {
-			return r
+		if r == nil {
+			continue
 		}
+		if r.Phase != Queued && r.Deadline.After(now) {
+			t.deadlines.Push(deadline{at: r.Deadline, id: r.ID})
+			continue
+		}
+		return r
 	}
 	return nil
 }
@@ -136,6 +144,9 @@
 		if r.Phase == Queued && (r.Epoch != 0 || r.Verdict != verdt.NotRun) {
 			return fmt.Errorf("request %d is queued after epoch %d", id, r.Epoch)
 		}
+		if r.QueueUntil.After(r.Deadline) {
+			return fmt.Errorf("request %d may wait beyond its deadline", id)
+		}
 		if r.Next > 0 && r.Verdict != verdt.Ran {
 			return fmt.Errorf("request %d has %d tokens but verdict %s", id, r.Next, r.Verdict)
 		}
