--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -24,6 +24,7 @@
 	Length  time.Duration `default:"40s" help:"Virtual time of a run."`
 	WarmUp  time.Duration `default:"10s" help:"Virtual time before counting."`
 	Kill    time.Duration `help:"Kill the busiest engine at this time."`
+	Flood   float64       `default:"1" help:"Factor by which the first team exceeds its usual load."`
 	Teams   bool          `help:"Also print each team's share of whole answers."`
 }
 
@@ -62,7 +63,8 @@
 			for _, d := range c.Daemons {
 				for _, load := range c.Loads {
 					for _, seed := range c.Seeds {
-						p := bench.Plan{Engines: c.Engines, Daemons: d, Workload: workload, Load: load, Seed: seed, Length: c.Length, WarmUp: c.WarmUp, Picker: picker, KillAt: c.Kill}
+						w2, factor := workload.Flood(c.Flood)
+						p := bench.Plan{Engines: c.Engines, Daemons: d, Workload: w2, Load: load * factor, Seed: seed, Length: c.Length, WarmUp: c.WarmUp, Picker: picker, KillAt: c.Kill}
 						c.print(w, name, p, bench.Run(p))
 					}
 				}
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -44,6 +44,19 @@
 	return w
 }
 
+// Flood returns the workload with the first team asking more by a factor, and
+// the factor by which the whole grows.
+func (w Workload) Flood(factor float64) (Workload, float64) {
+	total := 1 + w.Teams[0].Share*(factor-1)
+	flooded := append([]TeamLoad(nil), w.Teams...)
+	flooded[0].Share *= factor
+	for i := range flooded {
+		flooded[i].Share /= total
+	}
+	w.Teams = flooded
+	return w, total
+}
+
 // teams makes n teams, of which the first few take a share of all requests.
 func teams(n, large int, share float64) []TeamLoad {
 	var all []TeamLoad
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -49,6 +49,9 @@
 	running map[model.Team]int
 	// Queues hold the waiting requests by model.
 	Queues map[string]*table.Queue
+	// backlog are the models whose queue may hold requests, in the order in
+	// which they got their first.
+	backlog []string
 	// Waiting is the number of requests in all queues.
 	Waiting  int
 	Stopping bool
@@ -96,6 +99,9 @@
 		Arrival: a, Weight: p.Weight, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries,
 		QueueUntil: earlier(a.Deadline, now.Add(p.FirstToken*longestWait/inParts)),
 	})
+	if q.Length == 0 && !slices.Contains(st.backlog, a.Model) {
+		st.backlog = append(st.backlog, a.Model)
+	}
 	q.Push(a.Team, p.Weight, a.ID)
 	st.Waiting++
 	st.running[a.Team]++
@@ -178,6 +184,13 @@
 	return q
 }
 
+// Backlog returns the models whose requests wait, so that a tick costs nothing
+// for models without any.
+func (st *State) Backlog() []string {
+	st.backlog = slices.DeleteFunc(st.backlog, func(name string) bool { return st.Queues[name].Length == 0 })
+	return st.backlog
+}
+
 // Dispatched takes in that the head of a queue got its route.
 func (st *State) Dispatched(now time.Time, q *table.Queue, cost float64) {
 	q.Pop(cost)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,9 +31,13 @@
 	requests *table.Requests
 	picker   route.Picker
 	force    *setts.Force
-	admit    *admit.State
-	drain    *drain.State
-	recov    *recov.State
+	// models are the models of force with their number of layers.
+	models map[string]int
+	admit  *admit.State
+	drain  *drain.State
+	recov  *recov.State
+	// tables are what the systems of the streams work on.
+	tables recov.Tables
 	// blocked is whether the last dispatch left requests that found no room.
 	blocked bool
 }
@@ -57,13 +61,10 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.tables = recov.Tables{Requests: c.requests, Servers: c.servers, Picker: c.picker, Left: c.admit.Left}
 	return c
 }
 
-func (c *Core) tables() recov.Tables {
-	return recov.Tables{Requests: c.requests, Servers: c.servers, Picker: c.picker, Left: c.admit.Left}
-}
-
 // Tick takes in what happened and fills out with what is to be done. The order
 // is: settings and servers, then streams, then new requests, then routes, then
 // deadlines.
@@ -81,6 +82,7 @@
 func (c *Core) applyState(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	if in.Force != nil && (c.force == nil || in.Force.Revision >= c.force.Revision) {
 		c.force = in.Force
+		c.models = in.Force.At(setts.Root).Models
 		c.drain.ApplyForce(now, in.Force, c.servers, out)
 	}
 	if in.List != nil {
@@ -98,7 +100,7 @@
 }
 
 func (c *Core) applyStreams(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
-	t := c.tables()
+	t := c.tables
 	for _, tok := range in.Tokens {
 		c.recov.Accept(now, tok, t, out)
 	}
@@ -125,7 +127,7 @@
 	if r.Phase == table.Queued {
 		c.admit.Withdraw(r)
 	}
-	c.recov.GiveUp(now, r, reason, message, c.tables(), out)
+	c.recov.GiveUp(now, r, reason, message, c.tables, out)
 }
 
 // expire gives up what is past its deadline or was stranded for too long.
@@ -137,7 +139,10 @@
 		}
 		c.giveUp(now, r, verdt.DeadlinePassed, "the deadline passed", out)
 	}
-	for id := range c.requests.Stranded {
+	if len(c.requests.Stranded) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.requests.Stranded)) {
 		r := c.requests.Get(id)
 		if !now.Before(r.StrandedUntil) {
 			c.giveUp(now, r, verdt.NoRoute, "no other servers could go on with the request", out)
@@ -149,7 +154,7 @@
 func (c *Core) moveOff(now time.Time, out *msgs.Outbox) {
 	for _, s := range c.drain.Due(now, c.servers) {
 		for _, id := range slices.Sorted(maps.Keys(s.Users)) {
-			c.recov.Move(now, id, c.tables(), out)
+			c.recov.Move(now, id, c.tables, out)
 		}
 	}
 }
@@ -160,13 +165,14 @@
 	if c.force == nil {
 		return
 	}
-	models := c.force.At(setts.Root).Models
-	for _, id := range slices.Sorted(maps.Keys(c.requests.Stranded)) {
-		r := c.requests.Get(id)
-		c.start(now, r, models[r.Model], out)
+	if len(c.requests.Stranded) > 0 {
+		for _, id := range slices.Sorted(maps.Keys(c.requests.Stranded)) {
+			r := c.requests.Get(id)
+			c.start(now, r, c.models[r.Model], out)
+		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.admit.Queues)) {
-		c.drainQueue(now, c.admit.Queues[name], models[name], out)
+	for _, name := range c.admit.Backlog() {
+		c.drainQueue(now, c.admit.Queues[name], c.models[name], out)
 	}
 }
 
@@ -203,7 +209,7 @@
 func (c *Core) start(now time.Time, r *table.Request, layers int, out *msgs.Outbox) route.Result {
 	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.admit.Daemons})
 	if result == route.Found {
-		c.recov.Start(now, r, chain, c.tables(), out)
+		c.recov.Start(now, r, chain, c.tables, out)
 	} else {
 		c.blocked = true
 	}
@@ -212,20 +218,19 @@
 
 // wake returns when the next tick is needed.
 func (c *Core) wake(now time.Time) time.Time {
-	next := c.requests.NextDeadline()
-	for _, at := range []time.Time{c.drain.NextMove(), c.retryAt(now)} {
-		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
-			next = at
-		}
+	next := first(c.requests.NextDeadline(), c.drain.NextMove())
+	if c.blocked {
+		next = first(next, now.Add(busyRetry))
 	}
 	return next
 }
 
-func (c *Core) retryAt(now time.Time) time.Time {
-	if !c.blocked {
-		return time.Time{}
+// first returns the earlier of two moments, of which zero is never.
+func first(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
 	}
-	return now.Add(busyRetry)
+	return a
 }
 
 // LastRoute is the route of the request that was answered whole last.
--- a/internal/core/table/queue.go
+++ b/internal/core/table/queue.go
@@ -26,6 +26,8 @@
 type Queue struct {
 	lanes map[model.Team]*Lane
 	heap  *Heap[*Lane]
+	// sweepAt is the number of lanes at which idle ones are forgotten.
+	sweepAt int
 	// virtual is the start of the request dispatched last. It never goes down.
 	virtual float64
 	// Weights is the sum over the lanes that have requests waiting.
@@ -42,7 +44,8 @@
 // NewQueue returns an empty queue.
 func NewQueue() *Queue {
 	return &Queue{
-		lanes: map[model.Team]*Lane{},
+		sweepAt: leastSweep,
+		lanes:   map[model.Team]*Lane{},
 		heap: NewHeap(func(a, b *Lane) bool {
 			if a.Start != b.Start {
 				return a.Start < b.Start
@@ -87,7 +90,7 @@
 	}
 	q.heap.Pop()
 	q.forgetWeight(l)
-	if len(q.lanes) > 4*q.heap.Len()+laneSlack {
+	if len(q.lanes) >= q.sweepAt {
 		q.sweep()
 	}
 }
@@ -118,11 +121,13 @@
 	}
 }
 
-// laneSlack is how many idle lanes are kept before a sweep.
-const laneSlack = 64
+// leastSweep is the number of lanes below which none is forgotten.
+const leastSweep = 64
 
-// sweep forgets idle lanes that owe nothing.
+// sweep forgets idle lanes that owe nothing. The next sweep waits until the
+// lanes have doubled, so that its cost is spread over as many requests.
 func (q *Queue) sweep() {
+	defer func() { q.sweepAt = max(leastSweep, 2*len(q.lanes)) }()
 	for team, l := range q.lanes {
 		if len(l.Waiting) == 0 && l.Finish <= q.virtual {
 			delete(q.lanes, team)
--- a/internal/engine/http_test.go
+++ b/internal/engine/http_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -113,3 +114,16 @@
 		})
 	}
 }
+
+// BenchmarkLine reads one token's line.
+func BenchmarkLine(b *testing.B) {
+	raw := []byte(`{"request":123456789012,"epoch":1,"position":17,"text":"word ","trail":12345678901234567890}`)
+	var l Line
+	b.ReportAllocs()
+	for b.Loop() {
+		l = Line{}
+		if err := json.Unmarshal(raw, &l); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
