Order engines to hold what the settings place on them

Ruled out: one owner a model (an engine that changes its model would see the fencing numbers of two shards, of which the second may be lower for ever); the owner is that of the engine's own shard. Change: the setting placement; a pure system that empties, reserves, loads and lets serve again; its carrier; expvar metrics; tests of the command line and the daemon's file. Figures: the property test first failed after 3 cases: an engine that an order had emptied could not be told from one that leaves by itself, and stayed empty for ever when the settings went back.

--- a/internal/boot/app.go
+++ b/internal/boot/app.go
@@ -52,17 +52,29 @@
 	Debug    bool        `help:"${help_debug}"`
 }
 
+// earlyExit is how the parser of the command line ends a command such as --help:
+// it expects its exit function not to return.
+type earlyExit int
+
 // Main runs one command and returns the exit code.
-func Main(args []string, out, errOut io.Writer, build BuildInfo) int {
+func Main(args []string, out, errOut io.Writer, build BuildInfo) (code int) {
 	var cli CLI
-	code := ExitDone
+	defer func() {
+		switch e := recover().(type) {
+		case nil:
+		case earlyExit:
+			code = int(e)
+		default:
+			panic(e)
+		}
+	}()
 	parser, err := kong.New(&cli,
 		kong.Name("bulrushpond"),
 		kong.Description(textDescription),
 		helpTexts(),
 		kong.Writers(out, errOut),
 		kong.UsageOnError(),
-		kong.Exit(func(c int) { code = c }),
+		kong.Exit(func(c int) { panic(earlyExit(c)) }),
 	)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "bulrushpond:", err)
@@ -75,9 +87,6 @@
 		_, _ = fmt.Fprintln(errOut, "bulrushpond:", err)
 		return ExitUsage
 	}
-	if chosen.Command() == "" || code != ExitDone {
-		return code
-	}
 	common := Common{Log: NewLog(errOut, cli.Debug), Out: out, Build: build}
 	chosen.BindTo(ctx, (*context.Context)(nil))
 	if err := chosen.Run(common); err != nil {
--- a/internal/boot/file.go
+++ b/internal/boot/file.go
@@ -27,7 +27,7 @@
 	// who reaches the admin address.
 	AdminKeySHA256 string `yaml:"admin_key_sha256"`
 	// Seeds are peer addresses to ask when the platform is down at the start.
-	Seeds []string  `yaml:"seeds"`
+	Seeds []string  `yaml:"seeds,omitempty"`
 	Keys  peer.Keys `yaml:"keys"`
 }
 
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -40,6 +40,7 @@
 	keeper   *force.Keeper
 	streams  *drive.Streams
 	calls    *drive.Calls
+	orders   *drive.Orders
 	recorder *burn.Recorder
 	client   *peer.Client
 	server   *peer.Server
@@ -72,7 +73,9 @@
 	n.keeper = force.NewKeeper(common.Log, n.platform, n.applyForce)
 	n.streams = drive.NewStreams(common.Log, n.engines, base)
 	n.calls = drive.NewCalls(common.Log, owner.DefaultConfig(n.self(), process), n.platform, n.engines)
+	n.orders = drive.NewOrders(common.Log, n.engines, n.platform, n.calls.Grants)
 	n.recorder = burn.NewRecorder(n.limits)
+	publish(n)
 	return n, n.open()
 }
 
@@ -167,6 +170,7 @@
 	})
 	s.Add(n.streams)
 	s.Add(n.calls)
+	s.Add(n.orders)
 	s.Add(n.keeper)
 	s.Add(n.server)
 	s.Add(part{name: "gossip", every: gossipEvery, do: n.gossip})
@@ -226,6 +230,7 @@
 	root := f.At(setts.Root)
 	n.streams.SetForce(f)
 	n.calls.SetShards(root.Shards, root.DrainServers)
+	n.orders.SetPlacement(root)
 	go n.gossipNow()
 }
 
--- a/internal/boot/parts.go
+++ b/internal/boot/parts.go
@@ -129,6 +129,7 @@
 			if err == nil && r.Server == model.ServerID(m.ID) {
 				r.Taken = time.Now()
 				n.streams.AddReport(r)
+				n.orders.AddReport(r, m.Address)
 			}
 		})
 	}
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,11 +24,11 @@
 	}
 	tree := setts.NewTree()
 	tree.Revision = 1
-	names := "{"
+	var names strings.Builder
 	for m := range models {
-		names += fmt.Sprintf("m%d: 32, ", m)
+		fmt.Fprintf(&names, "m%d: 32, ", m)
 	}
-	tree.Nodes["/"] = setts.Node{Says: map[string]string{"models": names + "}", "queue_length": "100000"}}
+	tree.Nodes["/"] = setts.Node{Says: map[string]string{"models": "{" + names.String() + "}", "queue_length": "100000"}}
 	for i := range teams {
 		tree.Nodes[fmt.Sprintf("/t%d", i)] = setts.Node{Kind: setts.Team}
 	}
--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -101,7 +101,7 @@
 		servers.Version++
 	}
 	s.Reported, s.Report = true, r
-	st.change(now, s, servers, out, func() { s.ReportLeaving = r.Leaving })
+	st.change(now, s, servers, out, func() { s.ReportLeaving = r.Leaving || r.Emptying })
 }
 
 // rateStep is the relative change of an engine's rate that is worth a new plan.
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -211,3 +211,14 @@
 
 // Epoch returns the fencing number under which this daemon last owned a shard.
 func (st *State) Epoch(shard int) uint64 { return st.shards[shard].epoch }
+
+// Grants returns the epochs of the shards owned here, and when the lease ends.
+func (st *State) Grants() (shards int, epochs map[int]uint64, leaseUntil time.Time) {
+	epochs = map[int]uint64{}
+	for i, s := range st.shards {
+		if s.phase == Active {
+			epochs[i] = s.epoch
+		}
+	}
+	return len(st.shards), epochs, st.lease.until
+}
--- a/internal/drive/calls.go
+++ b/internal/drive/calls.go
@@ -157,6 +157,13 @@
 	return c.owner.Owned()
 }
 
+// Grants implements Ownership.
+func (c *Calls) Grants() (shards int, epochs map[int]uint64, leaseUntil time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owner.Grants()
+}
+
 // Idle reports whether nothing is owned and no call is in progress.
 func (c *Calls) Idle() bool {
 	c.mu.Lock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,6 +38,14 @@
 	SetRole
 )
 
+// Names of the roles that SetRole gives.
+const (
+	// RoleServing engines take work.
+	RoleServing = "serving"
+	// RoleEmptying engines finish their work and take no more.
+	RoleEmptying = "emptying"
+)
+
 // Order is one instruction to an engine.
 type Order struct {
 	Kind  OrderKind  `json:"kind"`
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -14,8 +14,8 @@
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_dropped"
 	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_dropped"
-	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_up"
-	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_up"
+	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failed"
+	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failed"
 	_EventName_4      = "peer_unreachable"
 	_EventLowerName_4 = "peer_unreachable"
 	_EventName_5      = "request_failed"
@@ -26,7 +26,7 @@
 	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
 	_EventIndex_2 = [...]uint8{0, 16, 28, 41, 56, 70, 82, 95}
-	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76}
+	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99}
 	_EventIndex_4 = [...]uint8{0, 16}
 	_EventIndex_5 = [...]uint8{0, 14}
 )
@@ -42,7 +42,7 @@
 	case 300 <= i && i <= 306:
 		i -= 300
 		return _EventName_2[_EventIndex_2[i]:_EventIndex_2[i+1]]
-	case 400 <= i && i <= 406:
+	case 400 <= i && i <= 408:
 		i -= 400
 		return _EventName_3[_EventIndex_3[i]:_EventIndex_3[i+1]]
 	case i == 500:
@@ -82,11 +82,13 @@
 	_ = x[ShardCorrupt-(404)]
 	_ = x[StoreDown-(405)]
 	_ = x[StoreUp-(406)]
+	_ = x[OrderGiven-(407)]
+	_ = x[OrderFailed-(408)]
 	_ = x[PeerUnreachable-(500)]
 	_ = x[RequestFailed-(600)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, PeerUnreachable, RequestFailed}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, PeerUnreachable, RequestFailed}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:  DaemonStarted,
@@ -113,6 +115,8 @@
 	_EventName_3[45:58]: ShardCorrupt,
 	_EventName_3[58:68]: StoreDown,
 	_EventName_3[68:76]: StoreUp,
+	_EventName_3[76:87]: OrderGiven,
+	_EventName_3[87:99]: OrderFailed,
 	_EventName_4[0:16]:  PeerUnreachable,
 	_EventName_5[0:14]:  RequestFailed,
 }
@@ -142,6 +146,8 @@
 	_EventLowerName_3[45:58]: ShardCorrupt,
 	_EventLowerName_3[58:68]: StoreDown,
 	_EventLowerName_3[68:76]: StoreUp,
+	_EventLowerName_3[76:87]: OrderGiven,
+	_EventLowerName_3[87:99]: OrderFailed,
 	_EventLowerName_4[0:16]:  PeerUnreachable,
 	_EventLowerName_5[0:14]:  RequestFailed,
 }
@@ -171,6 +177,8 @@
 	_EventName_3[45:58],
 	_EventName_3[58:68],
 	_EventName_3[68:76],
+	_EventName_3[76:87],
+	_EventName_3[87:99],
 	_EventName_4[0:16],
 	_EventName_5[0:14],
 }
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -60,6 +60,10 @@
 	StoreDown Event = 405
 	// StoreUp ends StoreDown.
 	StoreUp Event = 406
+	// OrderGiven tells that an engine took an order.
+	OrderGiven Event = 407
+	// OrderFailed tells that an engine did not take an order.
+	OrderFailed Event = 408
 	// PeerUnreachable tells that another daemon does not answer.
 	PeerUnreachable Event = 500
 	// RequestFailed tells that a caller was sent a failure.
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -76,8 +76,12 @@
 		return fmt.Errorf("fencing number %d is older than %d", o.Fence, e.report.Fence)
 	}
 	e.report.Fence = max(e.report.Fence, o.Fence)
-	if o.Kind == engine.LoadModel {
-		e.report.Model, e.report.Span = o.Model, o.Span
+	switch o.Kind {
+	case engine.LoadModel:
+		e.report.Model, e.report.Span, e.report.Emptying = o.Model, o.Span, false
+	case engine.SetRole:
+		e.report.Emptying = o.Name == engine.RoleEmptying
+	case engine.LoadAdapter:
 	}
 	return nil
 }
--- a/internal/fakes/http.go
+++ b/internal/fakes/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/plat"
@@ -21,6 +22,23 @@
 
 	mu      sync.Mutex
 	members []model.Member
+	// weightsFree is when the weight store has time for the next load.
+	weightsFree time.Time
+}
+
+// layerTime is how long the weight store takes for one layer.
+const layerTime = 10 * time.Millisecond
+
+// Reserve implements plat.Weights.
+func (p *Platform) Reserve(_ context.Context, layers int) (time.Time, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	start := time.Now()
+	if p.weightsFree.After(start) {
+		start = p.weightsFree
+	}
+	p.weightsFree = start.Add(time.Duration(layers) * layerTime)
+	return start, nil
 }
 
 // NewPlatform returns a platform with an empty list.
@@ -102,6 +120,13 @@
 		members, _ := p.List(r.Context())
 		reply(w, model.Done, members)
 	})
+	mux.HandleFunc("POST /weights/reserve", func(w http.ResponseWriter, r *http.Request) {
+		var q plat.Reservation
+		if decode(w, r, &q) {
+			q.Start, _ = p.Reserve(r.Context(), q.Layers)
+			reply(w, model.Done, q)
+		}
+	})
 	mux.HandleFunc("PUT /members", func(w http.ResponseWriter, r *http.Request) {
 		var m model.Member
 		if decode(w, r, &m) {
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -98,6 +98,21 @@
 	return members, nil
 }
 
+// Reservation is the body of a reservation's question and answer.
+type Reservation struct {
+	Layers int       `json:"layers"`
+	Start  time.Time `json:"start"`
+}
+
+// Reserve implements Weights.
+func (h *HTTP) Reserve(ctx context.Context, layers int) (time.Time, error) {
+	var a Reservation
+	if out := h.call(ctx, http.MethodPost, "/weights/reserve", Reservation{Layers: layers}, &a); out != model.Done {
+		return time.Time{}, trace.ConnectionProblem(nil, "weight store: %s", out.String())
+	}
+	return a.Start, nil
+}
+
 func (h *HTTP) call(ctx context.Context, method, path string, question, answer any) model.Outcome {
 	var body io.Reader
 	if question != nil {
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -34,7 +34,7 @@
 
 // Weights is the platform's rate-limited store of model weights.
 type Weights interface {
-	// Reserve asks for the right to load bytes and returns when the load may
-	// start.
-	Reserve(ctx context.Context, bytes int64) (time.Time, error)
+	// Reserve asks for the right to load a number of layers and returns when
+	// the load may start. The store's rate is shared by all who ask.
+	Reserve(ctx context.Context, layers int) (time.Time, error)
 }
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -141,6 +141,8 @@
 	TokensPerSecond float64 `json:"tokens_per_second"`
 	// Leaving is set by an engine that wants no more work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Emptying is set by an engine that was ordered to take no more work.
+	Emptying bool `json:"emptying,omitempty"`
 	// Fence is the highest fencing number that the engine has obeyed.
 	Fence uint64    `json:"fence,omitempty"`
 	Taken time.Time `json:"taken"`
--- a/pkg/setts/check.go
+++ b/pkg/setts/check.go
@@ -136,6 +136,12 @@
 				return "a name with 1 to 1000 layers for each model"
 			}
 		}
+	case "placement":
+		for _, text := range v.Interface().(map[string]string) {
+			if _, err := ParsePlacement(text); err != nil {
+				return "MODEL FROM-TO for each engine, such as roster-7b 0-16"
+			}
+		}
 	}
 	return ""
 }
@@ -169,6 +175,8 @@
 		kind = "a duration such as 30s"
 	case f.typ.Kind() == reflect.Slice:
 		kind = "a list of strings"
+	case f.typ == reflect.TypeFor[map[string]string]():
+		kind = "a map from a name to a text"
 	case f.typ.Kind() == reflect.Map:
 		kind = "a map from a name to a whole number"
 	case f.typ.Kind() == reflect.Bool:
--- a/pkg/setts/policy.go
+++ b/pkg/setts/policy.go
@@ -60,6 +60,8 @@
 	DrainServers []string `yaml:"drain_servers" at:"root"`
 	// Time that work in progress may take on a leaving server before it is moved. 1s to 1h. Only at the root.
 	DrainGrace time.Duration `yaml:"drain_grace" min:"1s" max:"1h" at:"root"`
+	// What each model engine is to hold, as MODEL FROM-TO, such as "roster-7b 0-16"; engines that are not named keep what they hold. Only at the root.
+	Placement map[string]string `yaml:"placement" at:"root"`
 	// Number of journal shards; raise it only while no daemon runs. 1 to 256. Only at the root.
 	Shards int `yaml:"shards" min:"1" max:"256" at:"root"`
 	// Most requests that wait in one daemon. 1 to 1000000. Only at the root.
@@ -81,6 +83,7 @@
 		KeyRequired:    true,
 		KeyRetention:   time.Hour,
 		Models:         map[string]int{},
+		Placement:      map[string]string{},
 		DrainGrace:     30 * time.Second,
 		Shards:         8,
 		QueueLength:    1024,
