Share the reading of engines' reports, and fetch the list only when it changed

Cause: each daemon read all 40 engines' reports and the whole list each second: about 20 KB/s for the reports and 7 KB/s for the list by their sizes, against 3 KB/s allowed for control. Ruled out: reading more rarely (an engine that says it leaves must get no new work within seconds), and engines that push (the engines are not ours). Change: each engine has one reader among the daemons, which tells the others what changed; all others read it every 30 s in case the reader is silent; the list is asked for with its tag; gossip goes to 2 daemons a round.

--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -52,8 +52,9 @@
 	warm atomic.Bool
 
 	mu sync.Mutex
-	// fleet and members are guarded by mu.
+	// fleet, reports and members are guarded by mu.
 	fleet   *fleet.State
+	reports *fleet.Reports
 	members []model.Member
 }
 
@@ -69,6 +70,7 @@
 		platform: plat.NewHTTP(file.Platform),
 		engines:  engine.NewHTTP(),
 		fleet:    fleet.New(model.DaemonID(file.Daemon)),
+		reports:  fleet.NewReports(model.DaemonID(file.Daemon)),
 	}
 	n.keeper = force.NewKeeper(common.Log, n.platform, n.applyForce)
 	n.streams = drive.NewStreams(common.Log, n.engines, base)
--- a/internal/boot/parts.go
+++ b/internal/boot/parts.go
@@ -20,7 +20,7 @@
 	listEvery   = time.Second
 	reportEvery = time.Second
 	// gossipPeers is how many daemons are told in one round.
-	gossipPeers = 3
+	gossipPeers = 2
 	askTimeout  = 2 * time.Second
 	// reportTimeout bounds how long an engine may take to report.
 	reportTimeout = time.Second
@@ -109,17 +109,15 @@
 	n.calls.SetList(list)
 }
 
-// readReports reads what each engine says of itself.
+// readReports reads what engines say of themselves: those that this daemon reads
+// for the others, and now and then all.
 func (n *Node) readReports(ctx context.Context) {
 	n.mu.Lock()
-	members := n.members
+	due := n.reports.Due(time.Now(), n.members, n.fleet.Readers(time.Now()))
 	n.mu.Unlock()
 	var wg sync.WaitGroup
 	room := make(chan struct{}, reportsAtOnce)
-	for _, m := range members {
-		if m.Role != model.Engine {
-			continue
-		}
+	for _, m := range due {
 		room <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-room }()
@@ -128,14 +126,30 @@
 			r, err := n.engines.Report(ctx, m.Address)
 			if err == nil && r.Server == model.ServerID(m.ID) {
 				r.Taken = time.Now()
-				n.streams.AddReport(r)
-				n.orders.AddReport(r, m.Address)
+				n.hearReport(r)
 			}
 		})
 	}
 	wg.Wait()
 }
 
+// hearReport takes in a report, read here or told by a peer.
+func (n *Node) hearReport(r model.Report) {
+	n.mu.Lock()
+	newer := n.reports.Heard(time.Now(), r)
+	address := ""
+	for _, m := range n.members {
+		if m.ID == string(r.Server) {
+			address = m.Address
+		}
+	}
+	n.mu.Unlock()
+	if newer && address != "" {
+		n.streams.AddReport(r)
+		n.orders.AddReport(r, address)
+	}
+}
+
 // gossip renews this daemon's heartbeat and tells a few others.
 func (n *Node) gossip(ctx context.Context) {
 	n.mu.Lock()
@@ -173,7 +187,7 @@
 
 func (n *Node) tellPeers(ctx context.Context, peers []model.DaemonID) {
 	n.mu.Lock()
-	g := n.fleet.Tell(n.keeper.Revision())
+	g := n.words()
 	n.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, to := range peers {
@@ -191,6 +205,13 @@
 	wg.Wait()
 }
 
+// words are what this daemon tells a peer. The caller holds mu.
+func (n *Node) words() fleet.Gossip {
+	g := n.fleet.Tell(n.keeper.Revision())
+	g.Reports = n.reports.Hot(time.Now())
+	return g
+}
+
 // hear takes in what a peer told.
 func (n *Node) hear(ctx context.Context, g fleet.Gossip) {
 	n.mu.Lock()
@@ -199,6 +220,9 @@
 	if len(released) > 0 {
 		n.calls.Released(released)
 	}
+	for _, r := range g.Reports {
+		n.hearReport(r)
+	}
 	mine := n.keeper.Revision()
 	switch {
 	case g.Revision > mine:
@@ -268,7 +292,7 @@
 
 func (n *Node) answerGossip(g fleet.Gossip) peer.Answer {
 	n.mu.Lock()
-	mine := n.fleet.Tell(n.keeper.Revision())
+	mine := n.words()
 	n.mu.Unlock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -88,7 +88,7 @@
 	Kind   string   `help:"${help_kind}"`
 	Unset  []string `help:"${help_unset}"`
 	Remove bool     `help:"${help_remove}"`
-	By     string   `env:"USER" help:"${help_by}"`
+	By     string   `env:"USER" default:"unknown" help:"${help_by}"`
 	Values []string `arg:"" optional:"" help:"${help_values}"`
 }
 
@@ -229,7 +229,7 @@
 	AdminFlags
 	File  string `arg:"" type:"existingfile"`
 	Prune bool   `help:"${help_prune}"`
-	By    string `env:"USER" help:"${help_by}"`
+	By    string `env:"USER" default:"unknown" help:"${help_by}"`
 }
 
 // Run implements the command.
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -129,3 +130,56 @@
 		})
 	}
 }
+
+// BenchmarkTables measures the memory of the tables by their size.
+func BenchmarkTables(b *testing.B) {
+	for _, engines := range []int{40, 12_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			var before, after runtime.MemStats
+			var c *Core
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c = benchCore(engines, 10)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(engines), "bytes/engine")
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+// BenchmarkReports takes in one report of each engine.
+func BenchmarkReports(b *testing.B) {
+	for _, engines := range []int{40, 12_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			c := benchCore(engines, 10)
+			in, out := &msgs.Inbox{}, &msgs.Outbox{}
+			now := benchNow
+			for b.Loop() {
+				now = now.Add(time.Second)
+				for _, id := range c.servers.IDs() {
+					r := c.servers.Get(id).Report
+					r.Taken = now
+					in.Reports = append(in.Reports, r)
+				}
+				c.Tick(now, in, out)
+				in.Reset()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(engines), "ns/report")
+		})
+	}
+}
+
+// BenchmarkPlan works out a model's plan anew.
+func BenchmarkPlan(b *testing.B) {
+	for _, engines := range []int{40, 12_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			c := benchCore(engines, 10)
+			for b.Loop() {
+				route.NewPlan(benchNow, c.servers, "m0", 32)
+			}
+		})
+	}
+}
--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -97,22 +97,13 @@
 	if s == nil || (s.Reported && r.Taken.Before(s.Report.Taken)) {
 		return
 	}
-	if !s.Reported || changesRoutes(s.Report, r) {
+	if !s.Reported || !s.Report.SameRoutes(r) {
 		servers.Version++
 	}
 	s.Reported, s.Report = true, r
 	st.change(now, s, servers, out, func() { s.ReportLeaving = r.Leaving || r.Emptying })
 }
 
-// rateStep is the relative change of an engine's rate that is worth a new plan.
-const rateStep = 0.1
-
-func changesRoutes(was, is model.Report) bool {
-	diff := was.TokensPerSecond - is.TokensPerSecond
-	return was.Model != is.Model || was.Span != is.Span || was.Room() != is.Room() ||
-		diff > rateStep*was.TokensPerSecond || -diff > rateStep*was.TokensPerSecond
-}
-
 // change lets one source speak and works out what follows.
 func (st *State) change(now time.Time, s *table.Server, servers *table.Servers, out *msgs.Outbox, speak func()) {
 	before := s.Leaving()
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -54,6 +54,8 @@
 	Revision model.Revision `cbor:"2,keyasint"`
 	Beats    []Beat         `cbor:"3,keyasint"`
 	Owners   []Ownership    `cbor:"4,keyasint"`
+	// Reports are what engines said that changed just now.
+	Reports []model.Report `cbor:"5,keyasint,omitempty"`
 }
 
 type beatRow struct {
@@ -213,6 +215,20 @@
 	return live
 }
 
+// Readers returns the daemons that share the reading of reports: all that the
+// list names, but those that are known to be silent.
+func (st *State) Readers(now time.Time) []model.DaemonID {
+	var readers []model.DaemonID
+	for id, m := range st.listed {
+		row, known := st.beats[id]
+		if m.State == model.Live && (!known || now.Sub(row.rose) < liveFor) {
+			readers = append(readers, id)
+		}
+	}
+	slices.Sort(readers)
+	return readers
+}
+
 // Owner returns who owns a shard, as far as is known.
 func (st *State) Owner(shard int) (model.DaemonID, bool) {
 	o, ok := st.owners[shard]
--- /dev/null
+++ b/internal/core/fleet/reports.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+const (
+	// readOwn is how often a daemon reads the reports of the engines that it
+	// reads for all others.
+	readOwn = 3 * time.Second
+	// readOther is how often it reads those of all other engines, in case that
+	// their reader is silent.
+	readOther = 30 * time.Second
+	// hotFor is how long a changed report is told on.
+	hotFor = 10 * time.Second
+)
+
+// Reports decides whose reports a daemon reads. Each engine has one reader among
+// the live daemons, which tells the others what changed; so what reading costs a
+// daemon does not grow with the daemons.
+type Reports struct {
+	self model.DaemonID
+	rows map[string]*reportRow
+}
+
+type reportRow struct {
+	last   model.Report
+	known  bool
+	readAt time.Time
+	// hotUntil is how long the last change is told on.
+	hotUntil time.Time
+}
+
+// NewReports returns a table that knows no engine.
+func NewReports(self model.DaemonID) *Reports {
+	return &Reports{self: self, rows: map[string]*reportRow{}}
+}
+
+// Reader returns the daemon that reads an engine's reports for the others.
+func Reader(engine string, live []model.DaemonID) model.DaemonID {
+	var best model.DaemonID
+	highest := uint64(0)
+	for _, d := range live {
+		if sum := xxhash.Sum64String(engine + "\x00" + string(d)); best == "" || sum > highest {
+			best, highest = d, sum
+		}
+	}
+	return best
+}
+
+// Due returns the engines whose reports are to be read now.
+func (r *Reports) Due(now time.Time, engines []model.Member, live []model.DaemonID) []model.Member {
+	var due []model.Member
+	seen := make(map[string]bool, len(engines))
+	for _, m := range engines {
+		if m.Role != model.Engine {
+			continue
+		}
+		seen[m.ID] = true
+		row := r.rows[m.ID]
+		if row == nil {
+			row = &reportRow{}
+			r.rows[m.ID] = row
+		}
+		every := readOther
+		if reader := Reader(m.ID, live); reader == r.self || reader == "" || !row.known {
+			every = readOwn
+		}
+		if now.Sub(row.readAt) >= every {
+			row.readAt = now
+			due = append(due, m)
+		}
+	}
+	for id := range r.rows {
+		if !seen[id] {
+			delete(r.rows, id)
+		}
+	}
+	return due
+}
+
+// Heard takes in a report, read here or told by a peer, and reports whether it
+// is newer than what was known.
+func (r *Reports) Heard(now time.Time, report model.Report) bool {
+	row := r.rows[string(report.Server)]
+	if row == nil || (row.known && !report.Taken.After(row.last.Taken)) {
+		return false
+	}
+	if !row.known || differs(row.last, report) {
+		row.hotUntil = now.Add(hotFor)
+	}
+	row.last, row.known = report, true
+	return true
+}
+
+// differs reports whether a change concerns the routes of other daemons.
+func differs(a, b model.Report) bool {
+	return !a.SameRoutes(b) || a.Leaving != b.Leaving || a.Emptying != b.Emptying
+}
+
+// Hot returns the reports that changed just now, to be told on.
+func (r *Reports) Hot(now time.Time) []model.Report {
+	var hot []model.Report
+	for _, row := range r.rows {
+		if now.Before(row.hotUntil) {
+			hot = append(hot, row.last)
+		}
+	}
+	slices.SortFunc(hot, func(a, b model.Report) int { return b.Taken.Compare(a.Taken) })
+	return hot[:min(len(hot), maxHot)]
+}
+
+// maxHot bounds the reports in one message.
+const maxHot = 32
--- /dev/null
+++ b/internal/core/fleet/reports_test.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+func engines(n int) []model.Member {
+	var list []model.Member
+	for i := range n {
+		list = append(list, model.Member{ID: fmt.Sprintf("e%02d", i), Role: model.Engine})
+	}
+	return list
+}
+
+// TestEachEngineHasOneReader: the live daemons share the engines, and each reads
+// every engine now and then.
+func TestEachEngineHasOneReader(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	list, live := engines(40), []model.DaemonID{"d0", "d1", "d2"}
+	reads := map[string]int{}
+	for _, d := range live {
+		r := NewReports(d)
+		first := r.Due(now, list, live)
+		assert.Equal(t, len(first), 40)
+		for _, m := range first {
+			r.Heard(now, model.Report{Server: model.ServerID(m.ID), Taken: now})
+		}
+		for _, m := range r.Due(now.Add(readOwn), list, live) {
+			reads[m.ID]++
+		}
+		assert.Equal(t, len(r.Due(now.Add(readOwn+readOther), list, live)), 40)
+	}
+	assert.Equal(t, len(reads), 40)
+	for id, n := range reads {
+		assert.Equal(t, n, 1, id)
+	}
+}
+
+// TestChangesAreToldOn: a change is told for a while, once, and an older report
+// does not replace it.
+func TestChangesAreToldOn(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := NewReports("d0")
+	r.Due(now, engines(1), nil)
+	report := model.Report{Server: "e00", Slots: 4, TokensPerSecond: 100, Taken: now}
+	assert.Assert(t, r.Heard(now, report))
+	now = now.Add(hotFor)
+	assert.Equal(t, len(r.Hot(now)), 0)
+	report.Taken, report.Running = now, 3
+	assert.Assert(t, r.Heard(now, report))
+	assert.Equal(t, len(r.Hot(now)), 0)
+	report.Taken, report.Leaving = now.Add(time.Second), true
+	assert.Assert(t, r.Heard(now, report))
+	assert.Equal(t, len(r.Hot(now)), 1)
+	report.Taken, report.Leaving = now, false
+	assert.Assert(t, !r.Heard(now, report))
+	assert.Assert(t, r.Hot(now)[0].Leaving)
+}
--- a/internal/fakes/http.go
+++ b/internal/fakes/http.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/plat"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -118,6 +120,13 @@
 	})
 	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
 		members, _ := p.List(r.Context())
+		raw, _ := json.Marshal(members)
+		tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(raw), 16))
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		reply(w, model.Done, members)
 	})
 	mux.HandleFunc("POST /weights/reserve", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,6 +27,12 @@
 type HTTP struct {
 	base   string
 	client *http.Client
+
+	mu sync.Mutex
+	// tag and members are the last list, so that an unchanged one is not sent
+	// again.
+	tag     string
+	members []model.Member
 }
 
 // HTTPOption adjusts the adapter.
@@ -89,15 +96,43 @@
 	return h.call(ctx, http.MethodPost, "/lease/keepalive", LeaseAnswer{Lease: id}, &a)
 }
 
-// List implements Members.
+// List implements Members. The service sends the list only when it has changed.
 func (h *HTTP) List(ctx context.Context) ([]model.Member, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"/members", nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	h.mu.Lock()
+	tag, known := h.tag, h.members
+	h.mu.Unlock()
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "membership list")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusNotModified:
+		return known, nil
+	case http.StatusOK:
+	default:
+		return nil, trace.ConnectionProblem(nil, "membership list: status %d", resp.StatusCode)
+	}
 	var members []model.Member
-	if out := h.call(ctx, http.MethodGet, "/members", nil, &members); out != model.Done {
-		return nil, trace.ConnectionProblem(nil, "membership list: %s", out)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&members); err != nil {
+		return nil, trace.BadParameter("membership list: %s", err.Error())
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tag, h.members = resp.Header.Get("ETag"), members
 	return members, nil
 }
 
+// maxListBytes bounds the membership list.
+const maxListBytes = 16 << 20
+
 // Reservation is the body of a reservation's question and answer.
 type Reservation struct {
 	Layers int       `json:"layers"`
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -124,6 +124,16 @@
 // Room is how many streams fit the engine, at least 1.
 func (r Report) Room() int { return max(1, r.Slots, r.Streams) }
 
+// rateStep is the relative change of an engine's rate that is worth new routes.
+const rateStep = 0.1
+
+// SameRoutes reports whether two reports of one engine lead to the same routes.
+func (r Report) SameRoutes(o Report) bool {
+	change := r.TokensPerSecond - o.TokensPerSecond
+	return r.Model == o.Model && r.Span == o.Span && r.Room() == o.Room() &&
+		change <= rateStep*r.TokensPerSecond && -change <= rateStep*r.TokensPerSecond
+}
+
 // Report is what an engine last said of itself. It lags.
 type Report struct {
 	Server ServerID `json:"server"`
