Never search a layer twice for room

Change: whether a chain leads on from a layer does not depend on how the search came there, so a layer without one is remembered; the bound on steps is gone.

--- a/internal/core/route/balance.go
+++ b/internal/core/route/balance.go
@@ -25,9 +25,6 @@
 	return &Flow{plans: map[string]*Plan{}, links: NewLinks(), affinity: NewAffinity(), rng: rand.New(rand.NewPCG(seed, 0))}
 }
 
-// maxSteps bounds the search for a chain with room, in stages tried.
-const maxSteps = 256
-
 // Plan returns the valid plan of a model.
 func (f *Flow) Plan(now time.Time, servers *table.Servers, name string, layers int) *Plan {
 	p := f.plans[name]
@@ -44,7 +41,7 @@
 	if p.Bound <= epsilon {
 		return model.Route{}, NoChain
 	}
-	s := search{flow: f, plan: p, query: q, steps: maxSteps}
+	s := search{flow: f, plan: p, query: q}
 	if !s.descend(0, "") {
 		return model.Route{}, Busy
 	}
@@ -61,14 +58,15 @@
 // Learn implements Picker.
 func (f *Flow) Learn(prefix uint64, r model.Route) { f.affinity.Learn(prefix, r) }
 
-// search is a depth-first walk through the layer graph, cheapest stage first.
+// search is a depth-first walk through the layer graph, a cheap stage first.
 type search struct {
 	flow  *Flow
 	plan  *Plan
 	query Query
 	hops  []model.Hop
-	steps int
-	tried map[int][]*table.Server
+	// dead are layers from which no chain with room leads on. Whether one does
+	// depends on the layer alone, so none is searched twice.
+	dead []int
 }
 
 // descend extends the chain from a layer to the last one.
@@ -76,10 +74,10 @@
 	if layer == s.plan.layers {
 		return true
 	}
-	for s.steps > 0 {
-		s.steps--
+	for {
 		best := s.cheapest(layer, prev)
 		if best == nil {
+			s.dead = append(s.dead, layer)
 			return false
 		}
 		s.hops = append(s.hops, hop(best.server))
@@ -87,17 +85,7 @@
 			return true
 		}
 		s.hops = s.hops[:len(s.hops)-1]
-		s.mark(layer, best.server)
-	}
-	return false
-}
-
-// mark remembers a stage that led nowhere from its layer.
-func (s *search) mark(layer int, server *table.Server) {
-	if s.tried == nil {
-		s.tried = map[int][]*table.Server{}
 	}
-	s.tried[layer] = append(s.tried[layer], server)
 }
 
 // sampled is how many stages are drawn before the cheapest of them is taken.
@@ -116,7 +104,7 @@
 	lowest := 0.0
 	for range sampled {
 		st := s.plan.at(layer, s.flow.rng.Float64()*total)
-		if !HasCredit(st.server, s.query.Daemons) || s.excluded(layer, st.server) {
+		if !s.open(st) {
 			continue
 		}
 		cost := s.cost(st, prev)
@@ -142,7 +130,7 @@
 	stages := s.plan.starts[layer]
 	for i := range stages {
 		st := &stages[i]
-		if !HasCredit(st.server, s.query.Daemons) || s.excluded(layer, st.server) {
+		if !s.open(st) {
 			continue
 		}
 		cost := s.cost(st, prev)
@@ -153,14 +141,10 @@
 	return best
 }
 
-// excluded reports whether a server led nowhere before, or failed this request.
-func (s *search) excluded(layer int, server *table.Server) bool {
-	for _, t := range s.tried[layer] {
-		if t == server {
-			return true
-		}
-	}
-	return slices.Contains(s.query.Request.Failed, server.ID)
+// open reports whether a stage can take one more stream and leads on.
+func (s *search) open(st *stage) bool {
+	return HasCredit(st.server, s.query.Daemons) && !slices.Contains(s.dead, st.to) &&
+		!slices.Contains(s.query.Request.Failed, st.server.ID)
 }
 
 const (
--- a/internal/core/route/baseline.go
+++ b/internal/core/route/baseline.go
@@ -71,7 +71,7 @@
 	for layer := 0; layer < q.Layers; {
 		var candidates []*table.Server
 		for _, st := range p.starts[layer] {
-			if HasCredit(st.server, q.Daemons) && !s.excluded(layer, st.server) {
+			if s.open(&st) {
 				candidates = append(candidates, st.server)
 			}
 		}
