Let a VM that starts in an outage serve, and tighten what holds the epochs

Cause: a new test with processes (the platform dies, then a daemon starts that knows a peer) found that the daemon never got settings: a peer that has seen the log from its first change on sends changes, and a daemon with nothing took none. The whole run of the mutations found three that no test noticed any more: the epoch check, the digest of the stages, and giving up stranded requests. Ruled out for the mutations: weaker code; epoch, position and digest back each other up, so the oracle has to look at each alone. Change: changes from the first one on start from the empty tree; the property of handing on may no longer fall back. The oracle knows the epoch of each token, some engines report no digest, forged tokens come at the position that is due, and every request must be answered at its deadline.

--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -28,6 +28,8 @@
 	open msgs.Open
 	next int
 	dead bool
+	// silent engines report no digest of the stages.
+	silent bool
 }
 
 // asked is the oracle's view of a request.
@@ -36,6 +38,7 @@
 	// sent is how many positions the caller was sent, in order.
 	sent     int
 	opened   bool
+	epoch    model.Epoch
 	finished bool
 	deadline time.Time
 }
@@ -136,11 +139,26 @@
 	for _, f := range w.out.Finishes {
 		w.finished(f)
 	}
+	for id, a := range w.asked {
+		if !a.finished && !a.deadline.After(w.now) && w.arrived(id) {
+			w.t.Fatalf("request %d was not answered at its deadline", id)
+		}
+	}
 	if err := w.core.Check(); err != nil {
 		w.t.Fatal(err)
 	}
 }
 
+// arrived reports whether the core was told of a request.
+func (w *coreWorld) arrived(id model.RequestID) bool {
+	for _, a := range w.in.Arrivals {
+		if a.ID == id {
+			return false
+		}
+	}
+	return true
+}
+
 // noteLeaving records what the three sources say in this tick.
 func (w *coreWorld) noteLeaving() {
 	for _, m := range w.in.List {
@@ -169,6 +187,8 @@
 		w.t.Fatalf("token %d was sent for request %d, which is not in progress", tok.Position, tok.Request)
 	case tok.Position != a.sent:
 		w.t.Fatalf("request %d was sent position %d after %d", tok.Request, tok.Position, a.sent-1)
+	case tok.Epoch != a.epoch:
+		w.t.Fatalf("request %d was sent a token of epoch %d in epoch %d", tok.Request, tok.Epoch, a.epoch)
 	case tok.Text != textOf(tok.Request, tok.Position):
 		w.t.Fatalf("request %d was sent the text %q at position %d", tok.Request, tok.Text, tok.Position)
 	}
@@ -191,8 +211,8 @@
 			w.t.Fatalf("server %s is leaving and gets new work", h.Server)
 		}
 	}
-	a.opened = true
-	w.streams = append(w.streams, &stream{open: o, next: o.From})
+	a.opened, a.epoch = true, o.Epoch
+	w.streams = append(w.streams, &stream{open: o, next: o.From, silent: rapid.Bool().Draw(w.t, "silent")})
 }
 
 func (w *coreWorld) finished(f msgs.Finish) {
@@ -223,6 +243,9 @@
 func (w *coreWorld) deliver(s *stream) {
 	a := w.asked[s.open.Request]
 	tok := model.Token{Request: s.open.Request, Epoch: s.open.Epoch, Position: s.next, Trail: model.TrailOf(s.open.Route)}
+	if s.silent {
+		tok.Trail = 0
+	}
 	if s.next >= a.length {
 		tok.End, s.dead = true, true
 	} else {
@@ -271,10 +294,11 @@
 		}
 		tok.Text, tok.End = textOf(tok.Request, tok.Position), false
 	case 3:
-		if tok.End {
+		s := w.someStream()
+		if s == nil || s.next >= w.asked[s.open.Request].length {
 			return
 		}
-		tok.Trail, tok.Text = 12345, "wrong"
+		tok = model.Token{Request: s.open.Request, Epoch: s.open.Epoch, Position: s.next, Trail: 12345, Text: "wrong"}
 	}
 	w.in.Tokens = append(w.in.Tokens, tok)
 }
--- a/internal/core/order/order.go
+++ b/internal/core/order/order.go
@@ -30,8 +30,10 @@
 type Step uint8
 
 const (
+	// None is no step.
+	None Step = iota
 	// Empty tells an engine to finish its work and take no more.
-	Empty Step = iota
+	Empty
 	// Reserve asks the weight store when a load may start.
 	Reserve
 	// Load tells an engine to load what is wanted.
@@ -77,8 +79,10 @@
 	emptyBy time.Time
 	// startAt is when the load may start; zero before it is reserved.
 	startAt time.Time
-	// nextAt is when the next command may go out.
-	nextAt time.Time
+	// last is the step that was asked for last; it is asked for again at
+	// repeatAt. Another step waits for nothing.
+	last     Step
+	repeatAt time.Time
 }
 
 // State is what the system remembers between ticks.
@@ -109,7 +113,7 @@
 	}
 	for _, r := range in.Reserved {
 		if row := st.rows[r.Server]; row != nil && !r.Start.IsZero() {
-			row.startAt, row.nextAt = r.Start, r.Start
+			row.startAt = r.Start
 		}
 	}
 	if !now.Before(in.LeaseUntil.Add(-leaseMargin)) {
@@ -148,28 +152,37 @@
 		*row = engineRow{report: row.report}
 		return commands
 	}
-	if now.Before(row.nextAt) {
+	if row.report.Emptying && row.emptyBy.IsZero() {
+		// An earlier owner told the engine to empty.
+		row.emptyBy = now.Add(grace)
+	}
+	step, due := row.next(now, holds)
+	if !due || (step == row.last && now.Before(row.repeatAt)) {
 		return commands
 	}
-	c := Command{Server: id, Wanted: wanted, Fence: epoch}
+	switch step {
+	case Empty:
+		row.emptyBy = now.Add(grace)
+	case Load:
+		row.startAt = time.Time{}
+	case None, Reserve, Serve:
+	}
+	row.last, row.repeatAt = step, now.Add(retryAfter)
+	return append(commands, Command{Step: step, Server: id, Wanted: wanted, Fence: epoch})
+}
+
+// next returns the step that an engine needs, and whether it is due.
+func (row *engineRow) next(now time.Time, holds bool) (Step, bool) {
 	switch {
 	case holds:
-		c.Step = Serve
+		return Serve, true
 	case !row.report.Emptying:
-		c.Step = Empty
-		row.emptyBy = now.Add(grace)
-	case row.emptyBy.IsZero():
-		// An earlier owner told the engine to empty.
-		row.emptyBy = now.Add(grace)
-		return commands
+		return Empty, true
 	case row.report.Running > 0 && now.Before(row.emptyBy):
-		return commands
+		return Load, false
 	case row.startAt.IsZero():
-		c.Step = Reserve
-	default:
-		c.Step = Load
-		row.startAt = time.Time{}
+		// After a load the reports may take a while to show it.
+		return Reserve, row.last != Load || !now.Before(row.repeatAt)
 	}
-	row.nextAt = now.Add(retryAfter)
-	return append(commands, c)
+	return Load, !now.Before(row.startAt)
 }
--- a/internal/core/order/order_test.go
+++ b/internal/core/order/order_test.go
@@ -29,8 +29,8 @@
 		e.report.Emptying = false
 	case Load:
 		e.report.Model, e.report.Span, e.report.Emptying = c.Wanted.Model, c.Wanted.Span, false
-	case Reserve:
-		t.Fatal("an engine got a reservation")
+	case None, Reserve:
+		t.Fatal("an engine got what is no order")
 	}
 }
 
--- a/internal/core/order/step_enumer.go
+++ b/internal/core/order/step_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _StepName = "emptyreserveloadserve"
+const _StepName = "noneemptyreserveloadserve"
 
-var _StepIndex = [...]uint8{0, 5, 12, 16, 21}
+var _StepIndex = [...]uint8{0, 4, 9, 16, 20, 25}
 
-const _StepLowerName = "emptyreserveloadserve"
+const _StepLowerName = "noneemptyreserveloadserve"
 
 func (i Step) String() string {
 	if i >= Step(len(_StepIndex)-1) {
@@ -24,33 +24,37 @@
 // Re-run the stringer command to generate them again.
 func _StepNoOp() {
 	var x [1]struct{}
-	_ = x[Empty-(0)]
-	_ = x[Reserve-(1)]
-	_ = x[Load-(2)]
-	_ = x[Serve-(3)]
+	_ = x[None-(0)]
+	_ = x[Empty-(1)]
+	_ = x[Reserve-(2)]
+	_ = x[Load-(3)]
+	_ = x[Serve-(4)]
 }
 
-var _StepValues = []Step{Empty, Reserve, Load, Serve}
+var _StepValues = []Step{None, Empty, Reserve, Load, Serve}
 
 var _StepNameToValueMap = map[string]Step{
-	_StepName[0:5]:   Empty,
-	_StepName[5:12]:  Reserve,
-	_StepName[12:16]: Load,
-	_StepName[16:21]: Serve,
+	_StepName[0:4]:   None,
+	_StepName[4:9]:   Empty,
+	_StepName[9:16]:  Reserve,
+	_StepName[16:20]: Load,
+	_StepName[20:25]: Serve,
 }
 
 var _StepLowerNameToValueMap = map[string]Step{
-	_StepLowerName[0:5]:   Empty,
-	_StepLowerName[5:12]:  Reserve,
-	_StepLowerName[12:16]: Load,
-	_StepLowerName[16:21]: Serve,
+	_StepLowerName[0:4]:   None,
+	_StepLowerName[4:9]:   Empty,
+	_StepLowerName[9:16]:  Reserve,
+	_StepLowerName[16:20]: Load,
+	_StepLowerName[20:25]: Serve,
 }
 
 var _StepNames = []string{
-	_StepName[0:5],
-	_StepName[5:12],
-	_StepName[12:16],
-	_StepName[16:21],
+	_StepName[0:4],
+	_StepName[4:9],
+	_StepName[9:16],
+	_StepName[16:20],
+	_StepName[20:25],
 }
 
 // StepString retrieves an enum value from the enum constants string name.
--- a/internal/drive/orders.go
+++ b/internal/drive/orders.go
@@ -119,7 +119,7 @@
 		return engine.Order{Kind: engine.SetRole, Name: engine.RoleEmptying, Fence: c.Fence}
 	case order.Serve:
 		return engine.Order{Kind: engine.SetRole, Name: engine.RoleServing, Fence: c.Fence}
-	case order.Load, order.Reserve:
+	case order.None, order.Load, order.Reserve:
 	}
 	return engine.Order{Kind: engine.LoadModel, Model: c.Wanted.Model, Span: c.Wanted.Span, Fence: c.Fence}
 }
--- a/internal/integ/site_test.go
+++ b/internal/integ/site_test.go
@@ -52,6 +52,7 @@
 	authority *peer.Authority
 	platform  string
 	daemons   map[string]*daemon
+	standins  map[string]*exec.Cmd
 }
 
 // daemon is one daemon process.
@@ -64,7 +65,7 @@
 func newSite(t *testing.T) *site {
 	t.Helper()
 	dir := t.TempDir()
-	s := &site{t: t, daemonBin: filepath.Join(dir, "bulrushpond"), fakeBin: filepath.Join(dir, "standin"), daemons: map[string]*daemon{}}
+	s := &site{t: t, daemonBin: filepath.Join(dir, "bulrushpond"), fakeBin: filepath.Join(dir, "standin"), daemons: map[string]*daemon{}, standins: map[string]*exec.Cmd{}}
 	for bin, pkg := range map[string]string{s.daemonBin: "bulrushpond.example/bulrushpond", s.fakeBin: "bulrushpond.example/bulrushpond/cmd/standin"} {
 		out, err := exec.Command("go", "build", "-o", bin, pkg).CombinedOutput()
 		assert.NilError(t, err, string(out))
@@ -83,12 +84,19 @@
 	out, err := cmd.StdoutPipe()
 	assert.NilError(s.t, err)
 	assert.NilError(s.t, cmd.Start())
+	s.standins[args[0]] = cmd
 	s.t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
 	address, err := bufio.NewReader(out).ReadString('\n')
 	assert.NilError(s.t, err)
 	return address[:len(address)-1]
 }
 
+// kill ends the stand-in of a kind that was started last.
+func (s *site) kill(kind string) {
+	s.t.Helper()
+	assert.NilError(s.t, s.standins[kind].Process.Kill())
+}
+
 func (s *site) list(m model.Member) {
 	s.t.Helper()
 	raw, err := json.Marshal(m)
@@ -135,6 +143,14 @@
 
 // start runs a daemon process, the first time with new addresses.
 func (s *site) start(name string) {
+	s.t.Helper()
+	s.startWith(name, nil)
+	s.list(model.Member{ID: name, Address: s.daemons[name].file.Peers, Role: model.Daemon})
+}
+
+// startWith runs a daemon process that may ask seeds, and that the platform's
+// list does not name yet.
+func (s *site) startWith(name string, seeds []string) {
 	s.t.Helper()
 	d := s.daemons[name]
 	if d == nil {
@@ -142,7 +158,7 @@
 		assert.NilError(s.t, err)
 		d = &daemon{file: boot.File{
 			Daemon: name, Zone: "a", Platform: s.platform, Keys: keys,
-			Callers: freePort(s.t, "tcp"), Admin: freePort(s.t, "tcp"), Peers: freePort(s.t, "udp"),
+			Callers: freePort(s.t, "tcp"), Admin: freePort(s.t, "tcp"), Peers: freePort(s.t, "udp"), Seeds: seeds,
 		}}
 		s.daemons[name] = d
 	}
@@ -157,7 +173,6 @@
 	d.done = done
 	go func() { done <- cmd.Wait() }()
 	s.t.Cleanup(func() { _ = cmd.Process.Kill() })
-	s.list(model.Member{ID: name, Address: d.file.Peers, Role: model.Daemon})
 }
 
 // stop asks a daemon to stop and returns how it ended.
--- a/internal/rings/follow.go
+++ b/internal/rings/follow.go
@@ -42,6 +42,10 @@
 // OfferChanges applies the changes that follow what is in force. It returns
 // false where they leave a gap, so that a whole tree is needed.
 func (f *Follower) OfferChanges(changes []setts.Change) (bool, error) {
+	if f.force == nil && len(changes) > 0 && changes[0].Revision == 1 {
+		// The log from its first change on starts from the empty tree.
+		f.force = setts.NewForce(setts.NewTree())
+	}
 	for _, c := range changes {
 		if f.force == nil || c.Revision > f.force.Revision+1 {
 			return false, nil
--- a/internal/rings/log_test.go
+++ b/internal/rings/log_test.go
@@ -270,12 +270,11 @@
 			if rapid.IntRange(0, 9).Draw(t, "hand on") < 9 {
 				continue
 			}
-			changes, ok := ahead.Since(behind.Revision())
-			if ok {
-				ok, err = behind.OfferChanges(changes)
+			if changes, ok := ahead.Since(behind.Revision()); ok {
+				done, err = behind.OfferChanges(changes)
 				assert.NilError(t, err)
-			}
-			if !ok {
+				assert.Assert(t, done)
+			} else {
 				behind.OfferTree(ahead.Force().Tree)
 			}
 			assert.DeepEqual(t, behind.Force().Tree, ahead.Force().Tree)
