--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -22,11 +22,18 @@
 	Listen string `default:"127.0.0.1:0" help:"IP number and port to listen on."`
 }
 
-type platformCmd struct{ listenFlag }
+type platformCmd struct {
+	listenFlag
+	ListLag         time.Duration `help:"How old the membership list may be."`
+	WritesPerSecond int           `default:"500" help:"Writes a second that the key-value service takes."`
+}
 
 // Run implements the command.
 func (c *platformCmd) Run(ctx context.Context) error {
-	return serve(ctx, c.Listen, fakes.NewPlatform().Handler())
+	p := fakes.NewPlatform()
+	p.SetLag(c.ListLag)
+	p.KV.LimitWrites(c.WritesPerSecond)
+	return serve(ctx, c.Listen, p.Handler())
 }
 
 type serviceCmd struct{ listenFlag }
--- /dev/null
+++ b/internal/core/route/services_test.go
@@ -0,0 +1,48 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+func serviceList(states ...model.MemberState) []model.Member {
+	var list []model.Member
+	for i, state := range states {
+		list = append(list, model.Member{ID: string(rune('a' + i)), Role: model.Service, Service: "s", State: state})
+	}
+	return list
+}
+
+// TestServices: the server with the fewest calls is taken; one that leaves, is
+// drained or refused a connection gets none.
+func TestServices(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	table := NewServices()
+	take := func() string {
+		m, ok := table.Take(now, "s")
+		if !ok {
+			return ""
+		}
+		return m.ID
+	}
+	table.ApplyList(serviceList(model.Live, model.Live, model.Leaving))
+	assert.Assert(t, table.Known("s") && !table.Known("other"))
+	assert.Equal(t, take()+take()+take(), "aba")
+	table.Give(now, "a", false)
+	table.Give(now, "a", true)
+	assert.Equal(t, take(), "b")
+	now = now.Add(avoidService)
+	assert.Equal(t, take(), "a")
+	table.ApplyDrained([]string{"b"})
+	assert.Equal(t, take()+take(), "aa")
+	table.ApplyList(serviceList(model.Leaving, model.Live))
+	assert.Equal(t, take(), "")
+	table.ApplyList(nil)
+	assert.Assert(t, table.Known("s"))
+	table.ApplyDrained(nil)
+	assert.Equal(t, take(), "b")
+}
--- a/internal/fakes/http.go
+++ b/internal/fakes/http.go
@@ -24,6 +24,11 @@
 
 	mu      sync.Mutex
 	members []model.Member
+	// lag is how old the list is that callers read; shown is that list, and
+	// due is when it is taken anew.
+	lag   time.Duration
+	shown []model.Member
+	due   time.Time
 	// weightsFree is when the weight store has time for the next load.
 	weightsFree time.Time
 }
@@ -76,7 +81,18 @@
 func (p *Platform) List(context.Context) ([]model.Member, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]model.Member(nil), p.members...), nil
+	if now := time.Now(); !now.Before(p.due) {
+		p.shown = append([]model.Member(nil), p.members...)
+		p.due = now.Add(p.lag)
+	}
+	return p.shown, nil
+}
+
+// SetLag makes the list follow its changes only each so often.
+func (p *Platform) SetLag(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = lag
 }
 
 // Handler serves the platform's protocol.
--- a/internal/fakes/kv.go
+++ b/internal/fakes/kv.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -46,6 +48,8 @@
 	fault   Fault
 	// SlowBy is the delay of each call under the Slow fault.
 	SlowBy time.Duration
+	// writes bounds the writes a second; nil is no bound.
+	writes *rate.Limiter
 	counts KVCounts
 }
 
@@ -66,6 +70,13 @@
 	k.wake()
 }
 
+// LimitWrites refuses writes beyond a number a second.
+func (k *KV) LimitWrites(perSecond int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.writes = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
+
 // Counts returns the calls served so far.
 func (k *KV) Counts() KVCounts {
 	k.mu.Lock()
@@ -112,6 +123,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts.Writes++
+	if k.writes != nil && !k.writes.Allow() {
+		return 0, model.Refused
+	}
 	rev, out := k.store.CAS(time.Now(), op)
 	k.wake()
 	if fault == LostAnswers {
--- a/internal/integ/failures_test.go
+++ b/internal/integ/failures_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,12 +28,7 @@
 	for _, name := range names {
 		s.start(name)
 	}
-	tree := filepath.Join(t.TempDir(), "tree.yaml")
-	assert.NilError(t, os.WriteFile(tree, []byte(treeText), 0o600))
-	s.eventually("settings applied", func() bool {
-		out, err := s.run("d0", "settings", "apply", tree)
-		return err == nil && strings.Contains(out, "changes accepted")
-	})
+	s.apply()
 	s.eventually("first booking", func() bool {
 		status, _ := s.post("d0", "/v1/services/bookings/visits", `"first"`, "first")
 		return status == http.StatusOK
--- a/internal/integ/join_in_outage_test.go
+++ b/internal/integ/join_in_outage_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"net/http"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -16,12 +13,7 @@
 	s := newSite(t)
 	s.engines(1)
 	s.start("d0")
-	tree := filepath.Join(t.TempDir(), "tree.yaml")
-	assert.NilError(t, os.WriteFile(tree, []byte(treeText), 0o600))
-	s.eventually("settings applied", func() bool {
-		out, err := s.run("d0", "settings", "apply", tree)
-		return err == nil && strings.Contains(out, "changes accepted")
-	})
+	s.apply()
 	const question = `{"model":"roster-7b","prompt":"Draft a roster"}`
 	s.eventually("answer through d0", func() bool {
 		status, _ := s.post("d0", "/v1/completions", "", question)
--- a/internal/integ/rolling_restart_test.go
+++ b/internal/integ/rolling_restart_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,12 +27,7 @@
 		names = append(names, fmt.Sprintf("d%d", i))
 		s.start(names[i])
 	}
-	tree := filepath.Join(t.TempDir(), "tree.yaml")
-	assert.NilError(t, os.WriteFile(tree, []byte(treeText), 0o600))
-	s.eventually("settings applied", func() bool {
-		out, err := s.run("d0", "settings", "apply", tree)
-		return err == nil && strings.Contains(out, "changes accepted")
-	})
+	s.apply()
 	for _, name := range names {
 		s.eventually("booking through "+name, func() bool {
 			status, _ := s.post(name, "/v1/services/bookings/visits", `"start-`+name+`"`, "start")
--- a/internal/integ/site_test.go
+++ b/internal/integ/site_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -73,7 +74,7 @@
 	var err error
 	s.authority, err = peer.NewAuthority(time.Now().Add(time.Hour))
 	assert.NilError(t, err)
-	s.platform = s.standin("platform")
+	s.platform = s.standin("platform", "--list-lag", "300ms")
 	return s
 }
 
@@ -195,6 +196,17 @@
 	return string(out), err
 }
 
+// apply writes the settings through the daemon d0, once it takes them.
+func (s *site) apply() {
+	s.t.Helper()
+	tree := filepath.Join(s.t.TempDir(), "tree.yaml")
+	assert.NilError(s.t, os.WriteFile(tree, []byte(treeText), 0o600))
+	s.eventually("settings applied", func() bool {
+		out, err := s.run("d0", "settings", "apply", tree)
+		return err == nil && strings.Contains(out, "changes accepted")
+	})
+}
+
 // eventually waits for a condition; it fails the test when it never holds.
 func (s *site) eventually(what string, holds func() bool) {
 	s.t.Helper()
--- a/internal/integ/whole_path_test.go
+++ b/internal/integ/whole_path_test.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
@@ -26,12 +24,7 @@
 	for _, name := range []string{"d0", "d1", "d2"} {
 		s.start(name)
 	}
-	tree := filepath.Join(t.TempDir(), "tree.yaml")
-	assert.NilError(t, os.WriteFile(tree, []byte(treeText), 0o600))
-	s.eventually("settings applied", func() bool {
-		out, err := s.run("d0", "settings", "apply", tree)
-		return err == nil && strings.Contains(out, "changes accepted")
-	})
+	s.apply()
 	out, err := s.run("d1", "settings", "wait")
 	assert.NilError(t, err, out)
 
