Use the field's terms for names that needed explaining

Change: gossip message, take, rerouting, team queue, changed, reset failures, settings of a node; comments likewise. No behaviour changed. Ruled out: renaming events (their names are stable for operators). Conclusion: names say what they are without a glossary.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -141,9 +141,9 @@
 func (r *run) tree() setts.Tree {
 	t := setts.NewTree()
 	t.Revision = 1
-	t.Nodes["/"] = setts.Node{Says: map[string]string{"models": fmt.Sprintf("{%s: %d}", benchModel, benchLayers), "queue_length": "100000"}}
+	t.Nodes["/"] = setts.Node{Settings: map[string]string{"models": fmt.Sprintf("{%s: %d}", benchModel, benchLayers), "queue_length": "100000"}}
 	for _, team := range r.plan.Workload.Teams {
-		t.Nodes[string(team.Team)] = setts.Node{Kind: setts.Team, Says: map[string]string{"weight": fmt.Sprint(team.Weight)}}
+		t.Nodes[string(team.Team)] = setts.Node{Kind: setts.Team, Settings: map[string]string{"weight": fmt.Sprint(team.Weight)}}
 	}
 	return t
 }
--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -88,10 +88,10 @@
 		}
 		assert.DeepEqual(t, have.Paths(), want.Paths())
 		for _, path := range want.Paths() {
-			for name, text := range want.Nodes[path].Says {
-				assert.Equal(t, have.Nodes[path].Says[name], text)
+			for name, text := range want.Nodes[path].Settings {
+				assert.Equal(t, have.Nodes[path].Settings[name], text)
 			}
-			assert.Equal(t, len(have.Nodes[path].Says), len(want.Nodes[path].Says))
+			assert.Equal(t, len(have.Nodes[path].Settings), len(want.Nodes[path].Settings))
 		}
 	})
 }
@@ -103,9 +103,9 @@
 		if _, ok := tree.Nodes[parent]; !ok || !rapid.Bool().Draw(t, label) {
 			continue
 		}
-		node := setts.Node{Kind: setts.Kind(strings.Count(path, "/")), Says: map[string]string{}}
+		node := setts.Node{Kind: setts.Kind(strings.Count(path, "/")), Settings: map[string]string{}}
 		if rapid.Bool().Draw(t, label) {
-			node.Says["weight"] = rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, label)
+			node.Settings["weight"] = rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, label)
 		}
 		tree.Nodes[path] = node
 	}
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -219,7 +219,7 @@
 	// Another daemon may have forwarded a call before it heard of the release.
 	// It gets its refusal, which says not_run and is true, before the process
 	// ends; without one it would have to say may_have_run.
-	n.tellRelease()
+	n.announceRelease()
 	for linger := time.Now().Add(forwardLinger); time.Now().Before(linger) || (!n.server.Idle() && time.Now().Before(giveUp)); {
 		time.Sleep(stopPoll)
 	}
--- a/internal/boot/parts.go
+++ b/internal/boot/parts.go
@@ -126,17 +126,17 @@
 			r, err := n.engines.Report(ctx, m.Address)
 			if err == nil && r.Server == model.ServerID(m.ID) {
 				r.Taken = time.Now()
-				n.hearReport(r)
+				n.takeReport(r)
 			}
 		})
 	}
 	wg.Wait()
 }
 
-// hearReport takes in a report, read here or told by a peer.
-func (n *Node) hearReport(r model.Report) {
+// takeReport takes in a report, read here or sent by a peer.
+func (n *Node) takeReport(r model.Report) {
 	n.mu.Lock()
-	newer := n.reports.Heard(time.Now(), r)
+	newer := n.reports.Offer(time.Now(), r)
 	address := ""
 	for _, m := range n.members {
 		if m.ID == string(r.Server) {
@@ -157,37 +157,37 @@
 	view := n.fleetView()
 	n.mu.Unlock()
 	n.calls.SetFleet(view)
-	n.tell(ctx)
+	n.gossipRound(ctx)
 }
 
 // gossipNow tells a few others at once that something changed.
 func (n *Node) gossipNow() {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	n.tell(ctx)
+	n.gossipRound(ctx)
 }
 
-// tellRelease tells all others that the shards of this daemon are free.
-func (n *Node) tellRelease() {
+// announceRelease tells all others that the shards of this daemon are free.
+func (n *Node) announceRelease() {
 	n.mu.Lock()
 	n.fleet.SetSelf(time.Now(), false)
 	peers := n.fleet.Peers()
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	n.tellPeers(ctx, peers)
+	n.sendGossip(ctx, peers)
 }
 
-func (n *Node) tell(ctx context.Context) {
+func (n *Node) gossipRound(ctx context.Context) {
 	n.mu.Lock()
 	peers := n.fleet.NextPeers(gossipPeers)
 	n.mu.Unlock()
-	n.tellPeers(ctx, peers)
+	n.sendGossip(ctx, peers)
 }
 
-func (n *Node) tellPeers(ctx context.Context, peers []model.DaemonID) {
+func (n *Node) sendGossip(ctx context.Context, peers []model.DaemonID) {
 	n.mu.Lock()
-	g := n.words()
+	g := n.gossipMessage()
 	n.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, to := range peers {
@@ -199,21 +199,21 @@
 				n.common.Log.Debug(evlog.PeerUnreachable, "peer", to)
 				return
 			}
-			n.hear(ctx, *a.Gossip)
+			n.takeGossip(ctx, *a.Gossip)
 		})
 	}
 	wg.Wait()
 }
 
-// words are what this daemon tells a peer. The caller holds mu.
-func (n *Node) words() fleet.Gossip {
+// gossipMessage returns what this daemon sends to a peer. The caller holds mu.
+func (n *Node) gossipMessage() fleet.Gossip {
 	g := n.fleet.Tell(n.keeper.Revision())
-	g.Reports = n.reports.Hot(time.Now())
+	g.Reports = n.reports.Changed(time.Now())
 	return g
 }
 
-// hear takes in what a peer told.
-func (n *Node) hear(ctx context.Context, g fleet.Gossip) {
+// takeGossip merges a message of a peer.
+func (n *Node) takeGossip(ctx context.Context, g fleet.Gossip) {
 	n.mu.Lock()
 	released := n.fleet.Merge(time.Now(), g)
 	n.mu.Unlock()
@@ -221,7 +221,7 @@
 		n.calls.Released(released)
 	}
 	for _, r := range g.Reports {
-		n.hearReport(r)
+		n.takeReport(r)
 	}
 	mine := n.keeper.Revision()
 	switch {
@@ -292,12 +292,12 @@
 
 func (n *Node) answerGossip(g fleet.Gossip) peer.Answer {
 	n.mu.Lock()
-	mine := n.words()
+	mine := n.gossipMessage()
 	n.mu.Unlock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
-		n.hear(ctx, g)
+		n.takeGossip(ctx, g)
 	}()
 	return peer.Answer{Gossip: &mine}
 }
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -263,13 +263,13 @@
 		old, exists := have.Nodes[path]
 		node := want.Nodes[path]
 		c := setts.Change{Path: path, Kind: node.Kind, Base: old.Changed, Set: map[string]string{}}
-		for name, text := range node.Says {
-			if old.Says[name] != text {
+		for name, text := range node.Settings {
+			if old.Settings[name] != text {
 				c.Set[name] = text
 			}
 		}
-		for name := range old.Says {
-			if _, kept := node.Says[name]; !kept {
+		for name := range old.Settings {
+			if _, kept := node.Settings[name]; !kept {
 				c.Unset = append(c.Unset, name)
 			}
 		}
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -29,7 +29,7 @@
 	for m := range models {
 		fmt.Fprintf(&names, "m%d: 32, ", m)
 	}
-	tree.Nodes["/"] = setts.Node{Says: map[string]string{"models": "{" + names.String() + "}", "queue_length": "100000"}}
+	tree.Nodes["/"] = setts.Node{Settings: map[string]string{"models": "{" + names.String() + "}", "queue_length": "100000"}}
 	for i := range teams {
 		tree.Nodes[fmt.Sprintf("/t%d", i)] = setts.Node{Kind: setts.Team}
 	}
@@ -116,7 +116,7 @@
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
 			tree := setts.NewTree()
 			for i := range teams {
-				tree.Nodes[fmt.Sprintf("/t%d", i)] = setts.Node{Kind: setts.Team, Says: map[string]string{"weight": "2"}}
+				tree.Nodes[fmt.Sprintf("/t%d", i)] = setts.Node{Kind: setts.Team, Settings: map[string]string{"weight": "2"}}
 			}
 			f := setts.NewForce(tree)
 			b.ReportAllocs()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,7 +130,7 @@
 	c.recov.GiveUp(now, r, reason, message, c.tables, out)
 }
 
-// expire gives up what is past its deadline or was stranded for too long.
+// expire gives up what is past its deadline or waited too long for a route.
 func (c *Core) expire(now time.Time, out *msgs.Outbox) {
 	for r := c.requests.Due(now); r != nil; r = c.requests.Due(now) {
 		if now.Before(r.Deadline) {
@@ -139,12 +139,12 @@
 		}
 		c.giveUp(now, r, verdt.DeadlinePassed, "the deadline passed", out)
 	}
-	if len(c.requests.Stranded) == 0 {
+	if len(c.requests.Rerouting) == 0 {
 		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.requests.Stranded)) {
+	for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
 		r := c.requests.Get(id)
-		if !now.Before(r.StrandedUntil) {
+		if !now.Before(r.RerouteUntil) {
 			c.giveUp(now, r, verdt.NoRoute, "no other servers could go on with the request", out)
 		}
 	}
@@ -165,8 +165,8 @@
 	if c.force == nil {
 		return
 	}
-	if len(c.requests.Stranded) > 0 {
-		for _, id := range slices.Sorted(maps.Keys(c.requests.Stranded)) {
+	if len(c.requests.Rerouting) > 0 {
+		for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
 			r := c.requests.Get(id)
 			c.start(now, r, c.models[r.Model], out)
 		}
--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -104,10 +104,10 @@
 	st.change(now, s, servers, out, func() { s.ReportLeaving = r.Leaving || r.Emptying })
 }
 
-// change lets one source speak and works out what follows.
-func (st *State) change(now time.Time, s *table.Server, servers *table.Servers, out *msgs.Outbox, speak func()) {
+// change updates what one source says, and works out what follows.
+func (st *State) change(now time.Time, s *table.Server, servers *table.Servers, out *msgs.Outbox, update func()) {
 	before := s.Leaving()
-	speak()
+	update()
 	after := s.Leaving()
 	if before == after {
 		return
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -30,7 +30,7 @@
 	CanOwn bool `cbor:"3,keyasint"`
 }
 
-// Ownership is one daemon's word on a shard.
+// Ownership is a daemon's claim on a shard, or its release.
 type Ownership struct {
 	Shard int `cbor:"1,keyasint"`
 	// Epoch is the owner's fencing number: a higher one is newer.
@@ -152,7 +152,7 @@
 	st.beats[st.self] = beatRow{beat: Beat{Daemon: st.self, Count: count, CanOwn: canOwn}, rose: now}
 }
 
-// SetOwned takes in this daemon's word on a shard.
+// SetOwned records this daemon's claim on a shard, or its release.
 func (st *State) SetOwned(o Ownership) {
 	if o.newer(st.owners[o.Shard]) {
 		st.owners[o.Shard] = o
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -21,7 +21,7 @@
 }
 
 // TestGossipConverges: whatever pairs talk in whatever order, in the end all know
-// the same owners, and an older word never replaces a newer one.
+// the same owners, and an older claim never replaces a newer one.
 func TestGossipConverges(t *testing.T) {
 	proof.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_000_000, 0)
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -16,8 +16,8 @@
 	// readOther is how often it reads those of all other engines, in case that
 	// their reader is silent.
 	readOther = 30 * time.Second
-	// hotFor is how long a changed report is told on.
-	hotFor = 10 * time.Second
+	// changedFor is how long a changed report is sent on.
+	changedFor = 10 * time.Second
 )
 
 // Reports decides whose reports a daemon reads. Each engine has one reader among
@@ -32,8 +32,8 @@
 	last   model.Report
 	known  bool
 	readAt time.Time
-	// hotUntil is how long the last change is told on.
-	hotUntil time.Time
+	// changedUntil is how long the last change is sent on.
+	changedUntil time.Time
 }
 
 // NewReports returns a table that knows no engine.
@@ -84,15 +84,15 @@
 	return due
 }
 
-// Heard takes in a report, read here or told by a peer, and reports whether it
+// Offer takes in a report, read here or sent by a peer, and reports whether it
 // is newer than what was known.
-func (r *Reports) Heard(now time.Time, report model.Report) bool {
+func (r *Reports) Offer(now time.Time, report model.Report) bool {
 	row := r.rows[string(report.Server)]
 	if row == nil || (row.known && !report.Taken.After(row.last.Taken)) {
 		return false
 	}
 	if !row.known || differs(row.last, report) {
-		row.hotUntil = now.Add(hotFor)
+		row.changedUntil = now.Add(changedFor)
 	}
 	row.last, row.known = report, true
 	return true
@@ -103,17 +103,17 @@
 	return !a.SameRoutes(b) || a.Leaving != b.Leaving || a.Emptying != b.Emptying
 }
 
-// Hot returns the reports that changed just now, to be told on.
-func (r *Reports) Hot(now time.Time) []model.Report {
-	var hot []model.Report
+// Changed returns the reports that changed just now, for other daemons.
+func (r *Reports) Changed(now time.Time) []model.Report {
+	var changed []model.Report
 	for _, row := range r.rows {
-		if now.Before(row.hotUntil) {
-			hot = append(hot, row.last)
+		if now.Before(row.changedUntil) {
+			changed = append(changed, row.last)
 		}
 	}
-	slices.SortFunc(hot, func(a, b model.Report) int { return b.Taken.Compare(a.Taken) })
-	return hot[:min(len(hot), maxHot)]
+	slices.SortFunc(changed, func(a, b model.Report) int { return b.Taken.Compare(a.Taken) })
+	return changed[:min(len(changed), maxChanged)]
 }
 
-// maxHot bounds the reports in one message.
-const maxHot = 32
+// maxChanged bounds the reports in one message.
+const maxChanged = 32
--- a/internal/core/fleet/reports_test.go
+++ b/internal/core/fleet/reports_test.go
@@ -29,7 +29,7 @@
 		first := r.Due(now, list, live)
 		assert.Equal(t, len(first), 40)
 		for _, m := range first {
-			r.Heard(now, model.Report{Server: model.ServerID(m.ID), Taken: now})
+			r.Offer(now, model.Report{Server: model.ServerID(m.ID), Taken: now})
 		}
 		for _, m := range r.Due(now.Add(readOwn), list, live) {
 			reads[m.ID]++
@@ -49,16 +49,16 @@
 	r := NewReports("d0")
 	r.Due(now, engines(1), nil)
 	report := model.Report{Server: "e00", Slots: 4, TokensPerSecond: 100, Taken: now}
-	assert.Assert(t, r.Heard(now, report))
-	now = now.Add(hotFor)
-	assert.Equal(t, len(r.Hot(now)), 0)
+	assert.Assert(t, r.Offer(now, report))
+	now = now.Add(changedFor)
+	assert.Equal(t, len(r.Changed(now)), 0)
 	report.Taken, report.Running = now, 3
-	assert.Assert(t, r.Heard(now, report))
-	assert.Equal(t, len(r.Hot(now)), 0)
+	assert.Assert(t, r.Offer(now, report))
+	assert.Equal(t, len(r.Changed(now)), 0)
 	report.Taken, report.Leaving = now.Add(time.Second), true
-	assert.Assert(t, r.Heard(now, report))
-	assert.Equal(t, len(r.Hot(now)), 1)
+	assert.Assert(t, r.Offer(now, report))
+	assert.Equal(t, len(r.Changed(now)), 1)
 	report.Taken, report.Leaving = now, false
-	assert.Assert(t, !r.Heard(now, report))
-	assert.Assert(t, r.Hot(now)[0].Leaving)
+	assert.Assert(t, !r.Offer(now, report))
+	assert.Assert(t, r.Changed(now)[0].Leaving)
 }
--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -86,11 +86,11 @@
 
 func (w *coreWorld) setForce() {
 	w.rev++
-	root := setts.Node{Kind: setts.Firm, Says: map[string]string{"models": "{m: 12}", "drain_servers": fmt.Sprintf("%q", w.drained)}}
+	root := setts.Node{Kind: setts.Firm, Settings: map[string]string{"models": "{m: 12}", "drain_servers": fmt.Sprintf("%q", w.drained)}}
 	if len(w.drained) == 0 {
-		root.Says["drain_servers"] = "[]"
+		root.Settings["drain_servers"] = "[]"
 	} else {
-		root.Says["drain_servers"] = "[" + w.drained[0] + "]"
+		root.Settings["drain_servers"] = "[" + w.drained[0] + "]"
 	}
 	w.in.Force = setts.NewForce(setts.Tree{Revision: w.rev, Nodes: map[string]setts.Node{setts.Root: root}})
 }
--- a/internal/core/msgs/calls.go
+++ b/internal/core/msgs/calls.go
@@ -82,7 +82,7 @@
 	Lease    model.LeaseID
 }
 
-// CallReply is the last word to the caller of a call with a key.
+// CallReply is the final answer to the caller of a call with a key.
 type CallReply struct {
 	ID      CallID
 	Answer  *rings.Stored
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -81,7 +81,7 @@
 	Route   model.Route
 }
 
-// Finish is the last word to a caller.
+// Finish is the final answer to a caller.
 type Finish struct {
 	Request model.RequestID
 	// Tokens is the number of tokens of a whole answer.
@@ -109,7 +109,7 @@
 	ServerLeaving NoticeKind = iota
 	// ServerBack is a backend server that gets work again.
 	ServerBack
-	// ServerAvoided is a backend server left alone for a while after a failure.
+	// ServerAvoided is a backend server without work for a while after a failure.
 	ServerAvoided
 	// StreamMoved is a request that goes on by another route.
 	StreamMoved
--- a/internal/core/owner/shard.go
+++ b/internal/core/owner/shard.go
@@ -269,7 +269,7 @@
 	s.places[s.position(slot.Seq)] = place{revision: revision, seq: slot.Seq, newest: slot.Newest()}
 }
 
-// lose gives a shard up without a word to the store. Calls that were dispatched
+// lose gives a shard up without a call to the store. Calls that were dispatched
 // go on; calls that were not are refused as not run, which is true because only
 // this process could have dispatched them.
 func (s *shard) lose(out *msgs.CallOutbox, why string) {
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// strandedFor is how long a request waits for another route before it is
+	// rerouteTimeout is how long a request waits for another route before it is
 	// given up.
-	strandedFor = 5 * time.Second
-	// avoidBase is how long a server is left alone after its first failure in
+	rerouteTimeout = 5 * time.Second
+	// avoidBase is how long a server gets no work after its first failure in
 	// a row; the time doubles with each further one, up to avoidMost.
 	avoidBase = 500 * time.Millisecond
 	avoidMost = 30 * time.Second
@@ -99,7 +99,7 @@
 	if f.Failure == nil {
 		st.LastRoute = r.Route
 		t.Picker.Learn(r.Prefix, r.Route)
-		forgive(r.Route, t)
+		resetFailures(r.Route, t)
 	}
 	t.Servers.Release(r.ID, r.Route)
 	r.Route = model.Route{}
@@ -108,8 +108,8 @@
 	out.Finishes = append(out.Finishes, f)
 }
 
-// forgive ends the count of failures in a row.
-func forgive(route model.Route, t Tables) {
+// resetFailures ends the count of failures in a row.
+func resetFailures(route model.Route, t Tables) {
 	for _, h := range route.Hops {
 		if s := t.Servers.Get(h.Server); s != nil {
 			s.Failures = 0
@@ -133,13 +133,13 @@
 		r.Failed = append(r.Failed, failed)
 	}
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
-	st.strand(now, r, t)
+	st.detach(now, r, t)
 	if r.Recoveries >= r.MaxRecoveries {
 		st.GiveUp(now, r, verdt.StageFailed, "too many backend servers failed during the request", t, out)
 	}
 }
 
-// avoid leaves a failing server alone for a while.
+// avoid gives a failing server no work for a while.
 func avoid(now time.Time, s *table.Server, t Tables, out *msgs.Outbox) {
 	if now.Before(s.AvoidUntil) {
 		return
@@ -151,13 +151,13 @@
 	out.Notify(msgs.Notice{Kind: msgs.ServerAvoided, Server: s.ID, Detail: fmt.Sprintf("%d failures in a row", s.Failures)})
 }
 
-// strand takes a request off its route.
-func (st *State) strand(now time.Time, r *table.Request, t Tables) {
+// detach takes a request off its route, to wait for another one.
+func (st *State) detach(now time.Time, r *table.Request, t Tables) {
 	t.Servers.Release(r.ID, r.Route)
 	r.Moved, r.Route, r.Trail = r.Route, model.Route{}, 0
-	r.Phase = table.Stranded
-	r.StrandedUntil = now.Add(strandedFor)
-	t.Requests.Stranded[r.ID] = struct{}{}
+	r.Phase = table.Rerouting
+	r.RerouteUntil = now.Add(rerouteTimeout)
+	t.Requests.Rerouting[r.ID] = struct{}{}
 }
 
 // Move takes a request off its route because one of its servers leaves. Nothing
@@ -168,7 +168,7 @@
 		return
 	}
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
-	st.strand(now, r, t)
+	st.detach(now, r, t)
 	r.Recoveries--
 }
 
@@ -183,10 +183,10 @@
 
 // Start puts a request on a route as its next epoch.
 func (st *State) Start(now time.Time, r *table.Request, chain model.Route, t Tables, out *msgs.Outbox) {
-	if r.Phase == table.Stranded {
+	if r.Phase == table.Rerouting {
 		r.Recoveries++
 		st.Recovered++
-		delete(t.Requests.Stranded, r.ID)
+		delete(t.Requests.Rerouting, r.ID)
 		chain = withImports(chain, r, t)
 		out.Notify(msgs.Notice{Kind: msgs.StreamMoved, Request: r.ID, Detail: fmt.Sprintf("epoch %d from token %d", r.Epoch+1, r.Next)})
 	} else {
--- a/internal/core/route/services.go
+++ b/internal/core/route/services.go
@@ -22,7 +22,7 @@
 	drained []string
 }
 
-// avoidService is how long a server that refused a connection is left alone.
+// avoidService is how long a server that refused a connection gets no work.
 const avoidService = time.Second
 
 // NewServices returns a table that knows no server.
@@ -86,7 +86,7 @@
 	return best.member, true
 }
 
-// Give counts a call as ended; unreachable leaves the server alone for a while.
+// Give counts a call as ended; unreachable gives the server no work for a while.
 func (t *Services) Give(now time.Time, id string, unreachable bool) {
 	row := t.rows[id]
 	if row == nil {
--- a/internal/core/table/phase_enumer.go
+++ b/internal/core/table/phase_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PhaseName = "queuedrunningstranded"
+const _PhaseName = "queuedrunningrerouting"
 
-var _PhaseIndex = [...]uint8{0, 6, 13, 21}
+var _PhaseIndex = [...]uint8{0, 6, 13, 22}
 
-const _PhaseLowerName = "queuedrunningstranded"
+const _PhaseLowerName = "queuedrunningrerouting"
 
 func (i Phase) String() string {
 	if i >= Phase(len(_PhaseIndex)-1) {
@@ -26,27 +26,27 @@
 	var x [1]struct{}
 	_ = x[Queued-(0)]
 	_ = x[Running-(1)]
-	_ = x[Stranded-(2)]
+	_ = x[Rerouting-(2)]
 }
 
-var _PhaseValues = []Phase{Queued, Running, Stranded}
+var _PhaseValues = []Phase{Queued, Running, Rerouting}
 
 var _PhaseNameToValueMap = map[string]Phase{
 	_PhaseName[0:6]:   Queued,
 	_PhaseName[6:13]:  Running,
-	_PhaseName[13:21]: Stranded,
+	_PhaseName[13:22]: Rerouting,
 }
 
 var _PhaseLowerNameToValueMap = map[string]Phase{
 	_PhaseLowerName[0:6]:   Queued,
 	_PhaseLowerName[6:13]:  Running,
-	_PhaseLowerName[13:21]: Stranded,
+	_PhaseLowerName[13:22]: Rerouting,
 }
 
 var _PhaseNames = []string{
 	_PhaseName[0:6],
 	_PhaseName[6:13],
-	_PhaseName[13:21],
+	_PhaseName[13:22],
 }
 
 // PhaseString retrieves an enum value from the enum constants string name.
--- a/internal/core/table/queue.go
+++ b/internal/core/table/queue.go
@@ -8,8 +8,8 @@
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
-// Lane is the queue of one team for one model.
-type Lane struct {
+// TeamQueue is the queue of one team for one model.
+type TeamQueue struct {
 	Team model.Team
 	// Weight is the team's latest share, above 0.
 	Weight float64
@@ -24,13 +24,13 @@
 // Queue holds the requests that wait for one model, and shares its capacity
 // between teams by start-time fair queueing.
 type Queue struct {
-	lanes map[model.Team]*Lane
-	heap  *Heap[*Lane]
-	// sweepAt is the number of lanes at which idle ones are forgotten.
+	teams map[model.Team]*TeamQueue
+	heap  *Heap[*TeamQueue]
+	// sweepAt is the number of teams at which idle ones are forgotten.
 	sweepAt int
 	// virtual is the start of the request dispatched last. It never goes down.
 	virtual float64
-	// Weights is the sum over the lanes that have requests waiting.
+	// Weights is the sum over the teams that have requests waiting.
 	Weights float64
 	// Length is the number of waiting requests.
 	Length int
@@ -45,8 +45,8 @@
 func NewQueue() *Queue {
 	return &Queue{
 		sweepAt: leastSweep,
-		lanes:   map[model.Team]*Lane{},
-		heap: NewHeap(func(a, b *Lane) bool {
+		teams:   map[model.Team]*TeamQueue{},
+		heap: NewHeap(func(a, b *TeamQueue) bool {
 			if a.Start != b.Start {
 				return a.Start < b.Start
 			}
@@ -55,12 +55,12 @@
 	}
 }
 
-// Push adds a request to its team's lane.
+// Push adds a request to its team's team queue.
 func (q *Queue) Push(team model.Team, weight float64, id model.RequestID) {
-	l := q.lanes[team]
+	l := q.teams[team]
 	if l == nil {
-		l = &Lane{Team: team}
-		q.lanes[team] = l
+		l = &TeamQueue{Team: team}
+		q.teams[team] = l
 	}
 	l.Waiting = append(l.Waiting, id)
 	q.Length++
@@ -90,14 +90,14 @@
 	}
 	q.heap.Pop()
 	q.forgetWeight(l)
-	if len(q.lanes) >= q.sweepAt {
+	if len(q.teams) >= q.sweepAt {
 		q.sweep()
 	}
 }
 
 // Drop removes a waiting request that is no longer wanted.
 func (q *Queue) Drop(team model.Team, id model.RequestID) {
-	l := q.lanes[team]
+	l := q.teams[team]
 	if l == nil {
 		return
 	}
@@ -108,29 +108,29 @@
 	l.Waiting = slices.Delete(l.Waiting, i, i+1)
 	q.Length--
 	if len(l.Waiting) == 0 {
-		q.heap.Remove(func(other *Lane) bool { return other == l })
+		q.heap.Remove(func(other *TeamQueue) bool { return other == l })
 		q.forgetWeight(l)
 	}
 }
 
-// forgetWeight takes a lane without waiting requests out of the sum.
-func (q *Queue) forgetWeight(l *Lane) {
+// forgetWeight takes a team queue without waiting requests out of the sum.
+func (q *Queue) forgetWeight(l *TeamQueue) {
 	q.Weights -= l.Weight
 	if q.heap.Len() == 0 {
 		q.Weights = 0
 	}
 }
 
-// leastSweep is the number of lanes below which none is forgotten.
+// leastSweep is the number of teams below which none is forgotten.
 const leastSweep = 64
 
-// sweep forgets idle lanes that owe nothing. The next sweep waits until the
-// lanes have doubled, so that its cost is spread over as many requests.
+// sweep forgets idle teams that owe nothing. The next sweep waits until the
+// teams have doubled, so that its cost is spread over as many requests.
 func (q *Queue) sweep() {
-	defer func() { q.sweepAt = max(leastSweep, 2*len(q.lanes)) }()
-	for team, l := range q.lanes {
+	defer func() { q.sweepAt = max(leastSweep, 2*len(q.teams)) }()
+	for team, l := range q.teams {
 		if len(l.Waiting) == 0 && l.Finish <= q.virtual {
-			delete(q.lanes, team)
+			delete(q.teams, team)
 		}
 	}
 }
@@ -138,7 +138,7 @@
 // Behind returns how many requests of a team wait, and the share of the
 // capacity that the team would have with one more.
 func (q *Queue) Behind(team model.Team, weight float64) (waiting int, share float64) {
-	l := q.lanes[team]
+	l := q.teams[team]
 	if l != nil && len(l.Waiting) > 0 {
 		return len(l.Waiting), l.Weight / q.Weights
 	}
@@ -161,12 +161,12 @@
 // Check returns the first broken invariant.
 func (q *Queue) Check(requests *Requests) error {
 	waiting := 0
-	for team, l := range q.lanes {
+	for team, l := range q.teams {
 		waiting += len(l.Waiting)
 		for _, id := range l.Waiting {
 			r := requests.Get(id)
 			if r == nil || r.Phase != Queued || r.Team != team {
-				return fmt.Errorf("request %d waits in the lane of %s but is not queued there", id, team)
+				return fmt.Errorf("request %d waits in the team queue of %s but is not queued there", id, team)
 			}
 		}
 	}
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -19,8 +19,8 @@
 	Queued Phase = iota
 	// Running requests have a stream open.
 	Running
-	// Stranded requests have lost their stream and wait for another route.
-	Stranded
+	// Rerouting requests have lost their stream and wait for another route.
+	Rerouting
 )
 
 // Request is one model request in progress.
@@ -45,8 +45,8 @@
 	Moved model.Route
 	// Verdict is what a failure now would have to say.
 	Verdict verdt.Verdict
-	// StrandedUntil is when a stranded request is given up.
-	StrandedUntil time.Time
+	// RerouteUntil is when a request without a route is given up.
+	RerouteUntil time.Time
 	// Started is when the first stream was opened.
 	Started time.Time
 	// LastToken is when the last token was accepted.
@@ -70,8 +70,8 @@
 type Requests struct {
 	rows      map[model.RequestID]*Request
 	deadlines *Heap[deadline]
-	// Stranded are the requests that wait for another route.
-	Stranded map[model.RequestID]struct{}
+	// Rerouting are the requests that wait for another route.
+	Rerouting map[model.RequestID]struct{}
 }
 
 // NewRequests returns an empty table.
@@ -79,7 +79,7 @@
 	return &Requests{
 		rows:      map[model.RequestID]*Request{},
 		deadlines: NewHeap(func(a, b deadline) bool { return a.at.Before(b.at) }),
-		Stranded:  map[model.RequestID]struct{}{},
+		Rerouting: map[model.RequestID]struct{}{},
 	}
 }
 
@@ -98,7 +98,7 @@
 // Remove drops a row.
 func (t *Requests) Remove(id model.RequestID) {
 	delete(t.rows, id)
-	delete(t.Stranded, id)
+	delete(t.Rerouting, id)
 }
 
 // Due returns a request whose time is over, or nil: its deadline, or its time in
@@ -134,9 +134,9 @@
 // Check returns the first broken invariant.
 func (t *Requests) Check() error {
 	for id, r := range t.rows {
-		_, stranded := t.Stranded[id]
-		if stranded != (r.Phase == Stranded) {
-			return fmt.Errorf("request %d is %s, but its stranded mark is %t", id, r.Phase, stranded)
+		_, rerouting := t.Rerouting[id]
+		if rerouting != (r.Phase == Rerouting) {
+			return fmt.Errorf("request %d is %s, but its rerouting mark is %t", id, r.Phase, rerouting)
 		}
 		if (r.Phase == Running) != (len(r.Route.Hops) > 0) {
 			return fmt.Errorf("request %d is %s with a route of %d hops", id, r.Phase, len(r.Route.Hops))
--- a/internal/drive/streams_test.go
+++ b/internal/drive/streams_test.go
@@ -36,7 +36,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
-	tree := setts.Tree{Revision: 1, Nodes: map[string]setts.Node{"/": {Says: map[string]string{"models": "{m: 32}"}}}}
+	tree := setts.Tree{Revision: 1, Nodes: map[string]setts.Node{"/": {Settings: map[string]string{"models": "{m: 32}"}}}}
 	s.SetForce(setts.NewForce(tree))
 	s.SetList(site.Members(), 1)
 	synctest.Wait()
@@ -143,7 +143,7 @@
 func TestLeavingServerIsEmptied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, site := newSite(t)
-		tree := setts.Tree{Revision: 2, Nodes: map[string]setts.Node{"/": {Says: map[string]string{"models": "{m: 32}", "drain_grace": "1s"}}}}
+		tree := setts.Tree{Revision: 2, Nodes: map[string]setts.Node{"/": {Settings: map[string]string{"models": "{m: 32}", "drain_grace": "1s"}}}}
 		s.SetForce(setts.NewForce(tree))
 		_, reply := s.Start(ask("a long one that takes its time, please", time.Minute))
 		synctest.Wait()
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -40,7 +40,7 @@
 	ServerLeaves Event = 302
 	// ServerReturned tells that a backend server will get work again.
 	ServerReturned Event = 303
-	// ServerAvoided tells that a backend server failed and is left alone.
+	// ServerAvoided tells that a backend server failed and gets no work.
 	ServerAvoided Event = 304
 	// StreamMoved tells that a request goes on by another route.
 	StreamMoved Event = 305
--- a/internal/force/keeper.go
+++ b/internal/force/keeper.go
@@ -22,7 +22,7 @@
 	watchTimeout = 30 * time.Second
 	// retryAfter is the pause after a watch that failed.
 	retryAfter = 500 * time.Millisecond
-	// staleAfter is how long settings count as current after the last word of
+	// staleAfter is how long settings count as current after the last confirmation by
 	// the platform or a peer.
 	staleAfter = 45 * time.Second
 )
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -108,7 +108,7 @@
 		f.fail(w, c, failure)
 		return failure
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), ask.Deadline.Add(lastWordAfter))
+	ctx, cancel := context.WithDeadline(r.Context(), ask.Deadline.Add(finalAnswerGrace))
 	defer cancel()
 	id, reply := f.streams.Start(ask)
 	a := &answer{front: f, w: w, caller: c, chat: chat, model: ask.Model, id: fmt.Sprintf("req-%x", uint64(id)), arrived: arrived}
@@ -123,8 +123,8 @@
 	return failure
 }
 
-// lastWordAfter is how long after the deadline the core's last word is awaited.
-const lastWordAfter = time.Second
+// finalAnswerGrace is how long after the deadline the final answer of the core is awaited.
+const finalAnswerGrace = time.Second
 
 // prepare checks a model request.
 func (f *Front) prepare(w http.ResponseWriter, r *http.Request, c caller, chat bool) (drive.Ask, bool, *verdt.Error) {
@@ -206,7 +206,7 @@
 	}
 }
 
-// abandoned is a request whose caller left or whose last word never came.
+// abandoned is a request whose caller left or whose final answer never came.
 func (a *answer) abandoned() *verdt.Error {
 	f := verdt.New(verdt.MayHaveRun, verdt.CallerGone, "the caller closed its connection")
 	a.front.fail(a.w, a.caller, f)
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -60,7 +60,7 @@
 				runtime.ReadMemStats(&before)
 				tree := setts.NewTree()
 				for i := range teams {
-					tree.Nodes[fmt.Sprintf("/region-%02d/service/team-%04d", i%11, i)] = setts.Node{Kind: setts.Team, Says: map[string]string{
+					tree.Nodes[fmt.Sprintf("/region-%02d/service/team-%04d", i%11, i)] = setts.Node{Kind: setts.Team, Settings: map[string]string{
 						"weight": "2", "requests_per_second": "100", "api_key_sha256": fmt.Sprintf("[%064x]", i),
 					}}
 				}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -91,7 +91,7 @@
 	assert.Equal(t, verdt.Of(err, verdt.Ran).Verdict, verdt.MayHaveRun)
 }
 
-// TestForeignFleetIsRefused: a daemon with keys of another authority gets no word.
+// TestForeignFleetIsRefused: a daemon with keys of another authority gets no answer.
 func TestForeignFleetIsRefused(t *testing.T) {
 	asked := false
 	address := serve(t, keysOf(t, newAuthority(t), "d1"), handlerFunc(func(context.Context, Question) Answer {
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -39,7 +39,7 @@
 
 //go:generate enumer -type=MemberState -transform=snake -text -output=memberstate_enumer.go
 
-// MemberState is the platform's word on a VM.
+// MemberState is the state of a VM in the platform's list.
 type MemberState uint8
 
 const (
--- a/pkg/setts/force.go
+++ b/pkg/setts/force.go
@@ -76,13 +76,13 @@
 	}
 }
 
-// overlay lays a node's words over its parent's policy. Every value was checked
+// overlay applies a node's own settings to its parent's policy. Every value was checked
 // when it entered the tree.
 func overlay(p Policy, n Node) Policy {
 	known := fields()
 	v := reflect.ValueOf(&p).Elem()
 	v.FieldByName("APIKeySHA256").SetZero()
-	for name, text := range n.Says {
+	for name, text := range n.Settings {
 		f, ok := known[name]
 		if !ok {
 			continue
@@ -141,7 +141,7 @@
 func (f *Force) origin(path, name string) string {
 	from := "default"
 	for _, p := range Chain(path) {
-		if _, ok := f.Tree.Nodes[p].Says[name]; ok {
+		if _, ok := f.Tree.Nodes[p].Settings[name]; ok {
 			from = p
 		}
 	}
--- a/pkg/setts/parse.go
+++ b/pkg/setts/parse.go
@@ -99,12 +99,12 @@
 		p.fail(n, path, "a "+kind.String()+" cannot stand here", "firm at the root, then place, service and team")
 		return
 	}
-	node := Node{Kind: kind, Says: map[string]string{}}
+	node := Node{Kind: kind, Settings: map[string]string{}}
 	for key, value := range parts {
 		switch key {
 		case "kind", "nodes":
 		case "settings":
-			p.settings(path, kind, value, node.Says)
+			p.settings(path, kind, value, node.Settings)
 		default:
 			p.fail(value, path+":"+key, "unknown name", "kind, settings, nodes")
 		}
@@ -153,7 +153,7 @@
 func (p *treeParser) keys() {
 	for _, path := range p.tree.Paths() {
 		var problem *CheckError
-		if errors.As(p.tree.checkKeys(path, p.tree.Nodes[path].Says["api_key_sha256"]), &problem) {
+		if errors.As(p.tree.checkKeys(path, p.tree.Nodes[path].Settings["api_key_sha256"]), &problem) {
 			p.add(problem)
 		}
 	}
--- a/pkg/setts/setts_test.go
+++ b/pkg/setts/setts_test.go
@@ -143,7 +143,7 @@
 			p := force.At(path)
 			assert.Assert(t, p.Weight >= 0.01 && p.Weight <= 1000)
 			assert.Assert(t, p.MaxBodyBytes >= 1024 && p.MaxBodyBytes <= 8388608)
-			for name, value := range tree.Nodes[path].Says {
+			for name, value := range tree.Nodes[path].Settings {
 				assert.NilError(t, checkValue(path, tree.Nodes[path].Kind, name, value))
 			}
 		}
--- a/pkg/setts/tree.go
+++ b/pkg/setts/tree.go
@@ -35,8 +35,8 @@
 // Node is one node of the tree.
 type Node struct {
 	Kind Kind `cbor:"1,keyasint"`
-	// Says maps a setting's name to its value as YAML text.
-	Says map[string]string `cbor:"2,keyasint"`
+	// Settings maps a setting's name to its value as YAML text.
+	Settings map[string]string `cbor:"2,keyasint"`
 	// Changed is the revision of the last change to this node. It never goes
 	// down, also not when the node is removed and made again.
 	Changed model.Revision `cbor:"3,keyasint"`
@@ -140,14 +140,14 @@
 		}
 		node = Node{Kind: c.Kind}
 	}
-	says := maps.Clone(node.Says)
-	if says == nil {
-		says = map[string]string{}
+	settings := maps.Clone(node.Settings)
+	if settings == nil {
+		settings = map[string]string{}
 	}
 	for _, name := range c.Unset {
-		delete(says, name)
+		delete(settings, name)
 	}
-	maps.Copy(says, c.Set)
+	maps.Copy(settings, c.Set)
 	for name, text := range c.Set {
 		if err := checkValue(c.Path, node.Kind, name, text); err != nil {
 			return t, err
@@ -157,7 +157,7 @@
 		return t, err
 	}
 	next := t.clone()
-	next.Nodes[c.Path] = Node{Kind: node.Kind, Says: says, Changed: next.Revision}
+	next.Nodes[c.Path] = Node{Kind: node.Kind, Settings: settings, Changed: next.Revision}
 	return next, nil
 }
 
@@ -211,7 +211,7 @@
 		if other == path {
 			continue
 		}
-		for _, key := range keysIn(node.Says["api_key_sha256"]) {
+		for _, key := range keysIn(node.Settings["api_key_sha256"]) {
 			if slices.Contains(mine, key) {
 				return &CheckError{Path: path + ":api_key_sha256", Message: "a key belongs to " + other + " already", Accepted: "keys of no other team"}
 			}
