--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"bulrushpond.example/bulrushpond/internal/fakes"
 	"bulrushpond.example/bulrushpond/internal/peer"
 	"bulrushpond.example/bulrushpond/internal/proof"
 	"bulrushpond.example/bulrushpond/pkg/setts"
@@ -147,3 +148,14 @@
 		})
 	}
 }
+
+// TestDevOnce is the README's first command.
+func TestDevOnce(t *testing.T) {
+	var out, errOut bytes.Buffer
+	code := Main([]string{"dev", "--once", "Draft a roster for three interviewers"}, &out, &errOut, BuildInfo{})
+	assert.Equal(t, code, ExitDone, errOut.String())
+	want := strings.Join(fakes.Answer("user: Draft a roster for three interviewers\n", devLayers, 0), "")
+	assert.Assert(t, strings.Contains(out.String(), want), out.String())
+	assert.Assert(t, strings.Contains(out.String(), "engine-0 (layers 0-16) -> engine-1 (layers 16-32)") ||
+		strings.Contains(out.String(), "-> engine-"), out.String())
+}
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -17,6 +17,8 @@
 const (
 	// quickRetry is when a caller refused for a passing reason should come back.
 	quickRetry = time.Second
+	// leastRetry keeps a time to come back in the future.
+	leastRetry = time.Millisecond
 	// daemonsHeld is how long a lower number of daemons must last before a
 	// daemon's part of the limits grows.
 	daemonsHeld = time.Minute
@@ -169,7 +171,7 @@
 	b.filled = now
 	if b.tokens < 1 {
 		wait := time.Duration((1 - b.tokens) / rate * float64(time.Second))
-		return refuse(now, verdt.RateLimited, "this team is over its rate", wait)
+		return refuse(now, verdt.RateLimited, "this team is over its rate", max(wait, leastRetry))
 	}
 	b.tokens--
 	return nil
--- /dev/null
+++ b/internal/core/table/queue_test.go
@@ -0,0 +1,92 @@
+package table
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/proof"
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+// TestFairShares: teams that always have requests waiting are served by their
+// weights, to within one request each, whatever the others do.
+func TestFairShares(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		const maxCost = 10.0
+		q, requests := NewQueue(), NewRequests()
+		weights := map[model.Team]float64{}
+		served := map[model.Team]float64{}
+		next := model.RequestID(0)
+		push := func(team model.Team) {
+			next++
+			requests.Add(&Request{Arrival: msgs.Arrival{ID: next, Team: team}})
+			q.Push(team, weights[team], next)
+		}
+		for i := range rapid.IntRange(2, 5).Draw(t, "teams") {
+			team := model.Team(fmt.Sprintf("/t%d", i))
+			weights[team] = float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+			push(team)
+			push(team)
+		}
+		weights["/visitor"] = 1
+		for range 400 {
+			if rapid.IntRange(0, 5).Draw(t, "visitor") == 0 {
+				push("/visitor")
+			}
+			r := requests.Get(q.Head())
+			cost := float64(rapid.IntRange(1, maxCost).Draw(t, "cost"))
+			q.Pop(cost)
+			requests.Remove(r.ID)
+			served[r.Team] += cost
+			if r.Team != "/visitor" {
+				push(r.Team)
+			}
+			if err := q.Check(requests); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for a := range weights {
+			for b := range weights {
+				if a == "/visitor" || b == "/visitor" {
+					continue
+				}
+				diff := served[a]/weights[a] - served[b]/weights[b]
+				if bound := maxCost/weights[a] + maxCost/weights[b]; diff > bound {
+					t.Fatalf("team %s got %.1f for its weight more than team %s, at most %.1f is fair", a, diff, b, bound)
+				}
+			}
+		}
+	})
+}
+
+// TestDrop: a request that is withdrawn is never served, and the rest keep their
+// order.
+func TestDrop(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		q, requests := NewQueue(), NewRequests()
+		var waiting []model.RequestID
+		for id := range model.RequestID(20) {
+			requests.Add(&Request{Arrival: msgs.Arrival{ID: id, Team: "/t"}})
+			q.Push("/t", 1, id)
+			waiting = append(waiting, id)
+			if rapid.Bool().Draw(t, "drop") {
+				i := rapid.IntRange(0, len(waiting)-1).Draw(t, "which")
+				q.Drop("/t", waiting[i])
+				requests.Remove(waiting[i])
+				waiting = append(waiting[:i], waiting[i+1:]...)
+			}
+			if err := q.Check(requests); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, id := range waiting {
+			if q.Head() != id {
+				t.Fatalf("request %d is served instead of %d", q.Head(), id)
+			}
+			q.Pop(1)
+		}
+	})
+}
