Give engines_check_fence an effect, and doubt an engine's server errors

Cause: reading as a newcomer: a setting that no code read, and a stream refused with a server error that was read as not run. Ruled out: ordering engines that check the number without any margin (an order under a lapsed lease would be refused, and logged as a failure each time). Change: where engines refuse old numbers orders go out until the last second of the lease, else until the last three; only refusals that blame the question say not_run.

--- a/internal/core/order/order.go
+++ b/internal/core/order/order.go
@@ -20,8 +20,10 @@
 	retryAfter = 5 * time.Second
 	// leaseMargin is how much of the lease must be left for an order: one that
 	// takes capacity away must not reach an engine that has another owner by
-	// then.
-	leaseMargin = 2 * time.Second
+	// then. An engine that checks the fencing number protects itself, so less
+	// is enough.
+	leaseMargin        = 3 * time.Second
+	leaseMarginChecked = time.Second
 )
 
 //go:generate enumer -type=Step -transform=snake -output=step_enumer.go
@@ -61,7 +63,9 @@
 	// Placement is what the settings want, or nil for no news.
 	Placement map[string]setts.Placement
 	// Grace is how long an engine may take to finish its work.
-	Grace    time.Duration
+	Grace time.Duration
+	// Checked is whether engines refuse old fencing numbers; news with Placement.
+	Checked  bool
 	Reports  []model.Report
 	Reserved []Reserved
 	// Shards is the number of shards; Epochs are those of the shards owned
@@ -87,9 +91,10 @@
 
 // State is what the system remembers between ticks.
 type State struct {
-	wanted map[string]setts.Placement
-	grace  time.Duration
-	rows   map[model.ServerID]*engineRow
+	wanted  map[string]setts.Placement
+	grace   time.Duration
+	checked bool
+	rows    map[model.ServerID]*engineRow
 }
 
 // NewState returns the state before any placement.
@@ -100,7 +105,7 @@
 // Tick takes in what happened and returns what is to be done.
 func (st *State) Tick(now time.Time, in Inbox) []Command {
 	if in.Placement != nil {
-		st.wanted, st.grace = in.Placement, in.Grace
+		st.wanted, st.grace, st.checked = in.Placement, in.Grace, in.Checked
 		maps.DeleteFunc(st.rows, func(id model.ServerID, _ *engineRow) bool {
 			_, kept := st.wanted[string(id)]
 			return !kept
@@ -116,7 +121,7 @@
 			row.startAt = r.Start
 		}
 	}
-	if !now.Before(in.LeaseUntil.Add(-leaseMargin)) {
+	if !now.Before(in.LeaseUntil.Add(-st.margin())) {
 		return nil
 	}
 	var commands []Command
@@ -130,6 +135,14 @@
 	return commands
 }
 
+// margin is how much of the lease must be left for an order.
+func (st *State) margin() time.Duration {
+	if st.checked {
+		return leaseMarginChecked
+	}
+	return leaseMargin
+}
+
 // ShardOf returns the shard whose owner gives an engine its orders.
 func ShardOf(id model.ServerID, shards int) int {
 	return rings.Digest("engine", string(id)).Shard(shards)
--- a/internal/core/order/order_test.go
+++ b/internal/core/order/order_test.go
@@ -128,6 +128,10 @@
 	if c := st.Tick(now, in); len(c) != 1 || c[0].Step != Empty {
 		t.Fatalf("not ordered: %v", c)
 	}
+	in.LeaseUntil, in.Checked = now.Add(leaseMargin), true
+	if c := NewState().Tick(now, in); len(c) != 1 {
+		t.Fatalf("not ordered at engines that check the number: %v", c)
+	}
 	in.Epochs = nil
 	if c := NewState().Tick(now, in); len(c) > 0 {
 		t.Fatalf("ordered without owning the engine: %v", c)
--- a/internal/drive/orders.go
+++ b/internal/drive/orders.go
@@ -52,7 +52,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.in.Placement, o.in.Grace = wanted, p.DrainGrace
+	o.in.Placement, o.in.Grace, o.in.Checked = wanted, p.DrainGrace, p.EnginesCheckFence
 }
 
 // AddReport hands over what an engine says of itself, and where it is.
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -58,7 +58,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return verdt.New(verdt.NotRun, verdt.StageFailed, fmt.Sprintf("engine answered %d", resp.StatusCode), verdt.Server(string(head.Server)))
+		return verdt.New(verdictOf(resp.StatusCode), verdt.StageFailed, fmt.Sprintf("engine answered %d", resp.StatusCode), verdt.Server(string(head.Server)))
 	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 4096), maxLineBytes)
@@ -78,6 +78,15 @@
 	return verdt.New(verdt.MayHaveRun, verdt.StageFailed, "engine ended the stream early", verdt.Server(string(head.Server)))
 }
 
+// verdictOf reads an engine's refusal: only one that blames the question says
+// that nothing ran.
+func verdictOf(status int) verdt.Verdict {
+	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
+		return verdt.NotRun
+	}
+	return verdt.MayHaveRun
+}
+
 // CancelOrder is the body of a cancel call.
 type CancelOrder struct {
 	Request model.RequestID `json:"request"`
@@ -119,7 +128,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return verdt.New(verdt.NotRun, verdt.StageFailed, fmt.Sprintf("engine answered %d", resp.StatusCode), verdt.Server(server))
+		return verdt.New(verdictOf(resp.StatusCode), verdt.StageFailed, fmt.Sprintf("engine answered %d", resp.StatusCode), verdt.Server(server))
 	}
 	return nil
 }
--- a/internal/engine/http_test.go
+++ b/internal/engine/http_test.go
@@ -93,6 +93,7 @@
 		{name: "stage failed", status: 200, body: `{"error":"lost","server":"e1"}` + "\n", fails: true, server: "e1", want: verdt.MayHaveRun},
 		{name: "malformed", status: 200, body: "{{{\n", fails: true, server: "e0", want: verdt.MayHaveRun},
 		{name: "refused", status: 409, fails: true, server: "e0", want: verdt.NotRun},
+		{name: "failed", status: 500, fails: true, server: "e0", want: verdt.MayHaveRun},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
--- a/pkg/setts/policy.go
+++ b/pkg/setts/policy.go
@@ -48,8 +48,8 @@
 	KeyRetention time.Duration `yaml:"key_retention" min:"1m" max:"24h"`
 	// Whether the plain service itself honours Idempotency-Key, so that a call with a key may be repeated.
 	BackendTakesKeys bool `yaml:"backend_takes_keys"`
-	// Whether engines refuse orders with an old fencing number.
-	EnginesCheckFence bool `yaml:"engines_check_fence"`
+	// Whether engines refuse orders with an old fencing number; where they do not, orders go out only early in a lease. Only at the root.
+	EnginesCheckFence bool `yaml:"engines_check_fence" at:"root"`
 	// SHA-256 of the API keys of a team, in hexadecimal. Only at nodes of kind team; not inherited.
 	APIKeySHA256 []string `yaml:"api_key_sha256" at:"team"`
 	// Names of the models with their number of layers. Only at the root.
