Take out what nothing uses, and print the reference of settings

Cause: a search for unreachable functions, and a newcomer's reading. Ruled out: keeping them for later.

--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -130,6 +130,7 @@
 		{"help", []string{"settings", "set", "--help"}, ExitDone, "--base"},
 		{"no command", []string{}, ExitUsage, "expected one of"},
 		{"unknown flag", []string{"serve", "--colour"}, ExitUsage, "unknown flag"},
+		{"names", []string{"settings", "names"}, ExitDone, "| `weight` | `1` |"},
 		{"good tree", []string{"settings", "check", good}, ExitDone, "no problems"},
 		{"bad tree", []string{"settings", "check", bad}, ExitUsage, "bad.yaml:1:20: /:wieght: unknown setting"},
 		{"bad tree as json", []string{"settings", "check", "--output", "json", bad}, ExitUsage, `"line": 1`},
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -312,5 +312,5 @@
 
 // fleetView is what the owners of shards need to know.
 func (n *Node) fleetView() msgs.Fleet {
-	return msgs.Fleet{Live: n.fleet.Live(time.Now()), Owners: n.fleet.Owners()}
+	return msgs.Fleet{Live: n.fleet.Live(time.Now())}
 }
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -24,6 +24,20 @@
 	Apply   ApplyCmd   `cmd:"" help:"${help_apply}"`
 	History HistoryCmd `cmd:"" help:"${help_history}"`
 	Wait    WaitCmd    `cmd:"" help:"${help_wait}"`
+	Names   NamesCmd   `cmd:"" help:"${help_names_of}"`
+}
+
+// NamesCmd prints the reference of all settings.
+type NamesCmd struct{}
+
+// Run implements the command.
+func (c *NamesCmd) Run(common Common) error {
+	page, err := setts.Reference()
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(common.Out, page)
+	return err
 }
 
 // CheckCmd checks a file.
--- a/internal/boot/texts.go
+++ b/internal/boot/texts.go
@@ -31,6 +31,7 @@
 		"help_apply":       "Make the tree the same as a file, one change for each node that differs.",
 		"help_history":     "Show the newest accepted changes.",
 		"help_wait":        "Wait until a revision is in force at every live daemon.",
+		"help_names_of":    "Print the reference of all settings, with their defaults.",
 		"help_at":          "Path in the tree, such as /lisbon/rosters/team-a.",
 		"help_base":        "The node's 'changed' revision that this change is based on, as 'settings show' prints it. Left out, it is read now.",
 		"help_kind":        "Kind of a node that does not exist yet: place, service or team.",
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -71,10 +71,8 @@
 	listed map[model.DaemonID]model.Member
 	beats  map[model.DaemonID]beatRow
 	owners map[int]Ownership
-	// newest is the highest revision heard of, and from whom.
-	newest   model.Revision
-	newestAt model.DaemonID
-	turn     int
+	// turn is whose turn it is among the peers.
+	turn int
 }
 
 // New returns the state of a daemon that knows only itself.
@@ -178,9 +176,6 @@
 			released = append(released, o.Shard)
 		}
 	}
-	if g.Revision > st.newest {
-		st.newest, st.newestAt = g.Revision, g.From
-	}
 	return released
 }
 
@@ -247,6 +242,3 @@
 	}
 	return owners
 }
-
-// Newest returns the highest revision heard of, and who has it.
-func (st *State) Newest() (model.Revision, model.DaemonID) { return st.newest, st.newestAt }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -75,9 +75,6 @@
 	other.SetSelf(now, true)
 	me.Merge(now, other.Tell(3))
 	assert.DeepEqual(t, me.Live(now), []model.DaemonID{"d00", "d01"})
-	r, from := me.Newest()
-	assert.Equal(t, r, model.Revision(3))
-	assert.Equal(t, from, model.DaemonID("d01"))
 
 	// A beat that is only repeated does not keep a daemon live.
 	later := now.Add(liveFor)
--- a/internal/core/msgs/calls.go
+++ b/internal/core/msgs/calls.go
@@ -93,8 +93,6 @@
 type Fleet struct {
 	// Live are the daemons that may own shards, this one included, in order.
 	Live []model.DaemonID
-	// Owners maps a shard to the daemon that says it owns it.
-	Owners map[int]model.DaemonID
 }
 
 // CallInbox is what concerns the shards since the last tick.
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -7,7 +7,6 @@
 	"net/url"
 	"slices"
 	"strings"
-	"time"
 
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/rings"
@@ -146,13 +145,3 @@
 	request.Key = key
 	return nil
 }
-
-// Deadline of a stop: how long Shutdown waits for open connections.
-const shutdownTimeout = 5 * time.Second
-
-// Shutdown ends the server once its requests have ended.
-func Shutdown(s *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	return s.Shutdown(ctx)
-}
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -39,20 +39,10 @@
 	members []model.Member
 }
 
-// HTTPOption adjusts the adapter.
-type HTTPOption func(*HTTP)
-
-// WithClient replaces the HTTP client.
-func WithClient(c *http.Client) HTTPOption { return func(h *HTTP) { h.client = c } }
-
 // NewHTTP returns the adapter for a service at an IP number and port.
-func NewHTTP(address string, opts ...HTTPOption) *HTTP {
+func NewHTTP(address string) *HTTP {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns}
-	h := &HTTP{base: "http://" + address, client: &http.Client{Transport: transport}}
-	for _, opt := range opts {
-		opt(h)
-	}
-	return h
+	return &HTTP{base: "http://" + address, client: &http.Client{Transport: transport}}
 }
 
 // RevisionAnswer is the body of a write's answer.
