--- a/internal/core/owner/machine_test.go
+++ b/internal/core/owner/machine_test.go
@@ -10,6 +10,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/proof"
+	"bulrushpond.example/bulrushpond/internal/rings"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -194,3 +195,38 @@
 		assert.Assert(t, before == "d" || before == after)
 	}
 }
+
+// TestFullJournal: a journal whose keys have not expired takes no more calls than
+// it has room for, and refuses the others as not_run; once they expire it goes on.
+func TestFullJournal(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for _, p := range w.processes {
+			p.state.cfg.MaxSlotBytes = 12 << 10
+		}
+		w.settle(3 * time.Second)
+		i, ok := w.ownerOf("a")
+		assert.Assert(t, ok)
+		calls := rapid.IntRange(120, 160).Draw(t, "calls")
+		refused := 0
+		for k := range calls {
+			key := fmt.Sprintf("k%d", k)
+			if rings.Digest(key).Shard(2) != rings.Digest("a").Shard(2) {
+				continue
+			}
+			w.call(i, key)
+			w.settle(200 * time.Millisecond)
+			if w.ledger.notRun[callName(i, w.next)] {
+				refused++
+			}
+			w.finish()
+			w.settle(200 * time.Millisecond)
+		}
+		assert.Assert(t, refused > 0)
+		w.now = w.now.Add(25 * time.Hour)
+		w.settle(10 * time.Second)
+		w.callOwner("a")
+		w.settle(time.Second)
+		assert.Equal(t, w.ledger.ran["a"], 1)
+	})
+}
--- a/internal/core/owner/world_test.go
+++ b/internal/core/owner/world_test.go
@@ -67,7 +67,7 @@
 
 func testConfig(id model.DaemonID, name string) Config {
 	cfg := DefaultConfig(id, name)
-	cfg.Slots, cfg.SlotBytes, cfg.MaxSlotBytes = 4, 3*entryBytes, 64<<10
+	cfg.Slots, cfg.SlotBytes = 4, 3*entryBytes
 	return cfg
 }
 
--- a/internal/drive/calls_test.go
+++ b/internal/drive/calls_test.go
@@ -228,3 +228,22 @@
 		assert.DeepEqual(t, fleet.asked, []model.DaemonID{"owner"})
 	})
 }
+
+// TestStopInOutage: a planned stop while the key-value service is down does not
+// wait for it: the shards are given up with the lease.
+func TestStopInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv, s := fakes.NewKV(), &countingService{runs: map[string]int{}}
+		c, stop := newCalls(t, kv, s, "p1")
+		defer stop()
+		_, err := c.Do(t.Context(), booking("first"))
+		assert.NilError(t, err)
+		kv.SetFault(fakes.Outage)
+		c.Stop()
+		start := time.Now()
+		for !c.Idle() {
+			time.Sleep(10 * time.Millisecond)
+			assert.Assert(t, time.Since(start) <= owner.DefaultConfig("", "").LeaseTTL+time.Second)
+		}
+	})
+}
