--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -59,7 +59,7 @@
 		Server: model.ServerID(c.ID), Model: c.Model, Span: model.Span{From: c.From, To: c.To},
 		Slots: c.Slots, TokensPerSecond: c.TokensPerSecond,
 	}
-	e := fakes.NewEngine(report, fakes.HTTPLink(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.Slots}}))
+	e := fakes.NewEngine(report, fakes.HTTPLink{Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.Slots}}})
 	e.StepTime, e.ChecksFence = c.StepTime, c.ChecksFence
 	return serve(ctx, c.Listen, e.Handler())
 }
--- a/internal/boot/dev.go
+++ b/internal/boot/dev.go
@@ -143,7 +143,7 @@
 	}
 	id := fmt.Sprintf("engine-%d", i)
 	report := model.Report{Server: model.ServerID(id), Model: devModel, Span: half, Slots: 8, TokensPerSecond: 800}
-	e := fakes.NewEngine(report, fakes.HTTPLink(http.DefaultClient))
+	e := fakes.NewEngine(report, fakes.HTTPLink{Client: http.DefaultClient})
 	address, err := serveFake(s.outside, e.Handler())
 	if err != nil {
 		return err
--- a/internal/drive/streams_test.go
+++ b/internal/drive/streams_test.go
@@ -143,6 +143,10 @@
 func TestLeavingServerIsEmptied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, site := newSite(t)
+		for _, m := range site.Members() {
+			// The request takes longer than the grace.
+			site.Engine(model.ServerID(m.ID)).StepTime = 100 * time.Millisecond
+		}
 		tree := setts.Tree{Revision: 2, Nodes: map[string]setts.Node{"/": {Settings: map[string]string{"models": "{m: 32}", "drain_grace": "1s"}}}}
 		s.SetForce(setts.NewForce(tree))
 		_, reply := s.Start(ask("a long one that takes its time, please", time.Minute))
@@ -164,12 +168,21 @@
 		s.mu.Unlock()
 		text, finish := collect(t, reply, func(model.Token) {})
 		assert.Assert(t, finish.Failure == nil)
+		assert.Assert(t, imported(site) > 0, "the moved stage imported nothing")
 		assert.Equal(t, text, strings.Join(fakes.Answer("a long one that takes its time, please", 32, 100), ""))
 		_, finish = collect(t, other, func(model.Token) {})
 		assert.Assert(t, finish.Failure == nil)
 	})
 }
 
+func imported(site *fakes.Local) int {
+	n := 0
+	for _, m := range site.Members() {
+		n += site.Engine(model.ServerID(m.ID)).Counts().Imported
+	}
+	return n
+}
+
 // TestGoneCallerFreesServers: nothing runs on for a caller that left.
 func TestGoneCallerFreesServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fakes/http.go
+++ b/internal/fakes/http.go
@@ -205,35 +205,55 @@
 			http.Error(w, err.Error(), http.StatusPreconditionFailed)
 		}
 	})
+	mux.HandleFunc("GET /v1/cache", func(w http.ResponseWriter, r *http.Request) {
+		id, err := strconv.ParseUint(r.URL.Query().Get("request"), 10, 64)
+		if err != nil {
+			http.Error(w, "request is not a number", http.StatusBadRequest)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(e.Export(model.RequestID(id)))
+	})
 	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(e.Report())
 	})
 	return mux
 }
 
-// HTTPLink carries activations between engine processes.
-func HTTPLink(client *http.Client) Link {
-	return func(ctx context.Context, next model.Hop, a Activation) (Activation, error) {
-		raw, err := json.Marshal(a)
-		if err != nil {
-			return a, err
-		}
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+next.Address+"/v1/activate", bytes.NewReader(raw))
-		if err != nil {
-			return a, err
-		}
-		resp, err := client.Do(req)
-		if err != nil {
-			return a, err
-		}
-		defer func() { _ = resp.Body.Close() }()
-		if resp.StatusCode != http.StatusOK {
-			return a, fmt.Errorf("stage answered %d", resp.StatusCode)
-		}
-		var done Activation
-		err = json.NewDecoder(resp.Body).Decode(&done)
-		return done, err
+// HTTPLink reaches engine processes.
+type HTTPLink struct{ Client *http.Client }
+
+// Pass implements Link.
+func (l HTTPLink) Pass(ctx context.Context, next model.Hop, a Activation) (Activation, error) {
+	raw, err := json.Marshal(a)
+	if err != nil {
+		return a, err
+	}
+	var done Activation
+	err = l.ask(ctx, http.MethodPost, "http://"+next.Address+"/v1/activate", bytes.NewReader(raw), &done)
+	return done, err
+}
+
+// Export implements Link.
+func (l HTTPLink) Export(ctx context.Context, address string, request model.RequestID) (int, error) {
+	var held int
+	err := l.ask(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/cache?request=%d", address, request), nil, &held)
+	return held, err
+}
+
+func (l HTTPLink) ask(ctx context.Context, method, url string, body io.Reader, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	resp, err := l.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("engine answered %d", resp.StatusCode)
 	}
+	return json.NewDecoder(resp.Body).Decode(answer)
 }
 
 func decode(w http.ResponseWriter, r *http.Request, v any) bool {
--- a/internal/fakes/local.go
+++ b/internal/fakes/local.go
@@ -11,7 +11,7 @@
 )
 
 // Local joins engine stand-ins in memory, without a network. It implements
-// engine.Engine.
+// engine.Engine and Link.
 type Local struct {
 	mu      sync.Mutex
 	engines map[model.ServerID]*Engine
@@ -26,13 +26,20 @@
 
 // Add makes an engine. Its address is its name.
 func (l *Local) Add(r model.Report) *Engine {
-	e := NewEngine(r, l.link)
+	e := NewEngine(r, l)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.engines[r.Server] = e
 	return e
 }
 
+// Engine returns an engine that was added.
+func (l *Local) Engine(id model.ServerID) *Engine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engines[id]
+}
+
 // Kill makes an engine stop answering.
 func (l *Local) Kill(id model.ServerID) {
 	l.mu.Lock()
@@ -60,7 +67,17 @@
 	return nil, errors.New("no such engine")
 }
 
-func (l *Local) link(ctx context.Context, next model.Hop, a Activation) (Activation, error) {
+// Export implements Link.
+func (l *Local) Export(_ context.Context, address string, request model.RequestID) (int, error) {
+	e, err := l.find(model.ServerID(address))
+	if err != nil {
+		return 0, err
+	}
+	return e.Export(request), nil
+}
+
+// Pass implements Link.
+func (l *Local) Pass(ctx context.Context, next model.Hop, a Activation) (Activation, error) {
 	e, err := l.find(next.Server)
 	if err != nil {
 		return a, err
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -132,7 +132,7 @@
 	if failure != nil {
 		return drive.Ask{}, false, failure
 	}
-	raw, failure := c.readBody(w, r)
+	raw, failure := f.readBody(w, r, c)
 	if failure != nil {
 		return drive.Ask{}, false, failure
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -49,6 +49,8 @@
 	force   func() *setts.Force
 	watch   drive.Observer
 	ready   func() error
+	// bodyTimeout is how slowly a request's body may arrive.
+	bodyTimeout time.Duration
 }
 
 // Option adjusts a Front.
@@ -60,9 +62,12 @@
 // WithReady replaces the test behind /readyz.
 func WithReady(ready func() error) Option { return func(f *Front) { f.ready = ready } }
 
+// WithBodyTimeout replaces how slowly a request's body may arrive.
+func WithBodyTimeout(d time.Duration) Option { return func(f *Front) { f.bodyTimeout = d } }
+
 // New returns the callers' side. force returns the settings in force, or nil.
 func New(log evlog.Log, streams *drive.Streams, calls *drive.Calls, force func() *setts.Force, opts ...Option) *Front {
-	f := &Front{log: log, streams: streams, calls: calls, force: force, watch: noObserver{}, ready: func() error { return nil }}
+	f := &Front{log: log, streams: streams, calls: calls, force: force, watch: noObserver{}, ready: func() error { return nil }, bodyTimeout: bodyTimeout}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -142,9 +147,9 @@
 }
 
 // readBody reads a body within the caller's limit and in time.
-func (c caller) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdt.Error) {
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, c caller) ([]byte, *verdt.Error) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(f.bodyTimeout))
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(c.policy.MaxBodyBytes)))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -61,7 +62,7 @@
 	for len(calls.Owned()) == 0 || !hasServer(streams) {
 		time.Sleep(time.Millisecond)
 	}
-	server := httptest.NewServer(New(log, streams, calls, func() *setts.Force { return force }).Handler())
+	server := httptest.NewServer(New(log, streams, calls, func() *setts.Force { return force }, WithBodyTimeout(200*time.Millisecond)).Handler())
 	t.Cleanup(func() { server.Close(); service.Close(); cancel(); <-ended; <-ended })
 	return server, site
 }
@@ -135,6 +136,21 @@
 	return resp.StatusCode, string(raw), resp.Header
 }
 
+// TestSlowSender: a body that does not arrive in time is refused, and nothing ran.
+func TestSlowSender(t *testing.T) {
+	server, _ := newFront(t)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{\"model\"", testKey)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+	assert.Equal(t, resp.Header.Get("Bulrushpond-Verdict"), "not_run")
+}
+
 // TestStreamShape: each event carries its token's index, then come the count and
 // the end mark.
 func TestStreamShape(t *testing.T) {
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -107,7 +107,7 @@
 	if failure = setKey(&request, r, c); failure != nil {
 		return request, failure
 	}
-	request.Body, failure = c.readBody(w, r)
+	request.Body, failure = f.readBody(w, r, c)
 	return request, failure
 }
 
