--- a/pkg/setts/setts_test.go
+++ b/pkg/setts/setts_test.go
@@ -149,3 +149,16 @@
 		}
 	})
 }
+
+func FuzzParsePlacement(f *testing.F) {
+	f.Add("roster-7b 0-16")
+	f.Add(" 0-1")
+	f.Add("m -1-2")
+	f.Add("m 2-1")
+	f.Fuzz(func(t *testing.T, text string) {
+		p, err := ParsePlacement(text)
+		if err == nil {
+			assert.Assert(t, p.Model != "" && p.Span.From >= 0 && p.Span.To > p.Span.From)
+		}
+	})
+}
