Choose owners and readers by one function

Cause: rendezvous hashing stood twice, for the owners of shards and the readers of reports. Change: fleet.Preferred serves both; the owner key of a shard is made once. Ruled out: a package of its own for one function. Conclusion: which daemon is preferred for a shard changes once with this version; its shards then move by the usual hand-over.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -107,3 +107,14 @@
 	assert.Assert(t, len(s.Tell(1).Beats) <= maxCandidates+1)
 	assert.Assert(t, len(s.Live(now)) <= maxCandidates)
 }
+
+// TestPreferredMovesOnlyTheLeavers: only what the leaver looked after moves.
+func TestPreferredMovesOnlyTheLeavers(t *testing.T) {
+	all := []model.DaemonID{"a", "b", "c", "d"}
+	for i := range 64 {
+		thing := fmt.Sprintf("shard/%d", i)
+		before, after := Preferred(thing, all), Preferred(thing, all[:3])
+		assert.Assert(t, before == "d" || before == after)
+	}
+	assert.Equal(t, Preferred("x", nil), model.DaemonID(""))
+}
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -41,18 +39,6 @@
 	return &Reports{self: self, rows: map[string]*reportRow{}}
 }
 
-// Reader returns the daemon that reads an engine's reports for the others.
-func Reader(engine string, live []model.DaemonID) model.DaemonID {
-	var best model.DaemonID
-	highest := uint64(0)
-	for _, d := range live {
-		if sum := xxhash.Sum64String(engine + "\x00" + string(d)); best == "" || sum > highest {
-			best, highest = d, sum
-		}
-	}
-	return best
-}
-
 // Due returns the engines whose reports are to be read now.
 func (r *Reports) Due(now time.Time, engines []model.Member, live []model.DaemonID) []model.Member {
 	var due []model.Member
@@ -68,7 +54,7 @@
 			r.rows[m.ID] = row
 		}
 		every := readOther
-		if reader := Reader(m.ID, live); reader == r.self || reader == "" || !row.known {
+		if reader := Preferred("engine/"+m.ID, live); reader == r.self || reader == "" || !row.known {
 			every = readOwn
 		}
 		if now.Sub(row.readAt) >= every {
--- a/internal/core/owner/machine_test.go
+++ b/internal/core/owner/machine_test.go
@@ -187,15 +187,6 @@
 	})
 }
 
-func TestPreferredMovesOnlyTheLeaver(t *testing.T) {
-	all := []model.DaemonID{"a", "b", "c", "d"}
-	for shard := range 64 {
-		before := Preferred(shard, all)
-		after := Preferred(shard, all[:3])
-		assert.Assert(t, before == "d" || before == after)
-	}
-}
-
 // TestFullJournal: a journal whose keys have not expired takes no more calls than
 // it has room for, and refuses the others as not_run; once they expire it goes on.
 func TestFullJournal(t *testing.T) {
--- a/internal/core/owner/shard.go
+++ b/internal/core/owner/shard.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/fleet"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/rings"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -43,8 +44,10 @@
 type shard struct {
 	st    *State
 	index int
-	phase Phase
-	try   uint64
+	// ownerKey is the key that names the owner.
+	ownerKey string
+	phase    Phase
+	try      uint64
 	// ownerRevision is the revision of the owner key that this daemon wrote;
 	// 0 unless the key is held.
 	ownerRevision uint64
@@ -66,14 +69,14 @@
 	running int
 }
 
-func newShard(st *State, index int) *shard { return &shard{st: st, index: index} }
+func newShard(st *State, index int) *shard {
+	return &shard{st: st, index: index, ownerKey: fmt.Sprintf("shard/%d/owner", index)}
+}
 
 // releaseAfter is how long another daemon must be the preferred owner before a
 // shard moves to it.
 const releaseAfter = 5 * time.Second
 
-func (s *shard) ownerKey() string { return fmt.Sprintf("shard/%d/owner", s.index) }
-
 func (s *shard) slotKey(position int) string {
 	return fmt.Sprintf("shard/%d/slot/%d", s.index, position)
 }
@@ -111,7 +114,7 @@
 
 // mayClaim starts a claim when this daemon is the preferred owner.
 func (s *shard) mayClaim(now time.Time, out *msgs.CallOutbox) {
-	wanted := Preferred(s.index, s.st.fleet.Live) == s.st.cfg.Self
+	wanted := fleet.Preferred(s.ownerKey, s.st.fleet.Live) == s.st.cfg.Self
 	if !wanted || s.st.stop || !s.st.lease.valid(now) {
 		return
 	}
@@ -121,7 +124,7 @@
 	}
 	s.turn(Claiming)
 	s.pollAt = time.Time{}
-	s.get(s.ownerKey(), -1, out)
+	s.get(s.ownerKey, -1, out)
 }
 
 func (s *shard) get(key string, slot int, out *msgs.CallOutbox) {
@@ -195,7 +198,7 @@
 		return
 	}
 	s.try++
-	s.cas(model.CAS{Key: s.ownerKey(), Value: []byte(s.st.cfg.Self), Expect: r.Entry.Revision, Lease: s.st.lease.id}, out)
+	s.cas(model.CAS{Key: s.ownerKey, Value: []byte(s.st.cfg.Self), Expect: r.Entry.Revision, Lease: s.st.lease.id}, out)
 }
 
 // scan reads the whole ring.
@@ -294,7 +297,7 @@
 		s.finishRelease(now, out)
 		return
 	}
-	preferred := Preferred(s.index, s.st.fleet.Live)
+	preferred := fleet.Preferred(s.ownerKey, s.st.fleet.Live)
 	if preferred == s.st.cfg.Self || preferred == "" {
 		s.unwantedSince = time.Time{}
 		return
@@ -331,7 +334,7 @@
 		return
 	}
 	s.pollAt = time.Time{}
-	s.cas(model.CAS{Key: s.ownerKey(), Expect: s.ownerRevision, Delete: true}, out)
+	s.cas(model.CAS{Key: s.ownerKey, Expect: s.ownerRevision, Delete: true}, out)
 }
 
 // freed takes in how the deletion ended. A conflict means that the key is gone
