--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -50,6 +50,8 @@
 	admins   net.Listener
 
 	balancerLag time.Duration
+	// changed asks for a round of gossip before its time.
+	changed chan struct{}
 
 	stopping atomic.Bool
 	// warm is set once the engines' first reports were read.
@@ -62,6 +64,8 @@
 	fleet   *fleet.State
 	reports *fleet.Reports
 	members []model.Member
+	// addresses are those of members; guarded by mu.
+	addresses map[model.ServerID]string
 }
 
 // NodeOption adjusts a daemon.
@@ -83,6 +87,7 @@
 		platform: plat.NewHTTP(file.Platform),
 		engines:  engine.NewHTTP(),
 		asked:    time.Now(),
+		changed:  make(chan struct{}, 1),
 
 		balancerLag: balancerLag,
 		fleet:       fleet.New(model.DaemonID(file.Daemon)),
@@ -194,7 +199,7 @@
 	s.Add(n.orders)
 	s.Add(n.keeper)
 	s.Add(n.server)
-	s.Add(part{name: "gossip", every: gossipEvery, do: n.gossip})
+	s.Add(part{name: "gossip", every: gossipEvery, do: n.gossip, now: n.changed})
 	s.Add(part{name: "members", every: listEvery, do: n.readMembers})
 	s.Add(part{name: "reports", every: reportEvery, do: n.readReports})
 	s.Add(httpPart{name: "callers", server: callers, listener: n.callers})
@@ -252,7 +257,7 @@
 	n.streams.SetForce(f)
 	n.calls.SetShards(root.Shards, root.DrainServers)
 	n.orders.SetPlacement(root)
-	go n.gossipNow()
+	n.gossipNow()
 }
 
 func (n *Node) limits(team model.Team) burn.Limits {
@@ -302,12 +307,10 @@
 
 // ShardChanged implements drive.Peers.
 func (n *Node) ShardChanged(shard int, epoch uint64, released bool) {
-	go func() {
-		n.mu.Lock()
-		n.fleet.SetOwned(fleet.Ownership{Shard: shard, Epoch: epoch, Daemon: n.self(), Released: released})
-		n.mu.Unlock()
-		n.gossipNow()
-	}()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.SetOwned(fleet.Ownership{Shard: shard, Epoch: epoch, Daemon: n.self(), Released: released})
+	n.gossipNow()
 }
 
 // fleetView is what the owners of shards need to know.
--- a/internal/boot/parts.go
+++ b/internal/boot/parts.go
@@ -33,6 +33,8 @@
 	name  string
 	every time.Duration
 	do    func(ctx context.Context)
+	// now asks for the job before its time; nil if nothing does.
+	now <-chan struct{}
 }
 
 // Serve implements suture.Service.
@@ -45,6 +47,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
+		case <-p.now:
 		}
 	}
 }
@@ -102,6 +105,10 @@
 func (n *Node) applyMembers(list []model.Member) {
 	n.mu.Lock()
 	n.members = list
+	n.addresses = make(map[model.ServerID]string, len(list))
+	for _, m := range list {
+		n.addresses[model.ServerID(m.ID)] = m.Address
+	}
 	n.fleet.ApplyList(list)
 	count := n.fleet.Count()
 	n.mu.Unlock()
@@ -137,12 +144,7 @@
 func (n *Node) takeReport(r model.Report) {
 	n.mu.Lock()
 	newer := n.reports.Offer(time.Now(), r)
-	address := ""
-	for _, m := range n.members {
-		if m.ID == string(r.Server) {
-			address = m.Address
-		}
-	}
+	address := n.addresses[r.Server]
 	n.mu.Unlock()
 	if newer && address != "" {
 		n.streams.AddReport(r)
@@ -152,20 +154,24 @@
 
 // gossip renews this daemon's heartbeat and tells a few others.
 func (n *Node) gossip(ctx context.Context) {
+	// Asked before mu is taken: the calls report changes of shards under their
+	// own lock, and take mu for that.
+	canOwn := n.calls.CanOwn()
 	n.mu.Lock()
 	now := time.Now()
-	n.fleet.SetSelf(now, n.calls.CanOwn() && n.reachable(now))
+	n.fleet.SetSelf(now, canOwn && n.reachable(now))
 	view := n.fleetView()
 	n.mu.Unlock()
 	n.calls.SetFleet(view)
 	n.gossipRound(ctx)
 }
 
-// gossipNow tells a few others at once that something changed.
+// gossipNow asks for a round at once, since something changed.
 func (n *Node) gossipNow() {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	n.gossipRound(ctx)
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
 }
 
 // announceRelease tells all others that the shards of this daemon are free.
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -98,7 +98,7 @@
 		return fail
 	}
 	requests.Add(&table.Request{
-		Arrival: a, Weight: p.Weight, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries,
+		Arrival: a, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries,
 		QueueUntil: earlier(a.Deadline, now.Add(p.FirstToken*longestWait/inParts)),
 	})
 	if q.Length == 0 && !slices.Contains(st.backlog, a.Model) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,8 +66,8 @@
 }
 
 // Tick takes in what happened and fills out with what is to be done. The order
-// is: settings and servers, then streams, then new requests, then routes, then
-// deadlines.
+// is: settings and servers, then streams, then new requests, then deadlines, then
+// routes.
 func (c *Core) Tick(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	out.Reset()
 	c.applyState(now, in, out)
@@ -209,7 +209,7 @@
 func (c *Core) start(now time.Time, r *table.Request, layers int, out *msgs.Outbox) route.Result {
 	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.admit.Daemons})
 	if result == route.Found {
-		c.recov.Start(now, r, chain, c.tables, out)
+		c.recov.Start(r, chain, c.tables, out)
 	} else {
 		c.blocked = true
 	}
--- a/internal/core/owner/commit.go
+++ b/internal/core/owner/commit.go
@@ -175,7 +175,7 @@
 	case r.Outcome == model.Conflict && l.unsure:
 		l.readingBack, l.retryAt = true, now
 	case r.Outcome == model.Conflict:
-		s.lose(out, "another daemon wrote the journal")
+		s.lose(now, out, "another daemon wrote the journal")
 	case r.Outcome == model.Refused && !l.unsure:
 		s.notCommitted(now, out)
 	default:
@@ -192,7 +192,7 @@
 		s.committed(now, r.Entry.Revision, out)
 		return
 	}
-	s.lose(out, "another daemon wrote the journal")
+	s.lose(now, out, "another daemon wrote the journal")
 }
 
 // committed dispatches the calls whose intents are durable now.
@@ -211,10 +211,7 @@
 // durable follows up one entry that is in the journal now.
 func (s *shard) durable(now time.Time, e rings.Entry, out *msgs.CallOutbox) {
 	rec := s.keys[e.Key]
-	if rec == nil {
-		return
-	}
-	if e.Kind == rings.Outcome {
+	if rec == nil || e.Kind == rings.Outcome {
 		return
 	}
 	if rec.state == Withdrawn {
@@ -289,7 +286,7 @@
 }
 
 // refuseWaiting refuses all calls of the shard that were not dispatched.
-func (s *shard) refuseWaiting(out *msgs.CallOutbox) {
+func (s *shard) refuseWaiting(now time.Time, out *msgs.CallOutbox) {
 	for _, id := range slices.Sorted(maps.Keys(s.st.calls)) {
 		c := s.st.calls[id]
 		if c.shard != s.index {
@@ -299,7 +296,7 @@
 		if rec == nil || rec.state != Pending {
 			continue
 		}
-		fail(id, verdt.New(verdt.NotRun, verdt.OwnerUnknown, "the key's shard moves to another daemon", verdt.RetryAt(c.Deadline)), out)
+		refuse(now, id, verdt.OwnerUnknown, "the key's shard moves to another daemon", out)
 		delete(s.st.calls, id)
 	}
 }
--- a/internal/core/owner/lease.go
+++ b/internal/core/owner/lease.go
@@ -26,7 +26,7 @@
 
 func (l *leaseState) step(now time.Time, st *State, out *msgs.CallOutbox) {
 	if l.id != 0 && !now.Before(l.until) {
-		l.lapse(st, out)
+		l.lapse(now, st, out)
 	}
 	if !l.sent.IsZero() || len(st.shards) == 0 || (st.stop && st.Idle()) {
 		return
@@ -59,17 +59,17 @@
 		l.until = sent.Add(st.cfg.LeaseTTL)
 		l.nextAt = sent.Add(st.cfg.LeaseTTL / renewals)
 	case model.Conflict:
-		l.lapse(st, out)
+		l.lapse(now, st, out)
 		l.nextAt = now
 	case model.Refused, model.Unknown:
 	}
 }
 
 // lapse gives up all shards: others may claim them now.
-func (l *leaseState) lapse(st *State, out *msgs.CallOutbox) {
+func (l *leaseState) lapse(now time.Time, st *State, out *msgs.CallOutbox) {
 	l.id = 0
 	for _, s := range st.shards {
-		s.lose(out, "the lease lapsed")
+		s.lose(now, out, "the lease lapsed")
 	}
 }
 
--- a/internal/core/owner/shard.go
+++ b/internal/core/owner/shard.go
@@ -275,14 +275,14 @@
 // lose gives a shard up without a call to the store. Calls that were dispatched
 // go on; calls that were not are refused as not run, which is true because only
 // this process could have dispatched them.
-func (s *shard) lose(out *msgs.CallOutbox, why string) {
+func (s *shard) lose(now time.Time, out *msgs.CallOutbox, why string) {
 	if s.phase == Idle {
 		return
 	}
 	if s.phase == Active || s.phase == Releasing {
 		out.Notices = append(out.Notices, msgs.ShardNotice{Kind: msgs.ShardLost, Shard: s.index, Detail: why})
 	}
-	s.refuseWaiting(out)
+	s.refuseWaiting(now, out)
 	s.turn(Idle)
 	s.ownerRevision, s.pollAt = 0, time.Time{}
 	s.keys, s.log, s.places, s.slot = nil, commitLog{}, nil, rings.Slot{}
--- a/internal/core/owner/world_test.go
+++ b/internal/core/owner/world_test.go
@@ -131,6 +131,9 @@
 func (w *world) reply(i int, r msgs.CallReply) {
 	name := callName(i, r.ID)
 	if r.Failure != nil {
+		if r.Failure.RetryAt.Sub(w.now) > quickRetry {
+			w.t.Fatalf("call %s is told to come back only after %s", name, r.Failure.RetryAt.Sub(w.now))
+		}
 		if r.Failure.Verdict == verdt.NotRun && r.Failure.Reason != verdt.StageFailed {
 			w.ledger.notRun[name] = true
 			if w.ledger.dispatched[name] {
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
@@ -182,15 +183,13 @@
 }
 
 // Start puts a request on a route as its next epoch.
-func (st *State) Start(now time.Time, r *table.Request, chain model.Route, t Tables, out *msgs.Outbox) {
+func (st *State) Start(r *table.Request, chain model.Route, t Tables, out *msgs.Outbox) {
 	if r.Phase == table.Rerouting {
 		r.Recoveries++
 		st.Recovered++
 		delete(t.Requests.Rerouting, r.ID)
 		chain = withImports(chain, r, t)
 		out.Notify(msgs.Notice{Kind: msgs.StreamMoved, Request: r.ID, Detail: fmt.Sprintf("epoch %d from token %d", r.Epoch+1, r.Next)})
-	} else {
-		r.Started = now
 	}
 	r.Phase = table.Running
 	r.Epoch++
@@ -207,7 +206,7 @@
 	hops := append([]model.Hop(nil), chain.Hops...)
 	for i := range hops {
 		for _, old := range r.Moved.Hops {
-			if old.Span != hops[i].Span || old.Server == hops[i].Server || hasFailed(r, old.Server) {
+			if old.Span != hops[i].Span || old.Server == hops[i].Server || slices.Contains(r.Failed, old.Server) {
 				continue
 			}
 			if s := t.Servers.Get(old.Server); s != nil && s.Listed {
@@ -217,12 +216,3 @@
 	}
 	return model.Route{Hops: hops}
 }
-
-func hasFailed(r *table.Request, id model.ServerID) bool {
-	for _, f := range r.Failed {
-		if f == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -47,15 +47,11 @@
 	Verdict verdt.Verdict
 	// RerouteUntil is when a request without a route is given up.
 	RerouteUntil time.Time
-	// Started is when the first stream was opened.
-	Started time.Time
 	// LastToken is when the last token was accepted.
 	LastToken time.Time
 	// QueueUntil is when a request that still waits is given up, because its
 	// first token would come too late. It is not after Deadline.
 	QueueUntil time.Time
-	// Weight is the team's share when the request arrived.
-	Weight float64
 	// Priority and MaxRecoveries are the team's policy when the request arrived.
 	Priority      int
 	MaxRecoveries int
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -8,6 +8,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -56,12 +57,13 @@
 	wg   sync.WaitGroup
 }
 
-// NewStreams returns a carrier. The base must differ between processes; only
-// its upper bits are used.
+// NewStreams returns a carrier. The base must differ between processes: it makes
+// their requests' names differ, and it seeds the choice of routes, so that daemons
+// do not draw the same servers together.
 func NewStreams(log evlog.Log, e engine.Engine, base uint64, opts ...core.Option) *Streams {
 	const counterBits = 36
 	s := &Streams{
-		log: log, engine: e, core: core.New(opts...),
+		log: log, engine: e, core: core.New(append([]core.Option{core.WithPicker(route.NewFlow(base))}, opts...)...),
 		rows: map[model.RequestID]*carried{},
 		next: model.RequestID(base << counterBits >> 1),
 	}
--- a/internal/drive/streams_test.go
+++ b/internal/drive/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/fakes"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -200,3 +202,50 @@
 		}
 	})
 }
+
+// headRecorder is an engine that never answers and records where streams start.
+type headRecorder struct {
+	*fakes.Local
+	heads chan model.ServerID
+}
+
+func (e headRecorder) Open(ctx context.Context, s engine.Stream, _ func(model.Token)) error {
+	e.heads <- s.Route.Hops[0].Server
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestDaemonsDrawApart: two daemons that see the same engines do not choose the
+// same ones in the same order.
+func TestDaemonsDrawApart(t *testing.T) {
+	const requests = 20
+	heads := func(t *testing.T, base uint64) (drawn []model.ServerID) {
+		synctest.Test(t, func(t *testing.T) {
+			e := headRecorder{Local: fakes.NewLocal(), heads: make(chan model.ServerID, requests)}
+			s := NewStreams(evlog.New(logr.Discard()), e, base)
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- s.Serve(ctx) }()
+			tree := setts.Tree{Revision: 1, Nodes: map[string]setts.Node{"/": {Settings: map[string]string{"models": "{m: 4}"}}}}
+			s.SetForce(setts.NewForce(tree))
+			for i := range 16 {
+				e.Add(model.Report{Server: model.ServerID(rune('a' + i)), Model: "m", Span: model.Span{To: 4}, Slots: 8, TokensPerSecond: 100})
+			}
+			s.SetList(e.Members(), 1)
+			synctest.Wait()
+			for _, m := range e.Members() {
+				r, err := e.Report(t.Context(), m.Address)
+				assert.NilError(t, err)
+				s.AddReport(r)
+			}
+			for range requests {
+				s.Start(ask("x", time.Minute))
+				drawn = append(drawn, <-e.heads)
+			}
+			cancel()
+			<-ended
+		})
+		return drawn
+	}
+	assert.Assert(t, !slices.Equal(heads(t, 1), heads(t, 2)))
+}
