--- a/internal/boot/app.go
+++ b/internal/boot/app.go
@@ -42,6 +42,7 @@
 // CLI is the command line.
 type CLI struct {
 	Serve    ServeCmd    `cmd:"" help:"${help_serve}"`
+	Edge     EdgeCmd     `cmd:"" help:"${help_edge}"`
 	Dev      DevCmd      `cmd:"" help:"${help_dev}"`
 	Ask      AskCmd      `cmd:"" help:"${help_ask}"`
 	Settings SettingsCmd `cmd:"" help:"${help_settings}"`
--- /dev/null
+++ b/internal/boot/edge.go
@@ -0,0 +1,451 @@
+package boot
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+
+	"bulrushpond.example/bulrushpond/internal/burn"
+	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/core/elect"
+	"bulrushpond.example/bulrushpond/internal/core/relay"
+	"bulrushpond.example/bulrushpond/internal/core/retry"
+	"bulrushpond.example/bulrushpond/internal/core/route"
+	"bulrushpond.example/bulrushpond/internal/drive"
+	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/mirror"
+	"bulrushpond.example/bulrushpond/internal/peer"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/platform"
+)
+
+// EdgeCmd runs a daemon on the platform.
+type EdgeCmd struct {
+	MetricsPort uint16 `default:"0" help:"${help_metrics_port}"`
+	Debug       bool   `name:"debug-log" help:"${help_debug}"`
+}
+
+// Run implements the command.
+func (c *EdgeCmd) Run(ctx context.Context, common Common) error {
+	node, err := platform.ReadNode()
+	if err != nil {
+		return withCode(ExitUsage, err)
+	}
+	limitProcess(node)
+	common.Log = NewLog(common.Out, c.Debug)
+	e, err := NewEdgeNode(common, node, c.MetricsPort)
+	if err != nil {
+		return err
+	}
+	return e.Run(ctx)
+}
+
+const (
+	// heapShare is the part of the VM's memory limit at which the collector works
+	// harder; the rest is for stacks, sockets and the program itself.
+	heapShare = 0.6
+	// heapGrowth is by how many percent the heap may grow between two collections.
+	heapGrowth = 200
+)
+
+// limitProcess fits the runtime to the VM.
+func limitProcess(n platform.Node) {
+	runtime.GOMAXPROCS(n.Cores)
+	debug.SetGCPercent(heapGrowth)
+	if n.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(n.MemoryBytes)))
+	}
+}
+
+// Keys of the daemons in the platform's key-value service.
+const (
+	daemonKeys   = "bulrushpond/daemons/"
+	placementKey = "bulrushpond/placement"
+)
+
+const (
+	// claimSpread is the time over which daemons claim a free duty.
+	claimSpread = 400 * time.Millisecond
+	// goneHold is how long after the key-value service was away the entries that
+	// lapsed meanwhile count as standing: their servers write them anew.
+	goneHold = 2200 * time.Millisecond
+	// certificateLife is longer than any process.
+	certificateLife = 10 * 365 * 24 * time.Hour
+	// stopNotice is how long a stopping daemon takes new requests, until the balancer
+	// has noticed twice that it is not ready.
+	stopNotice = 2500 * time.Millisecond
+	// stopMargin is how much of the time for a stop is left unused.
+	stopMargin = 300 * time.Millisecond
+)
+
+// EdgeNode is a daemon on the platform with all its parts.
+type EdgeNode struct {
+	common  Common
+	node    platform.Node
+	store   *platform.Store
+	engines *platform.Engines
+	streams *drive.Streams
+	edge    *drive.Edge
+	feed    *drive.Feed
+	duty    *drive.Duty
+	server  *peer.Server
+	client  *peer.Client
+	burn    *burn.Recorder
+	process string
+
+	callers, readiness, metrics net.Listener
+	stopping                    atomic.Bool
+
+	mu sync.Mutex
+	// members are the backend servers by key, gone those whose entry lapsed while the
+	// service was away, with when they count as gone; guarded by mu.
+	members map[string]model.Member
+	gone    map[string]time.Time
+	// daemons are the peer addresses of the other daemons by name; guarded by mu.
+	daemons map[string]string
+	// turn is whose turn it is among the peers; guarded by mu.
+	turn int
+}
+
+// NewEdgeNode opens a daemon's addresses and wires its parts. Nothing runs before Run.
+func NewEdgeNode(common Common, node platform.Node, metricsPort uint16) (*EdgeNode, error) {
+	process, base, err := newProcess()
+	if err != nil {
+		return nil, err
+	}
+	n := &EdgeNode{
+		common: common, node: node, store: platform.NewStore(node.Store), engines: platform.NewEngines(), process: process,
+		members: map[string]model.Member{}, gone: map[string]time.Time{}, daemons: map[string]string{},
+	}
+	budget := func() *retry.Budget { return retry.New(node.RetryRatio, node.RetryBurst, node.RetryWindow) }
+	n.streams = drive.NewStreams(common.Log, n.engines, base,
+		core.WithPicker(route.NewChains(node.Zone)), core.WithBudget(budget()), core.WithStallCheck())
+	n.burn = burn.NewRecorder(n.limits)
+	n.edge = drive.NewEdge(common.Log, n.streams, n.engines, relay.New(node.Zone, budget(), base), base, n.burn)
+	n.feed = drive.NewFeed(common.Log, n.store, n.askPeer, n.changed)
+	n.duty = drive.NewDuty(common.Log, n.store, n.engines, n, &elect.State{
+		Process: process, OwnKey: daemonKeys + node.Daemon, Address: node.Peers, DutyKey: placementKey,
+		Wait: time.Duration(rand.Int64N(int64(claimSpread))),
+	})
+	return n, n.open(metricsPort)
+}
+
+// open listens on the daemon's addresses.
+func (n *EdgeNode) open(metricsPort uint16) error {
+	conf, err := peer.NetworkTLS(n.node.Daemon, time.Now().Add(certificateLife))
+	if err != nil {
+		return err
+	}
+	n.client = peer.NewClient(conf, func(model.DaemonID) (string, bool) { return "", false })
+	if n.server, err = peer.Listen(n.node.Peers, conf, n); err != nil {
+		return err
+	}
+	if n.callers, err = net.Listen("tcp", n.node.Callers); err != nil {
+		return trace.Wrap(err)
+	}
+	if n.readiness, err = net.Listen("tcp", n.node.Readiness); err != nil {
+		return trace.Wrap(err)
+	}
+	if metricsPort > 0 {
+		n.metrics, err = net.Listen("tcp", net.JoinHostPort(n.node.IP, strconv.Itoa(int(metricsPort))))
+	}
+	return trace.Wrap(err)
+}
+
+// Run serves until ctx ends, then stops in a planned way.
+func (n *EdgeNode) Run(ctx context.Context) error {
+	running, kill := context.WithCancel(context.WithoutCancel(ctx))
+	defer kill()
+	callers := platform.NewIngress(n.edge)
+	s := suture.New("edge", suture.Spec{
+		EventHook: func(e suture.Event) {
+			if e.Type() != suture.EventTypeStopTimeout {
+				n.common.Log.Error(errors.New(e.String()), evlog.PartFailed)
+			}
+		},
+		Timeout: shutdownTimeout,
+	})
+	s.Add(n.streams)
+	s.Add(n.feed)
+	s.Add(n.duty)
+	s.Add(n.server)
+	s.Add(httpPart{name: "callers", server: callers, listener: n.callers})
+	s.Add(httpPart{name: "readiness", server: platform.NewReadiness(n.ready), listener: n.readiness})
+	if n.metrics != nil {
+		s.Add(httpPart{name: "metrics", server: &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: askTimeout}, listener: n.metrics})
+	}
+	ended := s.ServeBackground(running)
+	n.common.Log.Info(evlog.DaemonStarted, "daemon", n.node.Daemon, "zone", n.node.Zone, "process", n.process,
+		"version", n.common.Build.Version, "callers", n.node.Callers, "peers", n.node.Peers, "store", n.node.Store)
+	select {
+	case <-ctx.Done():
+	case err := <-ended:
+		return trace.Wrap(err)
+	}
+	n.stop(callers)
+	kill()
+	err := <-ended
+	n.client.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// ready is the test behind the balancer's question.
+func (n *EdgeNode) ready() error {
+	switch {
+	case n.stopping.Load():
+		return trace.ConnectionProblem(nil, "stopping")
+	case n.edge.Routing() == nil:
+		return trace.ConnectionProblem(nil, "no settings yet")
+	}
+	return nil
+}
+
+// stop ends the process without cutting a request: the balancer is told first, then
+// what runs is finished.
+func (n *EdgeNode) stop(callers *http.Server) {
+	began := time.Now()
+	giveUp := began.Add(n.node.StopTime - stopMargin)
+	n.common.Log.Info(evlog.DaemonStopping, "running", n.edge.Running())
+	n.stopping.Store(true)
+	n.edge.Stop()
+	n.duty.Stop()
+	time.Sleep(min(stopNotice, time.Until(giveUp)))
+	ctx, cancel := context.WithDeadline(context.Background(), giveUp)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		n.common.Log.Error(trace.LimitExceeded("work was still in progress"), evlog.DaemonStopForced, "running", n.edge.Running())
+		return
+	}
+	n.common.Log.Info(evlog.DaemonStopped, "took_ms", time.Since(began).Milliseconds())
+}
+
+// changed takes in what is news in the copy of the key-value service.
+func (n *EdgeNode) changed(now time.Time, items []mirror.Item) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listed, daemons := false, false
+	for _, item := range items {
+		switch {
+		case item.Key == platform.KeyRouting:
+			if n.applyRouting(item) {
+				listed = true
+			}
+		case strings.HasPrefix(item.Key, platform.PrefixServers):
+			if n.applyServer(now, item) {
+				listed = true
+			}
+		case strings.HasPrefix(item.Key, daemonKeys):
+			n.applyDaemon(item)
+			daemons = true
+		}
+	}
+	if n.expireGone(now) {
+		listed = true
+	}
+	if listed || daemons {
+		n.tell(now)
+	}
+}
+
+// applyRouting puts the operators' configuration in force. The caller holds mu.
+func (n *EdgeNode) applyRouting(item mirror.Item) bool {
+	if item.Removed {
+		return false
+	}
+	routing, err := platform.DecodeRouting(item.Value)
+	if err != nil {
+		n.common.Log.Error(err, evlog.SettingsUnreadable, "revision", item.Revision)
+		return false
+	}
+	if !n.edge.SetRouting(routing) {
+		return false
+	}
+	n.common.Log.Info(evlog.SettingsInForce, "revision", uint64(routing.Revision), "stored_at", item.Revision, "routes", len(routing.Routes), "teams", len(routing.Teams))
+	n.streams.SetForce(forceOf(routing))
+	return true
+}
+
+// applyServer takes in a backend server's entry. It returns whether anything but the
+// server's heartbeat changed. The caller holds mu.
+func (n *EdgeNode) applyServer(now time.Time, item mirror.Item) bool {
+	if item.Removed {
+		was, known := n.members[item.Key]
+		if !known {
+			return false
+		}
+		if hold := n.feed.Returned().Add(goneHold); was.State == model.Live && now.Before(hold) {
+			n.gone[item.Key] = hold
+			return false
+		}
+		delete(n.members, item.Key)
+		n.common.Log.Info(evlog.ServerGone, "server", was.ID, "revision", item.Revision)
+		return true
+	}
+	m, err := platform.DecodeMember(item.Key, item.Value)
+	if err != nil {
+		n.common.Log.Error(err, evlog.MemberUnreadable, "key", item.Key, "revision", item.Revision)
+		return false
+	}
+	delete(n.gone, item.Key)
+	was, known := n.members[item.Key]
+	if known && was == m {
+		return false
+	}
+	n.members[item.Key] = m
+	n.common.Log.Info(evlog.ServerSeen, "server", m.ID, "address", m.Address, "zone", m.Zone, "service", m.Service, "kind", m.Kind,
+		"state", m.State.String(), "from", m.Span.From, "to", m.Span.To, "revision", item.Revision)
+	return true
+}
+
+// applyDaemon takes in another daemon's registration. The caller holds mu.
+func (n *EdgeNode) applyDaemon(item mirror.Item) {
+	name := strings.TrimPrefix(item.Key, daemonKeys)
+	if item.Removed {
+		// The address is kept for the time that the service does not answer.
+		delete(n.daemons, name)
+		return
+	}
+	n.daemons[name] = elect.AddressOf(string(item.Value))
+}
+
+// expireGone forgets servers whose entry did not come back. The caller holds mu.
+func (n *EdgeNode) expireGone(now time.Time) bool {
+	changed := false
+	for key, until := range n.gone {
+		if now.Before(until) {
+			continue
+		}
+		delete(n.gone, key)
+		delete(n.members, key)
+		changed = true
+	}
+	return changed
+}
+
+// tell hands the servers and daemons on to the parts that use them. The caller holds mu.
+func (n *EdgeNode) tell(now time.Time) {
+	routing := n.edge.Routing()
+	if routing == nil {
+		return
+	}
+	var list []model.Member
+	seen := map[string]bool{}
+	for _, m := range n.members {
+		service, known := routing.Services[m.Service]
+		if !known || service.Engine == nil {
+			m.Role = model.Service
+			n.edge.SetServer(m)
+		} else {
+			m.Role = model.Engine
+		}
+		seen[m.ID] = true
+		list = append(list, m)
+	}
+	n.edge.KeepServers(seen)
+	n.streams.SetList(list, max(1, len(n.daemons)))
+	for _, m := range list {
+		if m.Role == model.Engine {
+			n.streams.AddReport(route.ReportOf(now, m, routing.Services[m.Service].Engine))
+		}
+	}
+}
+
+// Seen implements drive.DutyView.
+func (n *EdgeNode) Seen() elect.Seen {
+	var s elect.Seen
+	if item, ok := n.feed.Get(daemonKeys + n.node.Daemon); ok {
+		s.Own, s.OwnRevision = string(item.Value), item.Revision
+	}
+	if item, ok := n.feed.Get(placementKey); ok {
+		s.Owner, s.OwnerRevision = string(item.Value), item.Revision
+	}
+	s.Known = n.feed.At() > 0
+	return s
+}
+
+// Pools implements drive.DutyView.
+func (n *EdgeNode) Pools() []drive.Pool {
+	routing := n.edge.Routing()
+	if routing == nil {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var pools []drive.Pool
+	for name, service := range routing.Services {
+		if service.Engine == nil {
+			continue
+		}
+		pool := drive.Pool{Profile: service.Engine}
+		for _, m := range n.members {
+			if m.Service == name {
+				pool.Members = append(pool.Members, m)
+			}
+		}
+		pools = append(pools, pool)
+	}
+	return pools
+}
+
+// askPeer asks one other daemon for its copy of the key-value service.
+func (n *EdgeNode) askPeer(ctx context.Context, after uint64) (mirror.Delta, bool) {
+	address := n.nextPeer()
+	if address == "" {
+		return mirror.Delta{}, false
+	}
+	a, err := n.client.AskAddress(ctx, address, peer.Question{Mirror: &peer.MirrorQuestion{After: after}})
+	if err != nil || a.Mirror == nil || a.Mirror.At == 0 {
+		n.common.Log.Debug(evlog.PeerUnreachable, "peer", address)
+		return mirror.Delta{}, false
+	}
+	return *a.Mirror, true
+}
+
+// nextPeer returns the peer whose turn it is: one that is registered, or a seed.
+func (n *EdgeNode) nextPeer() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var peers []string
+	for name, address := range n.daemons {
+		if name != n.node.Daemon {
+			peers = append(peers, address)
+		}
+	}
+	if len(peers) == 0 {
+		peers = n.node.Seeds
+	}
+	if len(peers) == 0 {
+		return ""
+	}
+	n.turn++
+	return peers[n.turn%len(peers)]
+}
+
+// Answer implements peer.Handler.
+func (n *EdgeNode) Answer(_ context.Context, q peer.Question) peer.Answer {
+	if q.Mirror == nil {
+		return peer.Answer{}
+	}
+	d := n.feed.Since(q.Mirror.After)
+	return peer.Answer{Mirror: &d}
+}
+
+func (n *EdgeNode) limits(model.Team) burn.Limits {
+	p := rootPolicy(nil)
+	return burn.Limits{FirstToken: p.FirstToken, Gap: p.TokenGap, Share: p.ObjectiveShare}
+}
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -97,10 +97,12 @@
 	if fail := st.withinLimits(now, a.Team, p); fail != nil {
 		return fail
 	}
-	requests.Add(&table.Request{
-		Arrival: a, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries,
-		QueueUntil: earlier(a.Deadline, now.Add(p.FirstToken*longestWait/inParts)),
-	})
+	r := &table.Request{Arrival: a, Next: a.From, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries}
+	if a.MaxAttempts > 0 {
+		r.MaxRecoveries = a.MaxAttempts - 1
+	}
+	r.QueueUntil = earlier(a.Deadline, now.Add(firstWithin(now, a, p)*longestWait/inParts))
+	requests.Add(r)
 	if q.Length == 0 && !slices.Contains(st.backlog, a.Model) {
 		st.backlog = append(st.backlog, a.Model)
 	}
@@ -110,6 +112,14 @@
 	return nil
 }
 
+// firstWithin is how soon the first token of a request should come.
+func firstWithin(now time.Time, a msgs.Arrival, p setts.Policy) time.Duration {
+	if a.FirstBy.IsZero() {
+		return p.FirstToken
+	}
+	return max(0, a.FirstBy.Sub(now))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -146,7 +156,7 @@
 		return nil
 	}
 	wait := time.Duration(float64(q.Interval) * float64(ahead) / share)
-	patience := min(p.FirstToken*expectedWait/inParts, a.Deadline.Sub(now))
+	patience := min(firstWithin(now, a, p)*expectedWait/inParts, a.Deadline.Sub(now))
 	if wait <= patience {
 		return nil
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,9 @@
 	"bulrushpond.example/bulrushpond/internal/core/drain"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/recov"
+	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/internal/core/route"
+	"bulrushpond.example/bulrushpond/internal/core/stall"
 	"bulrushpond.example/bulrushpond/internal/core/table"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
@@ -38,6 +40,12 @@
 	recov  *recov.State
 	// tables are what the systems of the streams work on.
 	tables recov.Tables
+	stall  *stall.State
+	// budget bounds the requests that are sent again; nil leaves that to each
+	// request's own limit.
+	budget *retry.Budget
+	// sharing is how many daemons send work to the servers at present.
+	sharing int
 	// blocked is whether the last dispatch left requests that found no room.
 	blocked bool
 }
@@ -48,6 +56,14 @@
 // WithPicker replaces the routing policy.
 func WithPicker(p route.Picker) Option { return func(c *Core) { c.picker = p } }
 
+// WithBudget bounds how many requests are sent again; without it, only each
+// request's own limit does.
+func WithBudget(b *retry.Budget) Option { return func(c *Core) { c.budget = b } }
+
+// WithStallCheck looks for engines that keep streams waiting, and asks others about
+// them. Engines must answer such questions.
+func WithStallCheck() Option { return func(c *Core) { c.stall = stall.New() } }
+
 // New returns a core that knows no servers and no settings.
 func New(opts ...Option) *Core {
 	c := &Core{
@@ -57,6 +73,7 @@
 		admit:    admit.NewState(),
 		drain:    drain.NewState(),
 		recov:    &recov.State{},
+		sharing:  1,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -67,7 +84,7 @@
 
 // Tick takes in what happened and fills out with what is to be done. The order
 // is: settings and servers, then streams, then new requests, then deadlines, then
-// routes.
+// streams that wait for an engine, then routes.
 func (c *Core) Tick(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	out.Reset()
 	c.applyState(now, in, out)
@@ -75,6 +92,7 @@
 	c.applyArrivals(now, in, out)
 	c.expire(now, out)
 	c.moveOff(now, out)
+	c.checkStalls(now, in, out)
 	c.dispatch(now, out)
 	out.Wake = c.wake(now)
 }
@@ -93,6 +111,10 @@
 	}
 	if in.Daemons > 0 {
 		c.admit.ApplyDaemons(now, in.Daemons)
+		c.sharing = in.Daemons
+		if c.budget != nil {
+			c.budget.Daemons = c.admit.Daemons
+		}
 	}
 	if in.Stop {
 		c.admit.Stopping = true
@@ -116,6 +138,9 @@
 
 func (c *Core) applyArrivals(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	for _, a := range in.Arrivals {
+		if c.budget != nil {
+			c.budget.Request(now, a.Model)
+		}
 		if f := c.admit.Arrive(now, a, c.force, c.requests); f != nil {
 			out.Finishes = append(out.Finishes, msgs.Finish{Request: a.ID, Failure: f})
 		}
@@ -159,6 +184,23 @@
 	}
 }
 
+// checkStalls moves work off engines that others wait for.
+func (c *Core) checkStalls(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
+	if c.stall == nil {
+		return
+	}
+	for _, d := range in.Diagnoses {
+		for _, id := range c.stall.Diagnosed(d, c.servers) {
+			out.Notify(msgs.Notice{Kind: msgs.ServerStalled, Server: id, Detail: "asked " + string(d.Server)})
+			c.recov.Avoid(now, id, c.tables, out)
+			for _, user := range slices.Sorted(maps.Keys(c.servers.Get(id).Users)) {
+				c.recov.Fail(now, user, id, c.tables, out)
+			}
+		}
+	}
+	c.stall.Sweep(now, c.requests, out)
+}
+
 // dispatch gives routes, to requests that lost theirs first.
 func (c *Core) dispatch(now time.Time, out *msgs.Outbox) {
 	c.blocked = false
@@ -167,8 +209,11 @@
 	}
 	if len(c.requests.Rerouting) > 0 {
 		for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
-			r := c.requests.Get(id)
-			c.start(now, r, c.models[r.Model], out)
+			if r := c.requests.Get(id); !now.Before(r.TryAt) || r.TriedVersion != c.servers.Version {
+				c.start(now, r, c.models[r.Model], out)
+			} else {
+				c.blocked = true
+			}
 		}
 	}
 	for _, name := range c.admit.Backlog() {
@@ -207,11 +252,15 @@
 }
 
 func (c *Core) start(now time.Time, r *table.Request, layers int, out *msgs.Outbox) route.Result {
-	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.admit.Daemons})
-	if result == route.Found {
-		c.recov.Start(r, chain, c.tables, out)
-	} else {
+	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.sharing})
+	switch {
+	case result != route.Found:
 		c.blocked = true
+		r.TryAt, r.TriedVersion = now.Add(busyRetry), c.servers.Version
+	case r.Phase == table.Rerouting && c.budget != nil && !c.budget.Take(now, r.Model):
+		c.recov.GiveUp(now, r, verdt.Overloaded, "too many requests are being sent again", c.tables, out)
+	default:
+		c.recov.Start(now, r, chain, c.tables, out)
 	}
 	return result
 }
@@ -222,6 +271,9 @@
 	if c.blocked {
 		next = first(next, now.Add(busyRetry))
 	}
+	if c.stall != nil && c.requests.Len() > 0 {
+		next = first(next, c.stall.NextSweep)
+	}
 	return next
 }
 
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -22,6 +22,16 @@
 	PromptTokens int
 	MaxTokens    int
 	Deadline     time.Time
+	// From is the first position that the caller wants: it has all before it.
+	From int
+	// Once is a request that must not be sent again once it may have run.
+	Once bool
+	// MaxAttempts bounds the routes that the request may be given; 0 leaves that to
+	// the team's policy.
+	MaxAttempts int
+	// FirstBy is when the first token should have come; zero leaves that to the
+	// team's policy.
+	FirstBy time.Time
 }
 
 // StreamEnd tells that one epoch's stream has ended.
@@ -30,6 +40,9 @@
 	Epoch   model.Epoch
 	// Failure is nil after a stream that handed over its end.
 	Failure *verdt.Error
+	// Declined is the engines' promise that no stage has run the request or will.
+	// The verdict of a single stage says nothing of the others.
+	Declined bool
 }
 
 // Inbox is all that happened since the last tick.
@@ -44,6 +57,8 @@
 	Arrivals []Arrival
 	Tokens   []model.Token
 	Ends     []StreamEnd
+	// Diagnoses are answers to Asks.
+	Diagnoses []Diagnosis
 	// Gone are requests whose caller closed its connection.
 	Gone []model.RequestID
 	// Stop makes the daemon take no new work from now on.
@@ -54,14 +69,14 @@
 func (in *Inbox) Reset() {
 	*in = Inbox{
 		Reports: in.Reports[:0], Arrivals: in.Arrivals[:0], Tokens: in.Tokens[:0],
-		Ends: in.Ends[:0], Gone: in.Gone[:0],
+		Ends: in.Ends[:0], Gone: in.Gone[:0], Diagnoses: in.Diagnoses[:0],
 	}
 }
 
 // Empty reports whether nothing happened.
 func (in *Inbox) Empty() bool {
 	return in.List == nil && in.Force == nil && in.Daemons == 0 && !in.Stop &&
-		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.Gone) == 0
+		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.Gone)+len(in.Diagnoses) == 0
 }
 
 // Open starts or resumes a stream.
@@ -81,6 +96,21 @@
 	Route   model.Route
 }
 
+// Ask asks an engine which engines its work waits for.
+type Ask struct {
+	Server  model.ServerID
+	Address string
+}
+
+// Diagnosis is the answer to an Ask.
+type Diagnosis struct {
+	Server model.ServerID
+	// Silent is set where the engine itself did not answer.
+	Silent bool
+	// Faulty are the addresses of the engines that it waits for.
+	Faulty []string
+}
+
 // Finish is the final answer to a caller.
 type Finish struct {
 	Request model.RequestID
@@ -118,6 +148,8 @@
 	// ListEmpty is a membership list that lost all its servers at once and is
 	// not believed.
 	ListEmpty
+	// ServerStalled is an engine that others wait for, or that does not answer.
+	ServerStalled
 )
 
 // Outbox is what the core wants done. The carrier works through the fields in
@@ -125,6 +157,7 @@
 type Outbox struct {
 	Cancels  []Cancel
 	Opens    []Open
+	Asks     []Ask
 	Sends    []model.Token
 	Finishes []Finish
 	Notices  []Notice
@@ -135,7 +168,7 @@
 // Reset empties the outbox and keeps its memory.
 func (out *Outbox) Reset() {
 	*out = Outbox{
-		Cancels: out.Cancels[:0], Opens: out.Opens[:0], Sends: out.Sends[:0],
+		Cancels: out.Cancels[:0], Opens: out.Opens[:0], Asks: out.Asks[:0], Sends: out.Sends[:0],
 		Finishes: out.Finishes[:0], Notices: out.Notices[:0],
 	}
 }
--- a/internal/core/msgs/noticekind_enumer.go
+++ b/internal/core/msgs/noticekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_empty"
+const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalled"
 
-var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74}
+var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88}
 
-const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_empty"
+const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalled"
 
 func (i NoticeKind) String() string {
 	if i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -30,9 +30,10 @@
 	_ = x[StreamMoved-(3)]
 	_ = x[TokenDropped-(4)]
 	_ = x[ListEmpty-(5)]
+	_ = x[ServerStalled-(6)]
 }
 
-var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty}
+var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
 	_NoticeKindName[0:14]:  ServerLeaving,
@@ -41,6 +42,7 @@
 	_NoticeKindName[39:51]: StreamMoved,
 	_NoticeKindName[51:64]: TokenDropped,
 	_NoticeKindName[64:74]: ListEmpty,
+	_NoticeKindName[74:88]: ServerStalled,
 }
 
 var _NoticeKindLowerNameToValueMap = map[string]NoticeKind{
@@ -50,6 +52,7 @@
 	_NoticeKindLowerName[39:51]: StreamMoved,
 	_NoticeKindLowerName[51:64]: TokenDropped,
 	_NoticeKindLowerName[64:74]: ListEmpty,
+	_NoticeKindLowerName[74:88]: ServerStalled,
 }
 
 var _NoticeKindNames = []string{
@@ -59,6 +62,7 @@
 	_NoticeKindName[39:51],
 	_NoticeKindName[51:64],
 	_NoticeKindName[64:74],
+	_NoticeKindName[74:88],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -62,7 +62,12 @@
 		return
 	}
 	r.Verdict = verdt.Ran
+	r.HeardAt = now
 	if tok.End {
+		if tok.Head != nil {
+			// An answer without a single event still has a head.
+			out.Sends = append(out.Sends, tok)
+		}
 		st.finish(r, t, out, msgs.Finish{Request: r.ID, Tokens: r.Next})
 		return
 	}
@@ -102,7 +107,7 @@
 		t.Picker.Learn(r.Prefix, r.Route)
 		resetFailures(r.Route, t)
 	}
-	t.Servers.Release(r.ID, r.Route)
+	t.Servers.Release(r, r.Route)
 	r.Route = model.Route{}
 	t.Requests.Remove(r.ID)
 	t.Left(r.Team)
@@ -135,11 +140,38 @@
 	}
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	st.detach(now, r, t)
-	if r.Recoveries >= r.MaxRecoveries {
+	if !e.Declined {
+		r.Verdict = r.Verdict.Worse(verdt.MayHaveRun).Worse(f.Verdict)
+	}
+	switch {
+	case f.Reason == verdt.DeadlinePassed || f.Reason == verdt.BadRequest:
+		// Another server would say the same.
+		st.GiveUp(now, r, f.Reason, f.Message, t, out)
+	case r.Once && r.Verdict != verdt.NotRun:
+		st.GiveUp(now, r, verdt.StageFailed, f.Message, t, out)
+	case r.Recoveries >= r.MaxRecoveries:
 		st.GiveUp(now, r, verdt.StageFailed, "too many backend servers failed during the request", t, out)
 	}
 }
 
+// Fail takes a request off its route because one of its servers does not go on.
+func (st *State) Fail(now time.Time, id model.RequestID, failed model.ServerID, t Tables, out *msgs.Outbox) {
+	r := t.Requests.Get(id)
+	if r == nil || r.Phase != table.Running {
+		return
+	}
+	st.End(now, msgs.StreamEnd{Request: id, Epoch: r.Epoch, Failure: verdt.New(
+		verdt.MayHaveRun, verdt.StageFailed, "a backend server keeps the request waiting", verdt.Server(string(failed)),
+	)}, t, out)
+}
+
+// Avoid gives a server no work for a while.
+func (st *State) Avoid(now time.Time, id model.ServerID, t Tables, out *msgs.Outbox) {
+	if s := t.Servers.Get(id); s != nil {
+		avoid(now, s, t, out)
+	}
+}
+
 // avoid gives a failing server no work for a while.
 func avoid(now time.Time, s *table.Server, t Tables, out *msgs.Outbox) {
 	if now.Before(s.AvoidUntil) {
@@ -154,7 +186,8 @@
 
 // detach takes a request off its route, to wait for another one.
 func (st *State) detach(now time.Time, r *table.Request, t Tables) {
-	t.Servers.Release(r.ID, r.Route)
+	t.Servers.Release(r, r.Route)
+	r.TryAt = now
 	r.Moved, r.Route, r.Trail = r.Route, model.Route{}, 0
 	r.Phase = table.Rerouting
 	r.RerouteUntil = now.Add(rerouteTimeout)
@@ -170,6 +203,7 @@
 	}
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	st.detach(now, r, t)
+	r.Verdict = r.Verdict.Worse(verdt.MayHaveRun)
 	r.Recoveries--
 }
 
@@ -178,12 +212,12 @@
 	if r.Phase == table.Running {
 		out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	}
-	f := verdt.New(r.Verdict, reason, message, verdt.RetryAt(now.Add(retryAfterFailure)))
+	f := verdt.New(r.Claim(), reason, message, verdt.RetryAt(now.Add(retryAfterFailure)))
 	st.finish(r, t, out, msgs.Finish{Request: r.ID, Failure: f})
 }
 
 // Start puts a request on a route as its next epoch.
-func (st *State) Start(r *table.Request, chain model.Route, t Tables, out *msgs.Outbox) {
+func (st *State) Start(now time.Time, r *table.Request, chain model.Route, t Tables, out *msgs.Outbox) {
 	if r.Phase == table.Rerouting {
 		r.Recoveries++
 		st.Recovered++
@@ -194,9 +228,8 @@
 	r.Phase = table.Running
 	r.Epoch++
 	r.Route, r.Trail = chain, model.TrailOf(chain)
-	r.LastToken = time.Time{}
-	r.Verdict = r.Verdict.Worse(verdt.MayHaveRun)
-	t.Servers.Take(r.ID, chain)
+	r.LastToken, r.HeardAt, r.OpenedAt = time.Time{}, now, r.Next
+	t.Servers.Take(r, chain)
 	out.Opens = append(out.Opens, msgs.Open{Request: r.ID, Epoch: r.Epoch, Route: chain, From: r.Next, Priority: r.Priority})
 }
 
--- /dev/null
+++ b/internal/core/retry/retry.go
@@ -0,0 +1,85 @@
+// Package retry keeps the repeated sends of all daemons to a service within a
+// budget over a sliding window. Daemons do not ask each other: each has its part of
+// the burst, and a ratio of the requests that its own callers sent.
+package retry
+
+import "time"
+
+// Budget bounds the repeated sends to each service.
+type Budget struct {
+	// Ratio is how many repeats each request earns.
+	Ratio float64
+	// Burst is how many repeats all daemons together have in a window besides.
+	Burst float64
+	// Window is the length of the sliding window.
+	Window time.Duration
+	// Daemons share Burst, at least 1.
+	Daemons int
+	windows map[string]*window
+}
+
+// buckets is how many parts a window is counted in.
+const buckets = 10
+
+// window counts requests and repeats in a ring of buckets.
+type window struct {
+	requests, repeats [buckets + 1]float64
+	// newest is the number of the newest bucket since the epoch of the clock.
+	newest int64
+}
+
+// New returns a budget for one daemon.
+func New(ratio, burst float64, length time.Duration) *Budget {
+	return &Budget{Ratio: ratio, Burst: burst, Window: length, Daemons: 1, windows: map[string]*window{}}
+}
+
+// Request counts a request of a caller for a service.
+func (b *Budget) Request(now time.Time, service string) {
+	w := b.at(now, service)
+	w.requests[w.slot(0)]++
+}
+
+// Take counts a repeated send to a service, if the budget has room for it.
+func (b *Budget) Take(now time.Time, service string) bool {
+	w := b.at(now, service)
+	requests, repeats := 0.0, 0.0
+	for i := range int64(buckets + 1) {
+		repeats += w.repeats[w.slot(i)]
+		// The oldest bucket lies partly outside the window: its repeats count,
+		// its requests do not.
+		if i < buckets {
+			requests += w.requests[w.slot(i)]
+		}
+	}
+	if repeats+1 > b.Ratio*requests+b.Burst/float64(max(1, b.Daemons)) {
+		return false
+	}
+	w.repeats[w.slot(0)]++
+	return true
+}
+
+// at returns a service's window, moved on to now.
+func (b *Budget) at(now time.Time, service string) *window {
+	w := b.windows[service]
+	if w == nil {
+		w = &window{}
+		b.windows[service] = w
+	}
+	newest := now.UnixNano() / max(1, int64(b.Window/buckets))
+	if newest < w.newest {
+		// The clock went back: keep counting in the newest bucket.
+		return w
+	}
+	for steps := min(newest-w.newest, buckets+1); steps > 0; steps-- {
+		w.newest = newest - steps + 1
+		w.requests[w.slot(0)], w.repeats[w.slot(0)] = 0, 0
+	}
+	w.newest = newest
+	return w
+}
+
+// slot returns the place of the bucket that lies a number of buckets back.
+func (w *window) slot(back int64) int64 {
+	const n = buckets + 1
+	return ((w.newest-back)%n + n) % n
+}
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"maps"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
@@ -43,12 +45,22 @@
 	// Moved is the route that the request was moved off, whose servers still
 	// hold its cache; empty after a failure without such a server.
 	Moved model.Route
-	// Verdict is what a failure now would have to say.
+	// Verdict is what is known of the streams that have ended; see Claim.
 	Verdict verdt.Verdict
 	// RerouteUntil is when a request without a route is given up.
 	RerouteUntil time.Time
 	// LastToken is when the last token was accepted.
 	LastToken time.Time
+	// HeardAt is when the newest stream was opened or last gave a token.
+	HeardAt time.Time
+	// Reserved is how many tokens the servers of Route count for the request.
+	Reserved int
+	// OpenedAt is the position from which the newest stream was opened.
+	OpenedAt int
+	// TryAt is when a request without a route looks for one again, unless the table
+	// of servers has another version than TriedVersion by then.
+	TryAt        time.Time
+	TriedVersion uint64
 	// QueueUntil is when a request that still waits is given up, because its
 	// first token would come too late. It is not after Deadline.
 	QueueUntil time.Time
@@ -57,6 +69,23 @@
 	MaxRecoveries int
 }
 
+// Claim is what a failure now would have to say.
+func (r *Request) Claim() verdt.Verdict {
+	if r.Phase == Running {
+		return r.Verdict.Worse(verdt.MayHaveRun)
+	}
+	return r.Verdict
+}
+
+// Tokens is the request's size at the end of a usual answer, or so far.
+func (r *Request) Tokens(usualAnswer int) int {
+	answer := usualAnswer
+	if r.MaxTokens > 0 {
+		answer = min(answer, r.MaxTokens)
+	}
+	return r.PromptTokens + max(answer, r.Next)
+}
+
 type deadline struct {
 	at time.Time
 	id model.RequestID
@@ -82,6 +111,9 @@
 // Get returns a row, or nil.
 func (t *Requests) Get(id model.RequestID) *Request { return t.rows[id] }
 
+// All returns the rows in no order.
+func (t *Requests) All() iter.Seq[*Request] { return maps.Values(t.rows) }
+
 // Len returns the number of rows.
 func (t *Requests) Len() int { return len(t.rows) }
 
@@ -143,7 +175,7 @@
 		if r.QueueUntil.After(r.Deadline) {
 			return fmt.Errorf("request %d may wait beyond its deadline", id)
 		}
-		if r.Next > 0 && r.Verdict != verdt.Ran {
+		if r.Next > r.From && r.Verdict != verdt.Ran {
 			return fmt.Errorf("request %d has %d tokens but verdict %s", id, r.Next, r.Verdict)
 		}
 	}
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -38,6 +38,8 @@
 	Failures int
 	// Users are the requests whose current route passes through the server.
 	Users map[model.RequestID]struct{}
+	// Tokens is the sum of what the users' caches take at the end of a usual answer.
+	Tokens int
 }
 
 // Leaving reports whether any source says that the server leaves.
@@ -85,18 +87,32 @@
 // IDs returns all names in order.
 func (t *Servers) IDs() []model.ServerID { return slices.Sorted(maps.Keys(t.rows)) }
 
+// usualAnswer is the number of tokens for which room is counted where a caller
+// allows more: most answers are much shorter than callers allow.
+const usualAnswer = 256
+
 // Take counts a request on all servers of a route.
-func (t *Servers) Take(id model.RequestID, r model.Route) {
-	for _, h := range r.Hops {
-		t.Ensure(h.Server).Users[id] = struct{}{}
+func (t *Servers) Take(r *Request, route model.Route) {
+	r.Reserved = r.Tokens(usualAnswer)
+	for _, h := range route.Hops {
+		s := t.Ensure(h.Server)
+		if _, counted := s.Users[r.ID]; !counted {
+			s.Users[r.ID] = struct{}{}
+			s.Tokens += r.Reserved
+		}
 	}
 }
 
 // Release takes a request off all servers of a route.
-func (t *Servers) Release(id model.RequestID, r model.Route) {
-	for _, h := range r.Hops {
-		if s := t.rows[h.Server]; s != nil {
-			delete(s.Users, id)
+func (t *Servers) Release(r *Request, route model.Route) {
+	for _, h := range route.Hops {
+		s := t.rows[h.Server]
+		if s == nil {
+			continue
+		}
+		if _, counted := s.Users[r.ID]; counted {
+			delete(s.Users, r.ID)
+			s.Tokens -= r.Reserved
 		}
 	}
 }
@@ -107,6 +123,15 @@
 		if !s.MoveAt.IsZero() && !s.Leaving() {
 			return fmt.Errorf("server %s is not leaving but has a time to move", id)
 		}
+		reserved := 0
+		for user := range s.Users {
+			if r := requests.Get(user); r != nil {
+				reserved += r.Reserved
+			}
+		}
+		if reserved != s.Tokens {
+			return fmt.Errorf("server %s counts %d tokens, but its users reserved %d", id, s.Tokens, reserved)
+		}
 		for user := range s.Users {
 			r := requests.Get(user)
 			if r == nil || !r.Route.Uses(id) {
--- a/internal/drive/reply.go
+++ b/internal/drive/reply.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -13,6 +14,8 @@
 	mu     sync.Mutex
 	tokens []model.Token
 	finish *msgs.Finish
+	// answer is what an engine answered in place of a stream; guarded by mu.
+	answer *engine.Answer
 	signal chan struct{}
 }
 
@@ -25,9 +28,9 @@
 	r.wake()
 }
 
-func (r *Reply) end(f msgs.Finish) {
+func (r *Reply) end(f msgs.Finish, a *engine.Answer) {
 	r.mu.Lock()
-	r.finish = &f
+	r.finish, r.answer = &f, a
 	r.mu.Unlock()
 	r.wake()
 }
@@ -39,6 +42,14 @@
 	}
 }
 
+// Answer is what an engine answered in place of the last stream of a failed request,
+// or nil.
+func (r *Reply) Answer() *engine.Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answer
+}
+
 // Next waits for more of the answer. It appends the new tokens to buf, and
 // returns the end once all tokens were returned.
 func (r *Reply) Next(ctx context.Context, buf []model.Token) ([]model.Token, *msgs.Finish, error) {
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -29,6 +29,11 @@
 	maxTokens int
 	// cancel ends the newest stream; nil before the first.
 	cancel context.CancelFunc
+	// origin is the caller's own request where it is passed on as it is.
+	origin   *engine.Origin
+	deadline time.Time
+	// answer is what an engine answered in place of the latest failed stream.
+	answer *engine.Answer
 }
 
 // Observer is told of what a burn report counts.
@@ -89,6 +94,15 @@
 	Prefix    uint64
 	MaxTokens int
 	Deadline  time.Time
+	// PromptTokens is the prompt's size; 0 leaves it to an estimate.
+	PromptTokens int
+	// Origin is passed on as it is; nil for a request that only has a Prompt.
+	Origin *engine.Origin
+	// From, Once, MaxAttempts and FirstBy are those of msgs.Arrival.
+	From        int
+	Once        bool
+	MaxAttempts int
+	FirstBy     time.Time
 }
 
 // bytesPerToken is a usual token's length, for an estimate.
@@ -96,7 +110,10 @@
 
 // Start takes a request in. The answer, or the refusal, comes by the Reply.
 func (s *Streams) Start(a Ask) (model.RequestID, *Reply) {
-	row := &carried{reply: newReply(), model: a.Model, prompt: a.Prompt, maxTokens: a.MaxTokens}
+	row := &carried{reply: newReply(), model: a.Model, prompt: a.Prompt, maxTokens: a.MaxTokens, origin: a.Origin, deadline: a.Deadline}
+	if a.PromptTokens == 0 {
+		a.PromptTokens = len(a.Prompt) / bytesPerToken
+	}
 	s.mu.Lock()
 	s.next++
 	id := s.next
@@ -105,7 +122,8 @@
 	s.loop.post(func(in *msgs.Inbox) {
 		in.Arrivals = append(in.Arrivals, msgs.Arrival{
 			ID: id, Team: a.Team, Model: a.Model, Prefix: a.Prefix,
-			PromptTokens: len(a.Prompt) / bytesPerToken, MaxTokens: a.MaxTokens, Deadline: a.Deadline,
+			PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Deadline: a.Deadline,
+			From: a.From, Once: a.Once, MaxAttempts: a.MaxAttempts, FirstBy: a.FirstBy,
 		})
 	})
 	return id, row.reply
@@ -159,7 +177,9 @@
 	}
 	for _, tok := range s.out.Sends {
 		if row := s.rows[tok.Request]; row != nil {
-			row.tokens = append(row.tokens, tok.Text)
+			if row.origin == nil {
+				row.tokens = append(row.tokens, tok.Text)
+			}
 			row.reply.send(tok)
 		}
 	}
@@ -168,19 +188,46 @@
 			if row.cancel != nil {
 				row.cancel()
 			}
-			row.reply.end(f)
+			row.reply.end(f, row.answer)
 			delete(s.rows, f.Request)
 		}
 	}
+	for _, a := range s.out.Asks {
+		s.ask(a)
+	}
 	for _, n := range s.out.Notices {
 		s.notice(n)
 	}
 }
 
+// diagnosisTimeout bounds how long an engine may take to say for whom it waits; one that is
+// well answers within milliseconds.
+const diagnosisTimeout = 100 * time.Millisecond
+
+// ask asks an engine for whom its work waits.
+func (s *Streams) ask(a msgs.Ask) {
+	diagnoser, ok := s.engine.(engine.Diagnoser)
+	if !ok {
+		return
+	}
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, diagnosisTimeout)
+		defer cancel()
+		faulty, err := diagnoser.Stalled(ctx, a.Address)
+		d := msgs.Diagnosis{Server: a.Server, Silent: err != nil, Faulty: faulty}
+		s.loop.post(func(in *msgs.Inbox) { in.Diagnoses = append(in.Diagnoses, d) })
+	})
+}
+
 func (s *Streams) cancel(c msgs.Cancel) {
 	if row := s.rows[c.Request]; row != nil && row.cancel != nil {
 		row.cancel()
 	}
+	if row := s.rows[c.Request]; row == nil || row.origin != nil {
+		// Engines that are sent the caller's own request end its run with the
+		// connection.
+		return
+	}
 	for _, h := range c.Route.Hops {
 		s.wg.Go(func() {
 			ctx, cancel := context.WithTimeout(s.ctx, cancelTimeout)
@@ -199,7 +246,10 @@
 	row.cancel = cancel
 	stream := engine.Stream{
 		Request: o.Request, Epoch: o.Epoch, Model: row.model, Route: o.Route, Prompt: row.prompt,
-		Tokens: row.tokens[:o.From:o.From], MaxTokens: row.maxTokens, Priority: o.Priority,
+		MaxTokens: row.maxTokens, Priority: o.Priority, Origin: row.origin, From: o.From, Deadline: row.deadline,
+	}
+	if row.origin == nil {
+		stream.Tokens = row.tokens[:o.From:o.From]
 	}
 	s.wg.Go(func() {
 		defer cancel()
@@ -215,10 +265,24 @@
 	end := msgs.StreamEnd{Request: stream.Request, Epoch: stream.Epoch}
 	if err != nil {
 		end.Failure = verdt.Of(err, verdt.MayHaveRun)
+		var failed *engine.AnswerError
+		if errors.As(err, &failed) {
+			end.Declined = failed.Declined
+			s.keepAnswer(stream.Request, failed.Answer)
+		}
 	}
 	s.loop.post(func(in *msgs.Inbox) { in.Ends = append(in.Ends, end) })
 }
 
+// keepAnswer keeps what an engine answered, for a caller whom no other one serves.
+func (s *Streams) keepAnswer(id model.RequestID, a *engine.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if row := s.rows[id]; row != nil {
+		row.answer = a
+	}
+}
+
 func (s *Streams) notice(n msgs.Notice) {
 	switch n.Kind {
 	case msgs.ServerLeaving:
@@ -231,6 +295,8 @@
 		s.log.Info(evlog.StreamMoved, "request", n.Request, "detail", n.Detail)
 	case msgs.TokenDropped:
 		s.log.Debug(evlog.TokenDropped, "request", n.Request, "detail", n.Detail)
+	case msgs.ServerStalled:
+		s.log.Info(evlog.ServerStalled, "server", n.Server, "detail", n.Detail)
 	case msgs.ListEmpty:
 		s.log.Error(errors.New("the membership list names no engine"), evlog.ListEmptied)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
 
 // Stream is what an engine needs to start or resume one epoch of a request.
@@ -22,8 +24,48 @@
 	Tokens    []string `json:"tokens,omitempty"`
 	MaxTokens int      `json:"max_tokens,omitempty"`
 	Priority  int      `json:"priority,omitempty"`
+	// Origin is the caller's own request, for engines that are sent it as it is; nil
+	// for engines that are sent this struct.
+	Origin *Origin `json:"-"`
+	// From is the first position wanted. It equals len(Tokens) where those are given.
+	From int `json:"-"`
+	// Deadline is when the caller no longer waits; zero is never.
+	Deadline time.Time `json:"-"`
 }
 
+// Origin is a caller's request over HTTP, without what concerns only its connection
+// and its credentials.
+type Origin struct {
+	// ID is the caller's name for the request.
+	ID     string
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Team is empty where the caller showed no key.
+	Team model.Team
+	// Urgency is 0 for the most urgent requests.
+	Urgency int
+}
+
+// AnswerError is a failure together with what the server answered.
+type AnswerError struct {
+	Failure *verdt.Error
+	// Answer is the server's own answer; nil where none came whole.
+	Answer *Answer
+	// Declined is the server's promise that the request has not run, at no stage of
+	// its chain, and will not.
+	Declined bool
+}
+
+// Error implements error.
+func (f *AnswerError) Error() string { return f.Failure.Error() }
+
+// Unwrap makes the failure's *verdt.Error visible.
+func (f *AnswerError) Unwrap() error { return f.Failure }
+
 //go:generate enumer -type=OrderKind -transform=snake -text -output=orderkind_enumer.go
 
 // OrderKind is what an engine is told to do.
@@ -89,6 +131,18 @@
 	Body   []byte      `json:"body" cbor:"3,keyasint"`
 }
 
+// Diagnoser is an engine that tells for whom its work waits.
+type Diagnoser interface {
+	// Stalled returns the addresses of the engines that an engine waits for.
+	Stalled(ctx context.Context, server string) ([]string, error)
+}
+
+// Relay sends callers' requests on as they are. Errors are *AnswerError.
+type Relay interface {
+	// Send sends a request to a backend server and returns its whole answer.
+	Send(ctx context.Context, to model.Member, o Origin, deadline time.Time) (Answer, error)
+}
+
 // Service is a plain service. Errors are *verdt.Error.
 type Service interface {
 	Do(ctx context.Context, c Call) (Answer, error)
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -46,6 +46,14 @@
 	StreamMoved Event = 305
 	// TokenDropped tells that a late or foreign token was not accepted.
 	TokenDropped Event = 306
+	// ServerStalled tells that work waits for a backend server that does not go on.
+	ServerStalled Event = 307
+	// MemberUnreadable tells that a backend server's entry cannot be used.
+	MemberUnreadable Event = 308
+	// ServerSeen tells that a backend server's entry changed.
+	ServerSeen Event = 309
+	// ServerGone tells that a backend server's entry was removed.
+	ServerGone Event = 310
 	// ShardOwned tells that this daemon owns a shard.
 	ShardOwned Event = 400
 	// ShardLost tells that this daemon lost a shard.
@@ -64,10 +72,18 @@
 	OrderGiven Event = 407
 	// OrderFailed tells that an engine did not take an order.
 	OrderFailed Event = 408
+	// DutyOwned tells that this daemon gives engines their layers from now on.
+	DutyOwned Event = 409
+	// DutyLost ends DutyOwned.
+	DutyLost Event = 410
 	// PeerUnreachable tells that another daemon does not answer.
 	PeerUnreachable Event = 500
 	// RequestFailed tells that a caller was sent a failure.
 	RequestFailed Event = 600
+	// RequestServed tells how a caller's request ended.
+	RequestServed Event = 601
+	// RequestRepeated tells that a request was sent again.
+	RequestRepeated Event = 602
 )
 
 // Log writes numbered events.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -210,7 +210,7 @@
 		return http.StatusUnauthorized
 	case verdt.Forbidden:
 		return http.StatusForbidden
-	case verdt.UnknownModel, verdt.UnknownService:
+	case verdt.UnknownModel, verdt.UnknownService, verdt.UnknownRoute:
 		return http.StatusNotFound
 	case verdt.RateLimited:
 		return http.StatusTooManyRequests
@@ -225,7 +225,7 @@
 	case verdt.Overloaded, verdt.NoRoute, verdt.Stopping, verdt.JournalDown, verdt.JournalFull,
 		verdt.OwnerUnknown, verdt.SettingsStale:
 		return http.StatusServiceUnavailable
-	case verdt.Internal, verdt.CallerGone:
+	case verdt.Internal, verdt.CallerGone, verdt.Fenced, verdt.HeadersTooLarge:
 	}
 	return http.StatusInternalServerError
 }
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -109,3 +109,25 @@
 func pemOf(kind string, raw []byte) string {
 	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}))
 }
+
+// NetworkTLS returns the configuration for daemons on a platform that gives them no
+// secret of their own: links are encrypted, and who may connect is left to the
+// platform's network, as it is for its key-value service.
+func NetworkTLS(daemon string, until time.Time) (*tls.Config, error) {
+	authority, err := NewAuthority(until)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := authority.Issue(daemon, until)
+	if err != nil {
+		return nil, err
+	}
+	conf, err := keys.TLS()
+	if err != nil {
+		return nil, err
+	}
+	conf.ClientAuth, conf.ClientCAs = tls.NoClientCert, nil
+	// Each daemon signs for itself, so there is nothing to hold a certificate against.
+	conf.InsecureSkipVerify = true
+	return conf, nil
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -11,6 +11,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core/fleet"
 	"bulrushpond.example/bulrushpond/internal/drive"
+	"bulrushpond.example/bulrushpond/internal/mirror"
 	"bulrushpond.example/bulrushpond/internal/rings"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
@@ -25,6 +26,13 @@
 	Settings *SettingsQuestion `cbor:"3,keyasint,omitempty"`
 	// Burn asks for the service-level counts.
 	Burn *BurnQuestion `cbor:"4,keyasint,omitempty"`
+	// Mirror asks for what the key-value service holds.
+	Mirror *MirrorQuestion `cbor:"5,keyasint,omitempty"`
+}
+
+// MirrorQuestion asks for what changed in the key-value service after a revision.
+type MirrorQuestion struct {
+	After uint64 `cbor:"1,keyasint"`
 }
 
 // SettingsQuestion asks for the settings after a revision.
@@ -44,6 +52,7 @@
 	Burn     []byte        `cbor:"5,keyasint,omitempty"`
 	// Revision is the settings revision in force, in answers about settings.
 	Revision model.Revision `cbor:"6,keyasint,omitempty"`
+	Mirror   *mirror.Delta  `cbor:"7,keyasint,omitempty"`
 }
 
 // Settings are the changes after a revision, or the whole tree where the
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -1,7 +1,10 @@
 // Package model holds the plain data that the router's packages share.
 package model
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // ServerID names a backend server; the platform's membership list gives it.
 type ServerID string
@@ -58,8 +61,15 @@
 	Zone    string      `json:"availability_zone"`
 	Role    Role        `json:"role"`
 	State   MemberState `json:"state"`
-	// Service is the plain service's name; empty for other roles.
+	// Service is the plain service's name, or that of an engine's pool where the
+	// platform has several; empty for other roles.
 	Service string `json:"service,omitempty"`
+	// Kind is the engine's kind of accelerator; empty where none is known.
+	Kind string `json:"kind,omitempty"`
+	// Span is what the engine holds of the model; empty where that comes by reports.
+	Span Span `json:"span,omitzero"`
+	// Slots is how many requests the server runs at once; 0 is unknown.
+	Slots int `json:"slots,omitempty"`
 }
 
 // Span is a half-open range of layers.
@@ -119,6 +129,15 @@
 	// the engine reports none. See TrailOf.
 	Trail uint64 `json:"trail,omitempty"`
 	End   bool   `json:"end,omitempty"`
+	// Head is the status and headers of the engine's answer, on the first token of
+	// an epoch at engines whose answers are passed on unchanged; nil elsewhere.
+	Head *AnswerHead `json:"-"`
+}
+
+// AnswerHead is what precedes the body of an answer over HTTP.
+type AnswerHead struct {
+	Status int
+	Header http.Header
 }
 
 // Room is how many streams fit the engine, at least 1.
@@ -149,6 +168,13 @@
 	Queued  int `json:"queued"`
 	// TokensPerSecond is the engine's rate with all slots in use.
 	TokensPerSecond float64 `json:"tokens_per_second"`
+	// CacheTokens is how many tokens' caches fit beside the layers; 0 is unknown.
+	CacheTokens float64 `json:"cache_tokens,omitempty"`
+	// StepTime is one step of one sequence through the span, SequenceTime what each
+	// further sequence adds, and ReadTime what a prompt token takes; 0 is unknown.
+	StepTime     time.Duration `json:"step_time,omitempty"`
+	SequenceTime time.Duration `json:"sequence_time,omitempty"`
+	ReadTime     time.Duration `json:"read_time,omitempty"`
 	// Leaving is set by an engine that wants no more work.
 	Leaving bool `json:"leaving,omitempty"`
 	// Emptying is set by an engine that was ordered to take no more work.
--- a/pkg/setts/force.go
+++ b/pkg/setts/force.go
@@ -27,6 +27,16 @@
 	return f
 }
 
+// ForceOf makes ready policies that do not come from a tree: that of the root, and
+// those of the teams by their names.
+func ForceOf(revision model.Revision, root Policy, teams map[model.Team]Policy) *Force {
+	f := &Force{Revision: revision, Tree: NewTree(), policies: map[string]Policy{Root: root}, keys: map[string]model.Team{}}
+	for team, p := range teams {
+		f.policies[string(team)] = p
+	}
+	return f
+}
+
 // Next returns what is in force after one change. Only the nodes at or below
 // the change are merged again, so the cost follows what changed.
 func (f *Force) Next(c Change) (*Force, error) {
--- a/pkg/verdt/failure.go
+++ b/pkg/verdt/failure.go
@@ -58,6 +58,12 @@
 	PeerLost
 	// SettingsStale means that this daemon has no settings in force.
 	SettingsStale
+	// UnknownRoute is a host and path that the settings do not name.
+	UnknownRoute
+	// Fenced is an order whose receiver has seen a higher fencing number.
+	Fenced
+	// HeadersTooLarge is a request whose headers are over the limit in force.
+	HeadersTooLarge
 )
 
 // Error is the error type of the router: it always says whether the request
--- a/pkg/verdt/reason_enumer.go
+++ b/pkg/verdt/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_stale"
+const _ReasonName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_large"
 
-var _ReasonIndex = [...]uint16{0, 8, 19, 28, 40, 49, 62, 77, 87, 99, 107, 122, 134, 145, 153, 165, 177, 189, 199, 214, 229, 242, 251, 265}
+var _ReasonIndex = [...]uint16{0, 8, 19, 28, 40, 49, 62, 77, 87, 99, 107, 122, 134, 145, 153, 165, 177, 189, 199, 214, 229, 242, 251, 265, 278, 284, 301}
 
-const _ReasonLowerName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_stale"
+const _ReasonLowerName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_large"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -47,9 +47,12 @@
 	_ = x[OwnerUnknown-(20)]
 	_ = x[PeerLost-(21)]
 	_ = x[SettingsStale-(22)]
+	_ = x[UnknownRoute-(23)]
+	_ = x[Fenced-(24)]
+	_ = x[HeadersTooLarge-(25)]
 }
 
-var _ReasonValues = []Reason{Internal, BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService, Overloaded, RateLimited, NoRoute, DeadlinePassed, StageFailed, CallerGone, Stopping, JournalDown, JournalFull, KeyRequired, KeyReused, KeyInProgress, OutcomeUnknown, OwnerUnknown, PeerLost, SettingsStale}
+var _ReasonValues = []Reason{Internal, BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService, Overloaded, RateLimited, NoRoute, DeadlinePassed, StageFailed, CallerGone, Stopping, JournalDown, JournalFull, KeyRequired, KeyReused, KeyInProgress, OutcomeUnknown, OwnerUnknown, PeerLost, SettingsStale, UnknownRoute, Fenced, HeadersTooLarge}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:     Internal,
@@ -75,6 +78,9 @@
 	_ReasonName[229:242]: OwnerUnknown,
 	_ReasonName[242:251]: PeerLost,
 	_ReasonName[251:265]: SettingsStale,
+	_ReasonName[265:278]: UnknownRoute,
+	_ReasonName[278:284]: Fenced,
+	_ReasonName[284:301]: HeadersTooLarge,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -101,6 +107,9 @@
 	_ReasonLowerName[229:242]: OwnerUnknown,
 	_ReasonLowerName[242:251]: PeerLost,
 	_ReasonLowerName[251:265]: SettingsStale,
+	_ReasonLowerName[265:278]: UnknownRoute,
+	_ReasonLowerName[278:284]: Fenced,
+	_ReasonLowerName[284:301]: HeadersTooLarge,
 }
 
 var _ReasonNames = []string{
@@ -127,6 +136,9 @@
 	_ReasonName[229:242],
 	_ReasonName[242:251],
 	_ReasonName[251:265],
+	_ReasonName[265:278],
+	_ReasonName[278:284],
+	_ReasonName[284:301],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
