Know the other daemons' load, and leave more room for caches

Cause: 5 to 17 in 100 requests were refused for want of room. A trace of full engines showed two reasons: each daemon took the others' load to be its own times their number, and with 1.5 copies of the model in a zone the layers held once had room for 88,000 tokens, which 85 streams fill.

Change: daemons tell the owner of the placement four times a second what they have in progress on each engine and learn the sum of the others (core/board, over QUIC); without news they assume as before. Zones hold 1.2 copies.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -19,6 +19,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/burn"
 	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/elect"
 	"bulrushpond.example/bulrushpond/internal/core/relay"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
@@ -73,6 +74,8 @@
 const (
 	daemonKeys   = "bulrushpond/daemons/"
 	placementKey = "bulrushpond/placement"
+	// processSeparator stands between a daemon's address and its process.
+	processSeparator = "/"
 )
 
 const (
@@ -117,6 +120,9 @@
 	daemons map[string]string
 	// turn is whose turn it is among the peers; guarded by mu.
 	turn int
+	// board is what the daemons have in progress, while this one owns the placement;
+	// guarded by mu.
+	board *board.State
 }
 
 // NewEdgeNode opens a daemon's addresses and wires its parts. Nothing runs before Run.
@@ -127,7 +133,7 @@
 	}
 	n := &EdgeNode{
 		common: common, node: node, store: platform.NewStore(node.Store), engines: platform.NewEngines(), process: process,
-		members: map[string]model.Member{}, gone: map[string]time.Time{}, daemons: map[string]string{},
+		members: map[string]model.Member{}, gone: map[string]time.Time{}, daemons: map[string]string{}, board: board.New(),
 	}
 	budget := func() *retry.Budget { return retry.New(node.RetryRatio, node.RetryBurst, node.RetryWindow) }
 	n.streams = drive.NewStreams(common.Log, n.engines, base,
@@ -136,7 +142,7 @@
 	n.edge = drive.NewEdge(common.Log, n.streams, n.engines, relay.New(node.Zone, budget(), base), base, n.burn)
 	n.feed = drive.NewFeed(common.Log, n.store, n.askPeer, n.changed)
 	n.duty = drive.NewDuty(common.Log, n.store, n.engines, n, &elect.State{
-		Process: process, OwnKey: daemonKeys + node.Daemon, Address: node.Peers, DutyKey: placementKey,
+		Process: node.Peers + processSeparator + process, OwnKey: daemonKeys + node.Daemon, Address: node.Peers, DutyKey: placementKey,
 		Wait: time.Duration(rand.Int64N(int64(claimSpread))),
 	})
 	return n, n.open(metricsPort)
@@ -180,6 +186,7 @@
 	s.Add(n.streams)
 	s.Add(n.feed)
 	s.Add(n.duty)
+	s.Add(part{name: "board", every: boardEvery, do: n.shareLoad})
 	s.Add(n.server)
 	s.Add(httpPart{name: "callers", server: callers, listener: n.callers})
 	s.Add(httpPart{name: "readiness", server: platform.NewReadiness(n.ready), listener: n.readiness})
@@ -438,11 +445,53 @@
 
 // Answer implements peer.Handler.
 func (n *EdgeNode) Answer(_ context.Context, q peer.Question) peer.Answer {
-	if q.Mirror == nil {
-		return peer.Answer{}
+	switch {
+	case q.Mirror != nil:
+		d := n.feed.Since(q.Mirror.After)
+		return peer.Answer{Mirror: &d}
+	case q.Load != nil:
+		return peer.Answer{Load: &peer.LoadAnswer{Others: n.exchange(q.Load.From, q.Load.Loads)}}
+	}
+	return peer.Answer{}
+}
+
+// boardEvery is how often daemons tell what they have in progress. It is shorter than
+// a usual stream, so that a burst is seen while it lasts.
+const boardEvery = 250 * time.Millisecond
+
+// shareLoad tells the owner of the placement what this daemon has in progress.
+func (n *EdgeNode) shareLoad(ctx context.Context) {
+	var loads []board.Load
+	n.streams.View(func(c *core.Core) { loads = c.Loads() })
+	self := model.DaemonID(n.node.Daemon)
+	owner, _, _ := strings.Cut(n.Seen().Owner, processSeparator)
+	if owner == "" {
+		return
+	}
+	if owner == n.node.Peers {
+		n.streams.SetOthers(n.exchange(self, loads))
+		return
 	}
-	d := n.feed.Since(q.Mirror.After)
-	return peer.Answer{Mirror: &d}
+	ctx, cancel := context.WithTimeout(ctx, boardTimeout)
+	defer cancel()
+	a, err := n.client.AskAddress(ctx, owner, peer.Question{Load: &peer.LoadQuestion{From: self, Loads: loads}})
+	if err != nil || a.Load == nil {
+		n.common.Log.Debug(evlog.PeerUnreachable, "peer", owner)
+		return
+	}
+	n.streams.SetOthers(a.Load.Others)
+}
+
+// boardTimeout bounds a question to the owner of the placement.
+const boardTimeout = 400 * time.Millisecond
+
+// exchange takes in what a daemon has in progress and returns what the others have.
+func (n *EdgeNode) exchange(from model.DaemonID, loads []board.Load) []board.Load {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.board.Put(now, from, loads)
+	return n.board.Others(now, from)
 }
 
 func (n *EdgeNode) limits(model.Team) burn.Limits {
--- /dev/null
+++ b/internal/core/board/board.go
@@ -0,0 +1,63 @@
+// Package board adds up what the daemons have in progress on each engine. Engines'
+// own reports lag and cost, and a daemon's own share says little about the others'.
+// The daemon that owns the placement keeps the board; the others tell it what they
+// have and learn the sum.
+package board
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+// Fresh is how long what a daemon told counts, and how long a sum may be used.
+const Fresh = 1500 * time.Millisecond
+
+// Load is what some daemons have in progress on one engine.
+type Load struct {
+	Server model.ServerID `cbor:"1,keyasint"`
+	// Tokens is the sum of the caches that the requests are counted with.
+	Tokens  int `cbor:"2,keyasint"`
+	Streams int `cbor:"3,keyasint"`
+}
+
+type row struct {
+	loads []Load
+	until time.Time
+}
+
+// State is the board at its owner.
+type State struct{ rows map[model.DaemonID]row }
+
+// New returns an empty board.
+func New() *State { return &State{rows: map[model.DaemonID]row{}} }
+
+// Put takes in what a daemon has in progress.
+func (st *State) Put(now time.Time, from model.DaemonID, loads []Load) {
+	st.rows[from] = row{loads: loads, until: now.Add(Fresh)}
+}
+
+// Others returns what all daemons but one have in progress, by engine.
+func (st *State) Others(now time.Time, but model.DaemonID) []Load {
+	sums := map[model.ServerID]Load{}
+	for id, r := range st.rows {
+		if !now.Before(r.until) {
+			delete(st.rows, id)
+			continue
+		}
+		if id == but {
+			continue
+		}
+		for _, l := range r.loads {
+			sum := sums[l.Server]
+			sums[l.Server] = Load{Server: l.Server, Tokens: sum.Tokens + l.Tokens, Streams: sum.Streams + l.Streams}
+		}
+	}
+	loads := make([]Load, 0, len(sums))
+	for _, id := range slices.Sorted(maps.Keys(sums)) {
+		loads = append(loads, sums[id])
+	}
+	return loads
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/admit"
+	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/drain"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/recov"
@@ -116,6 +117,9 @@
 			c.budget.Daemons = c.admit.Daemons
 		}
 	}
+	if !in.OthersUntil.IsZero() {
+		c.servers.SetOthers(in.OthersUntil, in.Others)
+	}
 	if in.Stop {
 		c.admit.Stopping = true
 	}
@@ -288,6 +292,9 @@
 // LastRoute is the route of the request that was answered whole last.
 func (c *Core) LastRoute() model.Route { return c.recov.LastRoute }
 
+// Loads is what this daemon has in progress on each engine.
+func (c *Core) Loads() []board.Load { return c.servers.Loads() }
+
 // Servers is the number of model engines known.
 func (c *Core) Servers() int { return c.servers.Len() }
 
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -53,10 +54,14 @@
 	Force   *setts.Force
 	Reports []model.Report
 	// Daemons is how many daemons share limits and servers; 0 is no news.
-	Daemons  int
-	Arrivals []Arrival
-	Tokens   []model.Token
-	Ends     []StreamEnd
+	Daemons int
+	// Others are what the other daemons have in progress on each server, with until
+	// when that may be used; no news where OthersUntil is zero.
+	Others      []board.Load
+	OthersUntil time.Time
+	Arrivals    []Arrival
+	Tokens      []model.Token
+	Ends        []StreamEnd
 	// Diagnoses are answers to Asks.
 	Diagnoses []Diagnosis
 	// Gone are requests whose caller closed its connection.
@@ -75,7 +80,7 @@
 
 // Empty reports whether nothing happened.
 func (in *Inbox) Empty() bool {
-	return in.List == nil && in.Force == nil && in.Daemons == 0 && !in.Stop &&
+	return in.List == nil && in.Force == nil && in.Daemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
 		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.Gone)+len(in.Diagnoses) == 0
 }
 
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -16,8 +16,9 @@
 
 const (
 	// copiesWanted is how many copies of the model a zone should hold: one whole
-	// chain, and a second copy of as many layers as memory allows.
-	copiesWanted = 1.5
+	// chain, and engines to spare that take over the layers of a lost one. More
+	// copies leave less room for the caches of requests, which is what binds.
+	copiesWanted = 1.2
 	// copiesLeast is the least that makes a chain, with room for engines whose
 	// number of layers does not divide the model.
 	copiesLeast = 1.05
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -44,6 +44,8 @@
 	model   string
 	expires time.Time
 	usable  []*table.Server
+	// known is whether the other daemons' loads are known.
+	known bool
 }
 
 // NewChains returns a picker for a daemon in an availability zone.
@@ -65,6 +67,7 @@
 	if len(c.usable) == 0 {
 		return model.Route{}, NoChain
 	}
+	c.known = now.Before(servers.OthersUntil)
 	if route, ok := c.search(q, true); ok {
 		return route, Found
 	}
@@ -113,7 +116,7 @@
 	for layer := range layers {
 		for _, s := range c.usable {
 			span := s.Report.Span
-			if span.From > layer || span.To <= layer || span.To > layers || (room && !hasRoom(s, q.Daemons, tokens)) ||
+			if span.From > layer || span.To <= layer || span.To > layers || (room && !c.hasRoom(s, q.Daemons, tokens)) ||
 				slices.Contains(q.Request.Failed, s.ID) {
 				continue
 			}
@@ -125,7 +128,7 @@
 
 // extend reaches the end of a server's span from a layer within it.
 func (c *Chains) extend(best [][]step, layer int, s *table.Server, zone int, zones []string, q Query) {
-	cost := stageCost(s, layer, q)
+	cost := c.stageCost(s, layer, q)
 	to := &best[s.Report.Span.To][zone]
 	if layer == 0 {
 		if zones[zone] != c.Zone {
@@ -153,13 +156,13 @@
 
 // stageCost estimates what a stage adds to the time between two tokens, and grows
 // without bound as its cache fills up.
-func stageCost(s *table.Server, layer int, q Query) float64 {
+func (c *Chains) stageCost(s *table.Server, layer int, q Query) float64 {
 	r := s.Report
 	share := float64(r.Span.To-layer) / float64(r.Span.To-r.Span.From)
-	streams := float64((len(s.Users) + 1) * max(1, q.Daemons))
-	cost := share*(float64(r.StepTime)+streams*float64(r.SequenceTime)+readWeight*float64(q.Request.PromptTokens)*float64(r.ReadTime)) + float64(hopTime)
+	streams, tokens := s.Load(c.known, q.Daemons)
+	cost := share*(float64(r.StepTime)+(streams+1)*float64(r.SequenceTime)+readWeight*float64(q.Request.PromptTokens)*float64(r.ReadTime)) + float64(hopTime)
 	if r.CacheTokens > 0 {
-		used := min(0.98, float64(s.Tokens*max(1, q.Daemons))/r.CacheTokens)
+		used := min(0.98, tokens/r.CacheTokens)
 		cost /= 1 - used
 	}
 	for range min(s.Failures, 3) {
@@ -168,14 +171,14 @@
 	return cost
 }
 
-// hasRoom reports whether a server's cache takes one more request, if the other
-// daemons send it as much as this one.
-func hasRoom(s *table.Server, daemons int, tokens float64) bool {
+// hasRoom reports whether a server's cache takes one more request.
+func (c *Chains) hasRoom(s *table.Server, daemons int, tokens float64) bool {
 	r := s.Report
-	if r.CacheTokens > 0 && float64(s.Tokens*max(1, daemons))+tokens > fullShare*r.CacheTokens {
+	streams, taken := s.Load(c.known, daemons)
+	if r.CacheTokens > 0 && taken+tokens > fullShare*r.CacheTokens {
 		return false
 	}
-	return r.Slots == 0 || len(s.Users)*max(1, daemons) < r.Slots
+	return r.Slots == 0 || streams < float64(r.Slots)
 }
 
 func (c *Chains) zones() []string {
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -40,6 +41,18 @@
 	Users map[model.RequestID]struct{}
 	// Tokens is the sum of what the users' caches take at the end of a usual answer.
 	Tokens int
+	// OtherTokens and OtherStreams are what the other daemons have in progress, as
+	// far as is known; see Servers.OthersUntil.
+	OtherTokens, OtherStreams int
+}
+
+// Load returns the streams and tokens in progress over all daemons: by what the
+// others told, or by the assumption that each has as much as this one.
+func (s *Server) Load(known bool, daemons int) (streams, tokens float64) {
+	if known {
+		return float64(len(s.Users) + s.OtherStreams), float64(s.Tokens + s.OtherTokens)
+	}
+	return float64(len(s.Users) * max(1, daemons)), float64(s.Tokens * max(1, daemons))
 }
 
 // Leaving reports whether any source says that the server leaves.
@@ -55,6 +68,32 @@
 	rows map[model.ServerID]*Server
 	// Version goes up with every change that may change a route.
 	Version uint64
+	// OthersUntil is until when the rows' figures of the other daemons may be used.
+	OthersUntil time.Time
+}
+
+// SetOthers takes in what the other daemons have in progress.
+func (t *Servers) SetOthers(until time.Time, loads []board.Load) {
+	for _, s := range t.rows {
+		s.OtherTokens, s.OtherStreams = 0, 0
+	}
+	for _, l := range loads {
+		if s := t.rows[l.Server]; s != nil {
+			s.OtherTokens, s.OtherStreams = l.Tokens, l.Streams
+		}
+	}
+	t.OthersUntil = until
+}
+
+// Loads returns what this daemon has in progress on each server.
+func (t *Servers) Loads() []board.Load {
+	var loads []board.Load
+	for _, id := range t.IDs() {
+		if s := t.rows[id]; len(s.Users) > 0 {
+			loads = append(loads, board.Load{Server: id, Tokens: s.Tokens, Streams: len(s.Users)})
+		}
+	}
+	return loads
 }
 
 // NewServers returns an empty table.
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/engine"
@@ -149,6 +150,12 @@
 	s.loop.post(func(in *msgs.Inbox) { in.Reports = append(in.Reports, r) })
 }
 
+// SetOthers hands over what the other daemons have in progress on each engine.
+func (s *Streams) SetOthers(loads []board.Load) {
+	until := time.Now().Add(board.Fresh)
+	s.loop.post(func(in *msgs.Inbox) { in.Others, in.OthersUntil = loads, until })
+}
+
 // Stop makes the daemon take no new requests.
 func (s *Streams) Stop() { s.loop.post(func(in *msgs.Inbox) { in.Stop = true }) }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/fleet"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/mirror"
@@ -28,6 +29,19 @@
 	Burn *BurnQuestion `cbor:"4,keyasint,omitempty"`
 	// Mirror asks for what the key-value service holds.
 	Mirror *MirrorQuestion `cbor:"5,keyasint,omitempty"`
+	// Load tells what a daemon has in progress, and asks for what the others have.
+	Load *LoadQuestion `cbor:"6,keyasint,omitempty"`
+}
+
+// LoadQuestion is what a daemon has in progress on each engine.
+type LoadQuestion struct {
+	From  model.DaemonID `cbor:"1,keyasint"`
+	Loads []board.Load   `cbor:"2,keyasint,omitempty"`
+}
+
+// LoadAnswer is what the other daemons have in progress on each engine.
+type LoadAnswer struct {
+	Others []board.Load `cbor:"1,keyasint,omitempty"`
 }
 
 // MirrorQuestion asks for what changed in the key-value service after a revision.
@@ -53,6 +67,7 @@
 	// Revision is the settings revision in force, in answers about settings.
 	Revision model.Revision `cbor:"6,keyasint,omitempty"`
 	Mirror   *mirror.Delta  `cbor:"7,keyasint,omitempty"`
+	Load     *LoadAnswer    `cbor:"8,keyasint,omitempty"`
 }
 
 // Settings are the changes after a revision, or the whole tree where the
