Count attempts by live first engines, and reload on SIGHUP

Change: the next stream begins at an engine that it began at before once the allowed number of first engines that still stand is reached; SIGHUP reads the settings file anew.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -6,12 +6,15 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -196,10 +199,17 @@
 	ended := s.ServeBackground(running)
 	n.common.Log.Info(evlog.DaemonStarted, "daemon", n.node.Daemon, "zone", n.node.Zone, "process", n.process,
 		"version", n.common.Build.Version, "callers", n.node.Callers, "peers", n.node.Peers, "store", n.node.Store)
-	select {
-	case <-ctx.Done():
-	case err := <-ended:
-		return trace.Wrap(err)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-hangups:
+			n.reload()
+		case err := <-ended:
+			return trace.Wrap(err)
+		}
 	}
 	n.stop(callers)
 	kill()
@@ -211,6 +221,20 @@
 	return trace.Wrap(err)
 }
 
+// reload reads the VM's settings file anew. The peers to ask at first follow it; what
+// else it says holds for the life of a process.
+func (n *EdgeNode) reload() {
+	node, err := platform.ReadNode()
+	if err != nil {
+		n.common.Log.Error(err, evlog.FileUnreadable)
+		return
+	}
+	n.mu.Lock()
+	n.node.Seeds = node.Seeds
+	n.mu.Unlock()
+	n.common.Log.Info(evlog.FileReloaded, "seeds", node.Seeds)
+}
+
 // ready is the test behind the balancer's question.
 func (n *EdgeNode) ready() error {
 	switch {
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -98,9 +98,6 @@
 		return fail
 	}
 	r := &table.Request{Arrival: a, Next: a.From, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries}
-	if a.MaxAttempts > 0 {
-		r.MaxRecoveries = a.MaxAttempts - 1
-	}
 	r.QueueUntil = earlier(a.Deadline, now.Add(firstWithin(now, a, p)*longestWait/inParts))
 	requests.Add(r)
 	if q.Length == 0 && !slices.Contains(st.backlog, a.Model) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -256,7 +256,7 @@
 }
 
 func (c *Core) start(now time.Time, r *table.Request, layers int, out *msgs.Outbox) route.Result {
-	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.sharing})
+	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.sharing, Heads: c.heads(r)})
 	switch {
 	case result != route.Found:
 		c.blocked = true
@@ -269,6 +269,25 @@
 	return result
 }
 
+// heads returns the servers that a request's next stream has to begin at, or none for
+// any. A request may be sent to a number of servers only; those that ended do not count,
+// and one that it was sent to before is no further one.
+func (c *Core) heads(r *table.Request) []model.ServerID {
+	if r.MaxAttempts == 0 {
+		return nil
+	}
+	var alive []model.ServerID
+	for _, id := range r.Heads {
+		if s := c.servers.Get(id); s != nil && s.Listed {
+			alive = append(alive, id)
+		}
+	}
+	if len(alive) < r.MaxAttempts {
+		return nil
+	}
+	return alive
+}
+
 // wake returns when the next tick is needed.
 func (c *Core) wake(now time.Time) time.Time {
 	next := first(c.requests.NextDeadline(), c.drain.NextMove())
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -27,8 +27,8 @@
 	From int
 	// Once is a request that must not be sent again once it may have run.
 	Once bool
-	// MaxAttempts bounds the routes that the request may be given; 0 leaves that to
-	// the team's policy.
+	// MaxAttempts bounds the servers that the request may be sent to, those that ended
+	// meanwhile left out; 0 is no bound. The team's policy bounds the routes.
 	MaxAttempts int
 	// FirstBy is when the first token should have come; zero leaves that to the
 	// team's policy.
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -141,6 +141,7 @@
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	st.detach(now, r, t)
 	if !e.Declined {
+		noteHead(r, r.Moved)
 		r.Verdict = r.Verdict.Worse(verdt.MayHaveRun).Worse(f.Verdict)
 	}
 	switch {
@@ -154,6 +155,13 @@
 	}
 }
 
+// noteHead remembers where a stream began to run.
+func noteHead(r *table.Request, route model.Route) {
+	if head := route.Hops[0].Server; !slices.Contains(r.Heads, head) {
+		r.Heads = append(r.Heads, head)
+	}
+}
+
 // Fail takes a request off its route because one of its servers does not go on.
 func (st *State) Fail(now time.Time, id model.RequestID, failed model.ServerID, t Tables, out *msgs.Outbox) {
 	r := t.Requests.Get(id)
@@ -203,6 +211,7 @@
 	}
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	st.detach(now, r, t)
+	noteHead(r, r.Moved)
 	r.Verdict = r.Verdict.Worse(verdt.MayHaveRun)
 	r.Recoveries--
 }
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -117,7 +117,7 @@
 		for _, s := range c.usable {
 			span := s.Report.Span
 			if span.From > layer || span.To <= layer || span.To > layers || (room && !c.hasRoom(s, q.Daemons, tokens)) ||
-				slices.Contains(q.Request.Failed, s.ID) {
+				slices.Contains(q.Request.Failed, s.ID) || (layer == 0 && len(q.Heads) > 0 && !slices.Contains(q.Heads, s.ID)) {
 				continue
 			}
 			c.extend(best, layer, s, slices.Index(zones, s.Zone), zones, q)
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -25,6 +25,8 @@
 type Query struct {
 	Request *table.Request
 	Layers  int
+	// Heads are the only servers that may come first in the chain; empty allows all.
+	Heads []model.ServerID
 	// Daemons is how many daemons share the servers, at least 1.
 	Daemons int
 }
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -40,6 +40,8 @@
 	Next int
 	// Recoveries counts the routes after the first.
 	Recoveries int
+	// Heads are the first servers of the streams that may have run.
+	Heads []model.ServerID
 	// Failed are the servers that failed during this request.
 	Failed []model.ServerID
 	// Moved is the route that the request was moved off, whose servers still
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -192,7 +192,7 @@
 		Team: t.in.Team, Model: t.service, MaxTokens: t.in.MaxTokens, PromptTokens: t.in.PromptTokens,
 		Origin: &t.in.Origin, Deadline: t.deadline, From: t.in.Next,
 		Once:        rule.Repetition == setts.Once || (rule.Repetition == setts.Streaming && !rule.Resumable),
-		MaxAttempts: rule.MaxAttempts + crashAttempts, FirstBy: t.arrived.Add(rule.Target),
+		MaxAttempts: rule.MaxAttempts, FirstBy: t.arrived.Add(rule.Target),
 	})
 	began := false
 	var last time.Time
@@ -224,10 +224,6 @@
 	}
 }
 
-// crashAttempts are the routes that a stream may be given beside those that its
-// route allows: engines that ended or were cut off meanwhile do not count.
-const crashAttempts = 2
-
 // timed counts the times that callers notice.
 func (e *Edge) timed(t *trip, now time.Time, last *time.Time) {
 	if last.IsZero() {
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	_EventName_0      = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failed"
-	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failed"
+	_EventName_0      = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadable"
+	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadable"
 	_EventName_1      = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_gone"
@@ -23,7 +23,7 @@
 )
 
 var (
-	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72}
+	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
 	_EventIndex_2 = [...]uint8{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148}
 	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118}
@@ -33,7 +33,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 104:
+	case 100 <= i && i <= 106:
 		i -= 100
 		return _EventName_0[_EventIndex_0[i]:_EventIndex_0[i+1]]
 	case 200 <= i && i <= 204:
@@ -64,6 +64,8 @@
 	_ = x[DaemonStopped-(102)]
 	_ = x[DaemonStopForced-(103)]
 	_ = x[PartFailed-(104)]
+	_ = x[FileReloaded-(105)]
+	_ = x[FileUnreadable-(106)]
 	_ = x[SettingsInForce-(200)]
 	_ = x[SettingsUnreadable-(201)]
 	_ = x[SettingsStale-(202)]
@@ -97,7 +99,7 @@
 	_ = x[RequestRepeated-(602)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:    DaemonStarted,
@@ -105,6 +107,8 @@
 	_EventName_0[29:43]:   DaemonStopped,
 	_EventName_0[43:61]:   DaemonStopForced,
 	_EventName_0[61:72]:   PartFailed,
+	_EventName_0[72:85]:   FileReloaded,
+	_EventName_0[85:100]:  FileUnreadable,
 	_EventName_1[0:17]:    SettingsInForce,
 	_EventName_1[17:36]:   SettingsUnreadable,
 	_EventName_1[36:50]:   SettingsStale,
@@ -144,6 +148,8 @@
 	_EventLowerName_0[29:43]:   DaemonStopped,
 	_EventLowerName_0[43:61]:   DaemonStopForced,
 	_EventLowerName_0[61:72]:   PartFailed,
+	_EventLowerName_0[72:85]:   FileReloaded,
+	_EventLowerName_0[85:100]:  FileUnreadable,
 	_EventLowerName_1[0:17]:    SettingsInForce,
 	_EventLowerName_1[17:36]:   SettingsUnreadable,
 	_EventLowerName_1[36:50]:   SettingsStale,
@@ -183,6 +189,8 @@
 	_EventName_0[29:43],
 	_EventName_0[43:61],
 	_EventName_0[61:72],
+	_EventName_0[72:85],
+	_EventName_0[85:100],
 	_EventName_1[0:17],
 	_EventName_1[17:36],
 	_EventName_1[36:50],
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -20,6 +20,10 @@
 	DaemonStopForced Event = 103
 	// PartFailed tells that a part of the daemon ended and is started again.
 	PartFailed Event = 104
+	// FileReloaded tells that the VM's settings file was read anew.
+	FileReloaded Event = 105
+	// FileUnreadable tells that it could not be read; what was read before holds.
+	FileUnreadable Event = 106
 	// SettingsInForce tells that a new revision is in force here.
 	SettingsInForce Event = 200
 	// SettingsUnreadable tells that the settings log holds what cannot be read.
