Let one daemon read the key-value service for the others

Ruled out: a longer watch at every daemon alone, since each change still wakes all of them, and a service that went silent would be noticed too late for settings to be in force in time.

Change: the owner of the placement reads the service; the others ask it four times a second over QUIC, with what they have in progress, and learn what changed, the others' load, how many daemons there are and a few of their addresses. They read the service themselves when the owner does not answer or has not heard from the service for 1.3 s, and any other daemon when the service does not answer either. Daemons need no keys of their own in the service any more.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -73,17 +74,18 @@
 	}
 }
 
-// Keys of the daemons in the platform's key-value service.
 const (
-	daemonKeys   = "bulrushpond/daemons/"
+	// placementKey is the key of the placement's owner in the platform's key-value
+	// service. The owner also reads the service for the others.
 	placementKey = "bulrushpond/placement"
 	// processSeparator stands between a daemon's address and its process.
 	processSeparator = "/"
 )
 
 const (
-	// claimSpread is the time over which daemons claim a free duty.
-	claimSpread = 400 * time.Millisecond
+	// claimSpread is the time over which daemons claim a free duty, so that most see the
+	// first claim before they make theirs.
+	claimSpread = 600 * time.Millisecond
 	// goneHold is how long after the key-value service was away the entries that
 	// lapsed meanwhile count as standing: their servers write them anew.
 	goneHold = 2200 * time.Millisecond
@@ -119,8 +121,10 @@
 	// service was away, with when they count as gone; guarded by mu.
 	members map[string]model.Member
 	gone    map[string]time.Time
-	// daemons are the peer addresses of the other daemons by name; guarded by mu.
-	daemons map[string]string
+	// peers are the addresses of a few other daemons, sharing how many there are;
+	// guarded by mu.
+	peers   []string
+	sharing int
 	// turn is whose turn it is among the peers; guarded by mu.
 	turn int
 	// board is what the daemons have in progress, while this one owns the placement;
@@ -136,16 +140,16 @@
 	}
 	n := &EdgeNode{
 		common: common, node: node, store: platform.NewStore(node.Store), engines: platform.NewEngines(), process: process,
-		members: map[string]model.Member{}, gone: map[string]time.Time{}, daemons: map[string]string{}, board: board.New(),
+		members: map[string]model.Member{}, gone: map[string]time.Time{}, board: board.New(), sharing: 1,
 	}
 	budget := func() *retry.Budget { return retry.New(node.RetryRatio, node.RetryBurst, node.RetryWindow) }
 	n.streams = drive.NewStreams(common.Log, n.engines, base,
 		core.WithPicker(route.NewChains(node.Zone)), core.WithBudget(budget()), core.WithStallCheck())
 	n.burn = burn.NewRecorder(n.limits)
 	n.edge = drive.NewEdge(common.Log, n.streams, n.engines, relay.New(node.Zone, budget(), base), base, n.burn)
-	n.feed = drive.NewFeed(common.Log, n.store, n.askPeer, n.changed)
+	n.feed = drive.NewFeed(common.Log, n.store, n, n.changed)
 	n.duty = drive.NewDuty(common.Log, n.store, n.engines, n, &elect.State{
-		Process: node.Peers + processSeparator + process, OwnKey: daemonKeys + node.Daemon, Address: node.Peers, DutyKey: placementKey,
+		Process: node.Peers + processSeparator + process, DutyKey: placementKey,
 		Wait: time.Duration(rand.Int64N(int64(claimSpread))),
 	})
 	return n, n.open(metricsPort)
@@ -189,7 +193,7 @@
 	s.Add(n.streams)
 	s.Add(n.feed)
 	s.Add(n.duty)
-	s.Add(part{name: "board", every: boardEvery, do: n.shareLoad})
+	s.Add(part{name: "board", every: boardEvery, do: n.ownLoad})
 	s.Add(n.server)
 	s.Add(httpPart{name: "callers", server: callers, listener: n.callers})
 	s.Add(httpPart{name: "readiness", server: platform.NewReadiness(n.ready), listener: n.readiness})
@@ -269,7 +273,7 @@
 func (n *EdgeNode) changed(now time.Time, items []mirror.Item) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	listed, daemons := false, false
+	listed := false
 	for _, item := range items {
 		switch {
 		case item.Key == platform.KeyRouting:
@@ -280,15 +284,12 @@
 			if n.applyServer(now, item) {
 				listed = true
 			}
-		case strings.HasPrefix(item.Key, daemonKeys):
-			n.applyDaemon(item)
-			daemons = true
 		}
 	}
 	if n.expireGone(now) {
 		listed = true
 	}
-	if listed || daemons {
+	if listed {
 		n.tell(now)
 	}
 }
@@ -343,17 +344,6 @@
 	return true
 }
 
-// applyDaemon takes in another daemon's registration. The caller holds mu.
-func (n *EdgeNode) applyDaemon(item mirror.Item) {
-	name := strings.TrimPrefix(item.Key, daemonKeys)
-	if item.Removed {
-		// The address is kept for the time that the service does not answer.
-		delete(n.daemons, name)
-		return
-	}
-	n.daemons[name] = elect.AddressOf(string(item.Value))
-}
-
 // expireGone forgets servers whose entry did not come back. The caller holds mu.
 func (n *EdgeNode) expireGone(now time.Time) bool {
 	changed := false
@@ -388,7 +378,7 @@
 		list = append(list, m)
 	}
 	n.edge.KeepServers(seen)
-	n.streams.SetList(list, max(1, len(n.daemons)))
+	n.streams.SetList(list, n.sharing)
 	for _, m := range list {
 		if m.Role == model.Engine {
 			n.streams.AddReport(route.ReportOf(now, m, routing.Services[m.Service].Engine))
@@ -399,9 +389,6 @@
 // Seen implements drive.DutyView.
 func (n *EdgeNode) Seen() elect.Seen {
 	var s elect.Seen
-	if item, ok := n.feed.Get(daemonKeys + n.node.Daemon); ok {
-		s.Own, s.OwnRevision = string(item.Value), item.Revision
-	}
 	if item, ok := n.feed.Get(placementKey); ok {
 		s.Owner, s.OwnerRevision = string(item.Value), item.Revision
 	}
@@ -433,8 +420,51 @@
 	return pools
 }
 
-// askPeer asks one other daemon for its copy of the key-value service.
-func (n *EdgeNode) askPeer(ctx context.Context, after uint64) (mirror.Delta, bool) {
+// hubAddress returns where the daemon that reads the key-value service serves others;
+// empty where nobody does.
+func (n *EdgeNode) hubAddress() string {
+	address, _, _ := strings.Cut(n.Seen().Owner, processSeparator)
+	return address
+}
+
+// Ask implements drive.Hub.
+func (n *EdgeNode) Ask(ctx context.Context, after uint64) (mirror.Delta, time.Duration, bool) {
+	hub := n.hubAddress()
+	if hub == "" || hub == n.node.Peers {
+		return mirror.Delta{}, 0, false
+	}
+	q := peer.HubQuestion{From: model.DaemonID(n.node.Daemon), Address: n.node.Peers, After: after, Loads: n.loads()}
+	a, err := n.client.AskAddress(ctx, hub, peer.Question{Hub: &q})
+	if err != nil || a.Hub == nil {
+		n.common.Log.Info(evlog.PeerUnreachable, "peer", hub, "error", errorText(err))
+		return mirror.Delta{}, 0, false
+	}
+	n.streams.SetOthers(a.Hub.Others)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(a.Hub.Peers) > 0 {
+		n.peers = a.Hub.Peers
+	}
+	n.share(a.Hub.Daemons)
+	return a.Hub.Delta, a.Hub.Age, true
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "it is not the hub"
+	}
+	return err.Error()
+}
+
+// share takes in how many daemons share the servers. The caller holds mu.
+func (n *EdgeNode) share(daemons int) {
+	n.sharing = max(1, daemons)
+	n.streams.SetDaemons(n.sharing)
+	n.edge.SetDaemons(n.sharing)
+}
+
+// AskAny implements drive.Hub.
+func (n *EdgeNode) AskAny(ctx context.Context, after uint64) (mirror.Delta, bool) {
 	address := n.nextPeer()
 	if address == "" {
 		return mirror.Delta{}, false
@@ -447,19 +477,11 @@
 	return *a.Mirror, true
 }
 
-// nextPeer returns the peer whose turn it is: one that is registered, or a seed.
+// nextPeer returns the peer whose turn it is: a daemon that was heard of, or a seed.
 func (n *EdgeNode) nextPeer() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var peers []string
-	for name, address := range n.daemons {
-		if name != n.node.Daemon {
-			peers = append(peers, address)
-		}
-	}
-	if len(peers) == 0 {
-		peers = n.node.Seeds
-	}
+	peers := append(slices.Clone(n.peers), n.node.Seeds...)
 	if len(peers) == 0 {
 		return ""
 	}
@@ -473,49 +495,47 @@
 	case q.Mirror != nil:
 		d := n.feed.Since(q.Mirror.After)
 		return peer.Answer{Mirror: &d}
-	case q.Load != nil:
-		return peer.Answer{Load: &peer.LoadAnswer{Others: n.exchange(q.Load.From, q.Load.Loads)}}
+	case q.Hub != nil && n.hubAddress() == n.node.Peers:
+		a := n.exchange(q.Hub.From, q.Hub.Address, q.Hub.Loads)
+		a.Delta, a.Age = n.feed.Since(q.Hub.After), n.feed.Age(time.Now())
+		return peer.Answer{Hub: &a}
 	}
 	return peer.Answer{}
 }
 
-// boardEvery is how often daemons tell what they have in progress. It is shorter than
-// a usual stream, so that a burst is seen while it lasts.
-const boardEvery = 250 * time.Millisecond
+const (
+	// boardEvery is how often the hub notes what it has in progress itself.
+	boardEvery = 250 * time.Millisecond
+	// namedPeers is how many daemons the hub names to each other one.
+	namedPeers = 4
+)
 
-// shareLoad tells the owner of the placement what this daemon has in progress.
-func (n *EdgeNode) shareLoad(ctx context.Context) {
+func (n *EdgeNode) loads() []board.Load {
 	var loads []board.Load
 	n.streams.View(func(c *core.Core) { loads = c.Loads() })
-	self := model.DaemonID(n.node.Daemon)
-	owner, _, _ := strings.Cut(n.Seen().Owner, processSeparator)
-	if owner == "" {
-		return
-	}
-	if owner == n.node.Peers {
-		n.streams.SetOthers(n.exchange(self, loads))
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, boardTimeout)
-	defer cancel()
-	a, err := n.client.AskAddress(ctx, owner, peer.Question{Load: &peer.LoadQuestion{From: self, Loads: loads}})
-	if err != nil || a.Load == nil {
-		n.common.Log.Debug(evlog.PeerUnreachable, "peer", owner)
+	return loads
+}
+
+// ownLoad notes what the hub has in progress itself.
+func (n *EdgeNode) ownLoad(context.Context) {
+	if n.hubAddress() != n.node.Peers {
 		return
 	}
-	n.streams.SetOthers(a.Load.Others)
+	a := n.exchange(model.DaemonID(n.node.Daemon), n.node.Peers, n.loads())
+	n.streams.SetOthers(a.Others)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers = a.Peers
+	n.share(a.Daemons)
 }
 
-// boardTimeout bounds a question to the owner of the placement.
-const boardTimeout = 400 * time.Millisecond
-
 // exchange takes in what a daemon has in progress and returns what the others have.
-func (n *EdgeNode) exchange(from model.DaemonID, loads []board.Load) []board.Load {
+func (n *EdgeNode) exchange(from model.DaemonID, address string, loads []board.Load) peer.HubAnswer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	n.board.Put(now, from, loads)
-	return n.board.Others(now, from)
+	n.board.Put(now, from, address, loads)
+	return peer.HubAnswer{Others: n.board.Others(now, from), Daemons: n.board.Daemons(now), Peers: n.board.Peers(from, namedPeers)}
 }
 
 func (n *EdgeNode) limits(model.Team) burn.Limits {
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -24,19 +24,47 @@
 }
 
 type row struct {
-	loads []Load
-	until time.Time
+	address string
+	loads   []Load
+	until   time.Time
 }
 
 // State is the board at its owner.
-type State struct{ rows map[model.DaemonID]row }
+type State struct {
+	rows map[model.DaemonID]row
+	// turn spreads which daemons are named to others.
+	turn int
+}
 
 // New returns an empty board.
 func New() *State { return &State{rows: map[model.DaemonID]row{}} }
 
-// Put takes in what a daemon has in progress.
-func (st *State) Put(now time.Time, from model.DaemonID, loads []Load) {
-	st.rows[from] = row{loads: loads, until: now.Add(Fresh)}
+// Put takes in what a daemon at an address has in progress.
+func (st *State) Put(now time.Time, from model.DaemonID, address string, loads []Load) {
+	st.rows[from] = row{address: address, loads: loads, until: now.Add(Fresh)}
+}
+
+// Daemons returns how many daemons told something lately.
+func (st *State) Daemons(now time.Time) int {
+	n := 0
+	for _, r := range st.rows {
+		if now.Before(r.until) {
+			n++
+		}
+	}
+	return n
+}
+
+// Peers returns the addresses of up to n daemons, but for one, in turn.
+func (st *State) Peers(but model.DaemonID, n int) []string {
+	ids := slices.DeleteFunc(slices.Sorted(maps.Keys(st.rows)), func(id model.DaemonID) bool { return id == but })
+	var peers []string
+	for i := range min(n, len(ids)) {
+		peers = append(peers, st.rows[ids[(st.turn+i)%len(ids)]].address)
+	}
+	st.turn++
+	slices.Sort(peers)
+	return slices.Compact(peers)
 }
 
 // Others returns what all daemons but one have in progress, by engine.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -114,7 +114,7 @@
 		c.admit.ApplyDaemons(now, in.Daemons)
 		c.sharing = in.Daemons
 		if c.budget != nil {
-			c.budget.Daemons = c.admit.Daemons
+			c.budget.SetDaemons(now, in.Daemons)
 		}
 	}
 	if !in.OthersUntil.IsZero() {
--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -1,7 +1,6 @@
-// Package elect keeps a daemon registered in the platform's key-value service, and
-// decides which daemon owns a duty. Both hang on one lease of the daemon. The
-// revision at which the owner's key was created is the fencing number of what the
-// owner orders, since no revision is ever used twice.
+// Package elect decides which daemon owns a duty, by a key of the platform's key-value
+// service that hangs on a lease of the owner. The revision at which the key was created
+// is the fencing number of what the owner orders, since no revision is ever used twice.
 package elect
 
 import (
@@ -13,8 +12,7 @@
 )
 
 const (
-	// LeaseTTL is how long a daemon stays registered, and an owner in office,
-	// after it was last heard.
+	// LeaseTTL is how long an owner stays in office after it was last heard.
 	LeaseTTL = 2500 * time.Millisecond
 	// renewEvery is how often the lease is renewed.
 	renewEvery = 800 * time.Millisecond
@@ -40,8 +38,6 @@
 	Grant
 	// Renew renews the lease.
 	Renew
-	// Register writes the daemon's own key.
-	Register
 	// Claim writes the owner's key.
 	Claim
 	// Release removes the owner's key.
@@ -59,10 +55,6 @@
 type Seen struct {
 	// Known is set once the service was read.
 	Known bool
-	// Own is the value of the daemon's own key, OwnRevision its revision; empty and 0
-	// where it is absent.
-	Own         string
-	OwnRevision uint64
 	// Owner is the value of the owner's key, OwnerRevision its revision; empty and
 	// 0 where nobody owns the duty.
 	Owner         string
@@ -71,11 +63,8 @@
 
 // State is one daemon's part. Its fields are the names that it uses.
 type State struct {
-	// Process differs between any two processes, also of one daemon.
+	// Process differs between any two processes, also of one daemon. It holds no space.
 	Process string
-	// OwnKey is the daemon's own key, whose value begins with Address.
-	OwnKey  string
-	Address string
 	// DutyKey is the key of the duty's owner.
 	DutyKey string
 	// Wait is how long a duty must be free before this daemon claims it. It differs
@@ -141,10 +130,10 @@
 	return value + " " + strconv.FormatUint(uint64(st.lease), 10)
 }
 
-// AddressOf returns the address in the value of a daemon's own key.
-func AddressOf(value string) string {
-	address, _, _ := strings.Cut(value, " ")
-	return address
+// ProcessOf returns the process in the value of a duty's key.
+func ProcessOf(value string) string {
+	process, _, _ := strings.Cut(value, " ")
+	return process
 }
 
 // owns reports whether the duty's key hangs on this daemon's lease.
@@ -156,14 +145,15 @@
 		return Call{Kind: Release, CAS: model.CAS{Key: st.DutyKey, Expect: seen.OwnerRevision, Delete: true}}
 	case !seen.Known:
 		return Call{}
-	case st.lease == 0 || !now.Before(st.until):
+	case st.lease != 0 && !now.Before(st.until):
 		st.drop()
-		return Call{Kind: Grant}
-	case !now.Before(st.renewAt):
+	case st.lease != 0 && st.owns(seen) && !now.Before(st.renewAt):
 		return Call{Kind: Renew, Lease: st.lease}
-	case seen.Own != st.tied(st.Address):
-		return Call{Kind: Register, CAS: model.CAS{Key: st.OwnKey, Value: []byte(st.tied(st.Address)), Expect: seen.OwnRevision, Lease: st.lease}}
-	case !st.stopping && !st.freeSince.IsZero() && now.Sub(st.freeSince) >= st.Wait:
+	case st.stopping || st.freeSince.IsZero() || now.Sub(st.freeSince) < st.Wait:
+	case st.lease == 0 || !now.Before(st.renewAt):
+		// A claim needs a lease with some time left.
+		return Call{Kind: Grant}
+	default:
 		return Call{Kind: Claim, CAS: model.CAS{Key: st.DutyKey, Value: []byte(st.tied(st.Process)), Lease: st.lease}}
 	}
 	return Call{}
@@ -190,7 +180,7 @@
 			st.drop()
 		case model.Refused, model.Unknown:
 		}
-	case Register, Claim, Release:
+	case Claim, Release:
 		// The copy of the service shows what became of the write. Until it does,
 		// the same write would be refused.
 		st.nextAt = now.Add(retryEvery)
--- a/internal/core/elect/kind_enumer.go
+++ b/internal/core/elect/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "nonegrantrenewregisterclaimrelease"
+const _KindName = "nonegrantrenewclaimrelease"
 
-var _KindIndex = [...]uint8{0, 4, 9, 14, 22, 27, 34}
+var _KindIndex = [...]uint8{0, 4, 9, 14, 19, 26}
 
-const _KindLowerName = "nonegrantrenewregisterclaimrelease"
+const _KindLowerName = "nonegrantrenewclaimrelease"
 
 func (i Kind) String() string {
 	if i >= Kind(len(_KindIndex)-1) {
@@ -27,38 +27,34 @@
 	_ = x[None-(0)]
 	_ = x[Grant-(1)]
 	_ = x[Renew-(2)]
-	_ = x[Register-(3)]
-	_ = x[Claim-(4)]
-	_ = x[Release-(5)]
+	_ = x[Claim-(3)]
+	_ = x[Release-(4)]
 }
 
-var _KindValues = []Kind{None, Grant, Renew, Register, Claim, Release}
+var _KindValues = []Kind{None, Grant, Renew, Claim, Release}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:4]:   None,
 	_KindName[4:9]:   Grant,
 	_KindName[9:14]:  Renew,
-	_KindName[14:22]: Register,
-	_KindName[22:27]: Claim,
-	_KindName[27:34]: Release,
+	_KindName[14:19]: Claim,
+	_KindName[19:26]: Release,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
 	_KindLowerName[0:4]:   None,
 	_KindLowerName[4:9]:   Grant,
 	_KindLowerName[9:14]:  Renew,
-	_KindLowerName[14:22]: Register,
-	_KindLowerName[22:27]: Claim,
-	_KindLowerName[27:34]: Release,
+	_KindLowerName[14:19]: Claim,
+	_KindLowerName[19:26]: Release,
 }
 
 var _KindNames = []string{
 	_KindName[0:4],
 	_KindName[4:9],
 	_KindName[9:14],
-	_KindName[14:22],
-	_KindName[22:27],
-	_KindName[27:34],
+	_KindName[14:19],
+	_KindName[19:26],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -104,6 +104,9 @@
 	st.servers[m.ID] = &server{member: m, success: 1}
 }
 
+// SetDaemons takes in how many daemons share the budget.
+func (st *State) SetDaemons(now time.Time, n int) { st.budget.SetDaemons(now, n) }
+
 // Arrive counts a request for the budget.
 func (st *State) Arrive(now time.Time, r *Request) { st.budget.Request(now, r.Service) }
 
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -13,11 +13,26 @@
 	Burst float64
 	// Window is the length of the sliding window.
 	Window time.Duration
-	// Daemons share Burst, at least 1.
-	Daemons int
+	// daemons share Burst, at least 1.
+	daemons int
+	// lowered is since when fewer daemons are known; zero while none are missing.
+	lowered time.Time
 	windows map[string]*window
 }
 
+// SetDaemons takes in how many daemons share the burst. A lower number counts only
+// when it has lasted for a window: daemons that cannot be heard may still send.
+func (b *Budget) SetDaemons(now time.Time, n int) {
+	switch {
+	case n >= b.daemons:
+		b.daemons, b.lowered = n, time.Time{}
+	case b.lowered.IsZero():
+		b.lowered = now
+	case now.Sub(b.lowered) >= b.Window:
+		b.daemons, b.lowered = max(1, n), time.Time{}
+	}
+}
+
 // buckets is how many parts a window is counted in.
 const buckets = 10
 
@@ -28,9 +43,13 @@
 	newest int64
 }
 
+// startDaemons is how many daemons are assumed before any number is known: a daemon
+// that starts beside others must not take the whole burst.
+const startDaemons = 8
+
 // New returns a budget for one daemon.
 func New(ratio, burst float64, length time.Duration) *Budget {
-	return &Budget{Ratio: ratio, Burst: burst, Window: length, Daemons: 1, windows: map[string]*window{}}
+	return &Budget{Ratio: ratio, Burst: burst, Window: length, daemons: startDaemons, windows: map[string]*window{}}
 }
 
 // Request counts a request of a caller for a service.
@@ -51,7 +70,7 @@
 			requests += w.requests[w.slot(i)]
 		}
 	}
-	if repeats+1 > b.Ratio*requests+b.Burst/float64(max(1, b.Daemons)) {
+	if repeats+1 > b.Ratio*requests+b.Burst/float64(max(1, b.daemons)) {
 		return false
 	}
 	w.repeats[w.slot(0)]++
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// dutyEvery is how often the registration, the duty and the placement are looked at.
+	// dutyEvery is how often the duty and the placement are looked at.
 	dutyEvery = 100 * time.Millisecond
 	// dutyTimeout bounds one call to the key-value service.
 	dutyTimeout = time.Second
@@ -30,7 +30,7 @@
 
 // DutyView is what the duty needs to know.
 type DutyView interface {
-	// Seen returns what the copy of the key-value service says of this daemon's keys.
+	// Seen returns what the copy of the key-value service says of the duty.
 	Seen() elect.Seen
 	// Pools returns the services with model engines and their engines.
 	Pools() []Pool
@@ -42,8 +42,8 @@
 	Members []model.Member
 }
 
-// Duty keeps this daemon registered, and gives the engines their layers while it
-// owns that duty.
+// Duty claims the placement of layers where nobody owns it, and gives the engines their
+// layers while it does.
 type Duty struct {
 	log    evlog.Log
 	kv     plat.KV
@@ -146,7 +146,7 @@
 		lease, outcome = d.kv.Grant(ctx, elect.LeaseTTL)
 	case elect.Renew:
 		outcome = d.kv.KeepAlive(ctx, c.Lease)
-	case elect.Register, elect.Claim, elect.Release:
+	case elect.Claim, elect.Release:
 		revision, outcome = d.kv.CAS(ctx, c.CAS)
 	case elect.None:
 	}
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -98,6 +98,13 @@
 	e.calls.Apply(m)
 }
 
+// SetDaemons takes in how many daemons share the budget of repeats.
+func (e *Edge) SetDaemons(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls.SetDaemons(time.Now(), n)
+}
+
 // KeepServers forgets the backend servers of plain services that are not named.
 func (e *Edge) KeepServers(ids map[string]bool) {
 	e.mu.Lock()
--- a/internal/drive/feed.go
+++ b/internal/drive/feed.go
@@ -12,64 +12,74 @@
 )
 
 const (
-	// feedEvery is how often changes are asked for. Backend servers renew their
-	// entries all the time, so that each question is answered at once: the pace
-	// bounds the calls, and how late a change is seen.
-	feedEvery = 400 * time.Millisecond
-	// feedWait is how long the service may hold a question that nothing answers.
-	feedWait = 300 * time.Millisecond
+	// feedPause merges changes that follow each other closely into one question.
+	feedPause = 100 * time.Millisecond
+	// feedWait is how long the service may hold a question that nothing answers. It
+	// bounds how long a service that went silent is not noticed.
+	feedWait = 700 * time.Millisecond
 	// feedTimeout bounds a question. Beyond it the service counts as away.
-	feedTimeout = 900 * time.Millisecond
-	// feedRetry is how soon the service and the peers are asked again after a failure.
-	feedRetry = 250 * time.Millisecond
-	// peerTimeout bounds a question to another daemon.
-	peerTimeout = 400 * time.Millisecond
+	feedTimeout = feedWait + 400*time.Millisecond
+	// hubEvery is how often the daemon that reads the service for the others is asked.
+	hubEvery = 250 * time.Millisecond
+	// hubTimeout bounds a question to it, and to any other daemon.
+	hubTimeout = 350 * time.Millisecond
+	// hubAge is how long ago the hub may last have heard from the service for its
+	// answer to count as current.
+	hubAge = 1300 * time.Millisecond
+	// retryLeast and retryMost bound the pause between two questions to a service that
+	// does not answer; the pause doubles, since refused calls cost as well.
+	retryLeast = 250 * time.Millisecond
+	retryMost  = time.Second
 )
 
-// MirrorPeers asks another daemon for what it knows of the key-value service. It
-// returns false where none answered.
-type MirrorPeers func(ctx context.Context, after uint64) (mirror.Delta, bool)
+// Hub reads the key-value service for the others, and tells them what it knows.
+type Hub interface {
+	// Ask asks the hub for what changed after a revision. It returns false where no
+	// other daemon is the hub, or it does not answer. age is how long ago it last heard
+	// from the service.
+	Ask(ctx context.Context, after uint64) (d mirror.Delta, age time.Duration, ok bool)
+	// AskAny asks any other daemon, for the time that the service does not answer here.
+	AskAny(ctx context.Context, after uint64) (mirror.Delta, bool)
+}
 
-// Feed keeps this daemon's copy of the platform's key-value service: from the
-// service, and from other daemons while it does not answer here.
+// Feed keeps this daemon's copy of the platform's key-value service. One daemon, the
+// hub, reads the service; the others ask it, and read the service themselves as soon as
+// it does not answer or does not hear from the service itself. While the service does
+// not answer here either, any other daemon is asked.
 type Feed struct {
 	log    evlog.Log
 	source plat.Feed
-	peers  MirrorPeers
+	hub    Hub
 	// changed is told what was news, in order, from one goroutine.
 	changed func(now time.Time, items []mirror.Item)
 
 	mu    sync.Mutex
 	state *mirror.State
-	// down is since when the service does not answer; zero while it does.
+	// heard is when the service last answered this daemon.
+	heard time.Time
+	// down is since when the service does not answer; zero while it does, or while the
+	// hub is asked.
 	down time.Time
 	// returned is when it last answered again.
 	returned time.Time
-	// confirmed is when the copy was last known to be current.
-	confirmed time.Time
-	// read is whether the service itself was read since the start or a lost history.
-	read bool
+	// read is whether the whole service was read since the start or a lost history.
+	read  bool
+	retry time.Duration
 }
 
 // NewFeed returns a feed that has read nothing.
-func NewFeed(log evlog.Log, source plat.Feed, peers MirrorPeers, changed func(time.Time, []mirror.Item)) *Feed {
-	return &Feed{log: log, source: source, peers: peers, changed: changed, state: mirror.New()}
+func NewFeed(log evlog.Log, source plat.Feed, hub Hub, changed func(time.Time, []mirror.Item)) *Feed {
+	return &Feed{log: log, source: source, hub: hub, changed: changed, state: mirror.New()}
 }
 
 // Serve follows the service until the context ends. It implements suture.Service.
 func (f *Feed) Serve(ctx context.Context) error {
 	for {
-		began := time.Now()
-		pause := feedEvery
-		if err := f.step(ctx); err != nil {
-			f.lost(err)
-			f.askPeers(ctx)
-			pause = feedRetry
-		}
+		pause := f.step(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(time.Until(began.Add(pause))):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -77,47 +87,93 @@
 // String names the part in events.
 func (f *Feed) String() string { return "feed" }
 
-// step asks the service once.
-func (f *Feed) step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
+// step asks once and returns the pause until the next question.
+func (f *Feed) step(ctx context.Context) time.Duration {
+	if f.askHub(ctx) {
+		return hubEvery
+	}
+	err := f.askService(ctx)
+	if err == nil {
+		f.retry = 0
+		return feedPause
+	}
+	if ctx.Err() == nil {
+		f.lost(err)
+		f.askAny(ctx)
+	}
+	f.retry = min(retryMost, max(retryLeast, 2*f.retry))
+	return f.retry
+}
+
+// askHub asks the daemon that reads the service.
+func (f *Feed) askHub(ctx context.Context) bool {
+	f.mu.Lock()
+	after := f.state.At()
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, hubTimeout)
 	defer cancel()
+	d, age, ok := f.hub.Ask(ctx, after)
+	if !ok || age > hubAge {
+		return false
+	}
+	f.take(d, time.Now().Add(-age))
+	return true
+}
+
+// askService asks the service itself.
+func (f *Feed) askService(ctx context.Context) error {
 	f.mu.Lock()
 	read, after := f.read, f.state.At()
 	f.mu.Unlock()
-	var delta mirror.Delta
+	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
+	defer cancel()
+	var d mirror.Delta
 	var err error
 	if read {
-		delta, err = f.source.Changes(ctx, "", after, feedWait)
-	} else {
-		delta, err = f.source.Read(ctx, "")
+		d, err = f.source.Changes(ctx, "", after, feedWait)
 	}
-	if errors.Is(err, plat.ErrCompacted) {
-		f.mu.Lock()
-		f.read = false
-		f.mu.Unlock()
-		delta, err = f.source.Read(ctx, "")
+	if !read || errors.Is(err, plat.ErrCompacted) {
+		d, err = f.source.Read(ctx, "")
 	}
 	if err != nil {
 		return err
 	}
-	f.take(delta, true)
+	now := time.Now()
+	f.mu.Lock()
+	f.heard = now
+	f.mu.Unlock()
+	f.take(d, now)
 	return nil
 }
 
-// take merges what the service or a peer said.
-func (f *Feed) take(d mirror.Delta, fromService bool) {
-	now := time.Now()
+// askAny asks another daemon that may still hear from the service.
+func (f *Feed) askAny(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, hubTimeout)
+	defer cancel()
 	f.mu.Lock()
-	news := f.state.Apply(d)
-	f.confirmed = now
-	if fromService {
-		f.read = true
-		if !f.down.IsZero() {
-			f.log.Info(evlog.StoreUp, "away_ms", now.Sub(f.down).Milliseconds(), "revision", f.state.At())
-			f.down, f.returned = time.Time{}, now
-		}
+	after := f.state.At()
+	f.mu.Unlock()
+	if d, ok := f.hub.AskAny(ctx, after); ok {
+		f.merge(time.Now(), d)
+	}
+}
+
+// take merges what is current as of a moment.
+func (f *Feed) take(d mirror.Delta, asOf time.Time) {
+	f.mu.Lock()
+	f.read = true
+	if !f.down.IsZero() {
+		f.log.Info(evlog.StoreUp, "away_ms", asOf.Sub(f.down).Milliseconds(), "revision", d.At)
+		f.down, f.returned = time.Time{}, asOf
 	}
 	f.mu.Unlock()
+	f.merge(asOf, d)
+}
+
+func (f *Feed) merge(now time.Time, d mirror.Delta) {
+	f.mu.Lock()
+	news := f.state.Apply(d)
+	f.mu.Unlock()
 	f.changed(now, news)
 }
 
@@ -131,16 +187,14 @@
 	}
 }
 
-// askPeers asks another daemon that may still reach the service.
-func (f *Feed) askPeers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
+// Age is how long ago the service last answered this daemon.
+func (f *Feed) Age(now time.Time) time.Duration {
 	f.mu.Lock()
-	after := f.state.At()
-	f.mu.Unlock()
-	if delta, ok := f.peers(ctx, after); ok {
-		f.take(delta, false)
+	defer f.mu.Unlock()
+	if f.heard.IsZero() {
+		return time.Hour
 	}
+	return now.Sub(f.heard)
 }
 
 // Since returns what a daemon that knows everything up to a revision lacks.
@@ -164,13 +218,6 @@
 	return f.returned
 }
 
-// Away reports whether the service does not answer here.
-func (f *Feed) Away() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.down.IsZero()
-}
-
 // At is the revision up to which everything is known; 0 before the first read.
 func (f *Feed) At() uint64 {
 	f.mu.Lock()
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -145,6 +145,9 @@
 	s.loop.post(func(in *msgs.Inbox) { in.List, in.Daemons = list, daemons })
 }
 
+// SetDaemons hands over how many daemons share the servers.
+func (s *Streams) SetDaemons(n int) { s.loop.post(func(in *msgs.Inbox) { in.Daemons = n }) }
+
 // AddReport hands over what an engine says of itself.
 func (s *Streams) AddReport(r model.Report) {
 	s.loop.post(func(in *msgs.Inbox) { in.Reports = append(in.Reports, r) })
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
@@ -29,19 +30,33 @@
 	Burn *BurnQuestion `cbor:"4,keyasint,omitempty"`
 	// Mirror asks for what the key-value service holds.
 	Mirror *MirrorQuestion `cbor:"5,keyasint,omitempty"`
-	// Load tells what a daemon has in progress, and asks for what the others have.
-	Load *LoadQuestion `cbor:"6,keyasint,omitempty"`
+	// Hub asks the daemon that reads the key-value service for the others.
+	Hub *HubQuestion `cbor:"6,keyasint,omitempty"`
 }
 
-// LoadQuestion is what a daemon has in progress on each engine.
-type LoadQuestion struct {
-	From  model.DaemonID `cbor:"1,keyasint"`
-	Loads []board.Load   `cbor:"2,keyasint,omitempty"`
+// HubQuestion asks the hub for what changed in the key-value service, and for what the
+// other daemons have in progress.
+type HubQuestion struct {
+	From model.DaemonID `cbor:"1,keyasint"`
+	// Address is where the asking daemon serves others.
+	Address string `cbor:"2,keyasint"`
+	// After is the revision up to which the asking daemon knows everything.
+	After uint64 `cbor:"3,keyasint"`
+	// Loads is what the asking daemon has in progress on each engine.
+	Loads []board.Load `cbor:"4,keyasint,omitempty"`
 }
 
-// LoadAnswer is what the other daemons have in progress on each engine.
-type LoadAnswer struct {
-	Others []board.Load `cbor:"1,keyasint,omitempty"`
+// HubAnswer is the hub's answer.
+type HubAnswer struct {
+	Delta mirror.Delta `cbor:"1,keyasint"`
+	// Age is how long ago the hub last heard from the service.
+	Age time.Duration `cbor:"2,keyasint"`
+	// Others is what the other daemons have in progress on each engine.
+	Others []board.Load `cbor:"3,keyasint,omitempty"`
+	// Daemons is how many daemons ask the hub, itself included.
+	Daemons int `cbor:"4,keyasint"`
+	// Peers are the addresses of a few of them, for the time that the hub is lost.
+	Peers []string `cbor:"5,keyasint,omitempty"`
 }
 
 // MirrorQuestion asks for what changed in the key-value service after a revision.
@@ -67,7 +82,7 @@
 	// Revision is the settings revision in force, in answers about settings.
 	Revision model.Revision `cbor:"6,keyasint,omitempty"`
 	Mirror   *mirror.Delta  `cbor:"7,keyasint,omitempty"`
-	Load     *LoadAnswer    `cbor:"8,keyasint,omitempty"`
+	Hub      *HubAnswer     `cbor:"8,keyasint,omitempty"`
 }
 
 // Settings are the changes after a revision, or the whole tree where the
