Tell full engines from lost ones, and wait out short outages

Change: a declined request marks its engine full for 100 ms; engines that others wait for rest 4 s, silent ones 1 s; orders for missing layers cut the work on layers given up (it goes on elsewhere); requests wait up to 3 s while no chain covers the model.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -30,6 +30,10 @@
 	// given up: its first token could not come in time any more.
 	longestWait = 8
 	inParts     = 10
+	// outageHold is how long a request waits while no chain of live servers covers its
+	// model. Another server takes over lost layers within about that time, and a late
+	// answer is worth more to a caller than none.
+	outageHold = 3 * time.Second
 	// leastBurst is the least number of requests that a rate limit lets
 	// through at once.
 	leastBurst = 1
@@ -99,6 +103,7 @@
 	}
 	r := &table.Request{Arrival: a, Next: a.From, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries}
 	r.QueueUntil = earlier(a.Deadline, now.Add(firstWithin(now, a, p)*longestWait/inParts))
+	r.HoldUntil = earlier(a.Deadline, now.Add(outageHold))
 	requests.Add(r)
 	if q.Length == 0 && !slices.Contains(st.backlog, a.Model) {
 		st.backlog = append(st.backlog, a.Model)
@@ -109,6 +114,16 @@
 	return nil
 }
 
+// Hold reports whether a request that has waited long enough for room waits on,
+// because its model's servers are lost for the moment.
+func (st *State) Hold(now time.Time, r *table.Request) bool {
+	if !st.queue(r.Model).Outage || !now.Before(r.HoldUntil) {
+		return false
+	}
+	r.QueueUntil = r.HoldUntil
+	return true
+}
+
 // firstWithin is how soon the first token of a request should come.
 func firstWithin(now time.Time, a msgs.Arrival, p setts.Policy) time.Duration {
 	if a.FirstBy.IsZero() {
@@ -149,7 +164,7 @@
 		return refuse(now, verdt.Overloaded, "too many requests wait", max(quickRetry, q.Interval*time.Duration(q.Length)))
 	}
 	ahead, share := q.Behind(a.Team, p.Weight)
-	if ahead == 0 {
+	if ahead == 0 || q.Outage {
 		return nil
 	}
 	wait := time.Duration(float64(q.Interval) * float64(ahead) / share)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -163,6 +163,10 @@
 func (c *Core) expire(now time.Time, out *msgs.Outbox) {
 	for r := c.requests.Due(now); r != nil; r = c.requests.Due(now) {
 		if now.Before(r.Deadline) {
+			if c.admit.Hold(now, r) {
+				c.requests.Postpone(r)
+				continue
+			}
 			c.giveUp(now, r, verdt.Overloaded, "the first token would come too late", out)
 			continue
 		}
@@ -194,9 +198,13 @@
 		return
 	}
 	for _, d := range in.Diagnoses {
+		wait := stall.DeadFor
+		if d.Silent {
+			wait = stall.SilentFor
+		}
 		for _, id := range c.stall.Diagnosed(d, c.servers) {
 			out.Notify(msgs.Notice{Kind: msgs.ServerStalled, Server: id, Detail: "asked " + string(d.Server)})
-			c.recov.Avoid(now, id, c.tables, out)
+			c.recov.Avoid(now, id, wait, c.tables, out)
 			for _, user := range slices.Sorted(maps.Keys(c.servers.Get(id).Users)) {
 				c.recov.Fail(now, user, id, c.tables, out)
 			}
@@ -229,12 +237,13 @@
 func (c *Core) drainQueue(now time.Time, q *table.Queue, layers int, out *msgs.Outbox) {
 	for q.Length > 0 {
 		r := c.requests.Get(q.Head())
-		switch c.start(now, r, layers, out) {
+		result := c.start(now, r, layers, out)
+		switch result {
 		case route.Found:
+			q.Outage = false
 			c.admit.Dispatched(now, q, costOf(r))
-		case route.NoChain:
-			c.giveUp(now, r, verdt.NoRoute, "no chain of live servers covers the model", out)
-		case route.Busy:
+		case route.NoChain, route.Busy:
+			q.Outage = result == route.NoChain
 			return
 		}
 	}
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -23,6 +23,8 @@
 	// a row; the time doubles with each further one, up to avoidMost.
 	avoidBase = 500 * time.Millisecond
 	avoidMost = 30 * time.Second
+	// fullFor is how long a server that declined a request counts as full.
+	fullFor = 100 * time.Millisecond
 	// observeEvery is how many tokens one observation of a route's gap covers.
 	observeEvery = 16
 	// retryAfterFailure is when a caller whose request failed should come back.
@@ -135,7 +137,12 @@
 	}
 	failed := model.ServerID(f.Server)
 	if s := t.Servers.Get(failed); s != nil && r.Route.Uses(failed) {
-		avoid(now, s, t, out)
+		if e.Declined && f.Reason == verdt.Overloaded {
+			// A server without room is well: it must not seem to be lost.
+			s.FullUntil = now.Add(fullFor)
+		} else {
+			avoid(now, s, avoidBase<<min(s.Failures, 6), t, out)
+		}
 		r.Failed = append(r.Failed, failed)
 	}
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
@@ -174,18 +181,17 @@
 }
 
 // Avoid gives a server no work for a while.
-func (st *State) Avoid(now time.Time, id model.ServerID, t Tables, out *msgs.Outbox) {
+func (st *State) Avoid(now time.Time, id model.ServerID, wait time.Duration, t Tables, out *msgs.Outbox) {
 	if s := t.Servers.Get(id); s != nil {
-		avoid(now, s, t, out)
+		avoid(now, s, wait, t, out)
 	}
 }
 
 // avoid gives a failing server no work for a while.
-func avoid(now time.Time, s *table.Server, t Tables, out *msgs.Outbox) {
-	if now.Before(s.AvoidUntil) {
+func avoid(now time.Time, s *table.Server, wait time.Duration, t Tables, out *msgs.Outbox) {
+	if !now.Add(wait).After(s.AvoidUntil) || (now.Before(s.AvoidUntil) && wait <= avoidBase<<min(s.Failures, 6)) {
 		return
 	}
-	wait := avoidBase << min(s.Failures, 6)
 	s.Failures++
 	s.AvoidUntil = now.Add(min(wait, avoidMost))
 	t.Servers.Version++
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -83,10 +83,10 @@
 	for range c.usable {
 		c.factors = append(c.factors, 1+costSpread*(2*c.rng.Float64()-1))
 	}
-	if route, ok := c.search(q, true); ok {
+	if route, ok := c.search(now, q, true); ok {
 		return route, Found
 	}
-	if _, ok := c.search(q, false); ok {
+	if _, ok := c.search(now, q, false); ok {
 		return model.Route{}, Busy
 	}
 	return model.Route{}, NoChain
@@ -117,7 +117,7 @@
 }
 
 // search finds the cheapest chain; with room it leaves out full servers.
-func (c *Chains) search(q Query, room bool) (model.Route, bool) {
+func (c *Chains) search(now time.Time, q Query, room bool) (model.Route, bool) {
 	zones := c.zones()
 	layers := max(1, q.Layers)
 	best := make([][]step, layers+1)
@@ -131,7 +131,7 @@
 	for layer := range layers {
 		for i, s := range c.usable {
 			span := s.Report.Span
-			if span.From > layer || span.To <= layer || span.To > layers || (room && !c.hasRoom(s, q.Daemons, tokens)) ||
+			if span.From > layer || span.To <= layer || span.To > layers || (room && !c.hasRoom(now, s, q.Daemons, tokens)) ||
 				slices.Contains(q.Request.Failed, s.ID) || (layer == 0 && len(q.Heads) > 0 && !slices.Contains(q.Heads, s.ID)) {
 				continue
 			}
@@ -188,8 +188,11 @@
 }
 
 // hasRoom reports whether a server's cache takes one more request.
-func (c *Chains) hasRoom(s *table.Server, daemons int, tokens float64) bool {
+func (c *Chains) hasRoom(now time.Time, s *table.Server, daemons int, tokens float64) bool {
 	r := s.Report
+	if now.Before(s.FullUntil) {
+		return false
+	}
 	streams, taken := s.Load(c.known, daemons)
 	if r.CacheTokens > 0 && taken+tokens > fullShare*r.CacheTokens {
 		return false
--- a/internal/core/stall/stall.go
+++ b/internal/core/stall/stall.go
@@ -19,6 +19,12 @@
 	quietLimit = 130 * time.Millisecond
 	// firstLimit is how long the first token of a route may take.
 	firstLimit = 400 * time.Millisecond
+	// DeadFor is how long an engine that others wait for gets no work: by then a dead
+	// one has lost its entry.
+	DeadFor = 4 * time.Second
+	// SilentFor is how long an engine that does not answer itself gets none. It may
+	// only be slow to answer.
+	SilentFor = time.Second
 	// askEvery is how often one engine is asked, since each question costs.
 	askEvery = 200 * time.Millisecond
 )
--- a/internal/core/table/queue.go
+++ b/internal/core/table/queue.go
@@ -37,6 +37,9 @@
 	// Interval is the smoothed time between two dispatches while requests
 	// wait; 0 before the first.
 	Interval time.Duration
+	// Outage is set while no chain of live servers covers the model, so that requests
+	// wait for servers to return and not for room.
+	Outage bool
 	// Dispatched is when the last dispatch with a backlog took place.
 	Dispatched time.Time
 }
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -63,6 +63,9 @@
 	// of servers has another version than TriedVersion by then.
 	TryAt        time.Time
 	TriedVersion uint64
+	// HoldUntil is when a request is given up that waits because servers are lost. It
+	// is not after Deadline.
+	HoldUntil time.Time
 	// QueueUntil is when a request that still waits is given up, because its
 	// first token would come too late. It is not after Deadline.
 	QueueUntil time.Time
@@ -153,6 +156,9 @@
 	return nil
 }
 
+// Postpone notes that a waiting request has a later QueueUntil.
+func (t *Requests) Postpone(r *Request) { t.deadlines.Push(deadline{at: r.QueueUntil, id: r.ID}) }
+
 // NextDeadline returns the earliest deadline known, or zero.
 func (t *Requests) NextDeadline() time.Time {
 	if t.deadlines.Len() == 0 {
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -35,6 +35,8 @@
 	MoveAt time.Time
 	// AvoidUntil is when a server that failed may get work again.
 	AvoidUntil time.Time
+	// FullUntil is until when the server counts as full, since it declined a request.
+	FullUntil time.Time
 	// Failures counts failures since the last success.
 	Failures int
 	// Users are the requests whose current route passes through the server.
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -25,7 +25,9 @@
 // Placer gives engines their layers. Errors are *verdt.Error; Fenced means that a
 // receiver has seen a higher fencing number.
 type Placer interface {
-	Place(ctx context.Context, to model.Member, span model.Span, fence uint64) error
+	// Place tells an engine what to hold. With cut, work in progress on layers that the
+	// engine gives up is cut off; else the new layers wait for it.
+	Place(ctx context.Context, to model.Member, span model.Span, cut bool, fence uint64) error
 }
 
 // DutyView is what the duty needs to know.
@@ -159,7 +161,7 @@
 func (d *Duty) order(ctx context.Context, to model.Member, o place.Order, fence uint64) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := d.placer.Place(ctx, to, o.Span, fence)
+	err := d.placer.Place(ctx, to, o.Span, o.Missing > 0, fence)
 	fields := []any{"server", to.ID, "zone", to.Zone, "kind", to.Kind, "from", o.Span.From, "to", o.Span.To, "missing", o.Missing, "fence", fence}
 	if err == nil {
 		d.log.Info(evlog.OrderGiven, fields...)
