Tell all daemons of engines that seem dead, and take over their layers at once

Cause: an engine that dies without a word keeps its entry for 3.6 s. Each daemon found out by itself, and the placement waited for the entry.

Change: daemons tell the hub which engines their chains wait for and hear of all others'; the owner places their layers anew. A stream counts as quiet after three of its own usual gaps, 130 ms at least; the first token may take 600 ms.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -428,6 +428,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	suspects := n.board.Suspects(time.Now())
 	var pools []drive.Pool
 	for name, service := range routing.Services {
 		if service.Engine == nil {
@@ -436,6 +437,10 @@
 		pool := drive.Pool{Profile: service.Engine}
 		for _, m := range n.members {
 			if m.Service == name {
+				if slices.Contains(suspects, model.ServerID(m.ID)) {
+					// Its layers are taken over before its entry is gone.
+					m.State = model.Leaving
+				}
 				pool.Members = append(pool.Members, m)
 			}
 		}
@@ -457,13 +462,13 @@
 	if hub == "" || hub == n.node.Peers {
 		return mirror.Delta{}, 0, false
 	}
-	q := peer.HubQuestion{From: model.DaemonID(n.node.Daemon), Address: n.node.Peers, After: after, Loads: n.loads()}
+	q := peer.HubQuestion{From: model.DaemonID(n.node.Daemon), Told: n.told(), After: after}
 	a, err := n.client.AskAddress(ctx, hub, peer.Question{Hub: &q})
 	if err != nil || a.Hub == nil {
 		n.common.Log.Info(evlog.PeerUnreachable, "peer", hub, "error", errorText(err))
 		return mirror.Delta{}, 0, false
 	}
-	n.streams.SetOthers(a.Hub.Others)
+	n.streams.SetOthers(a.Hub.Others, a.Hub.Suspects)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(a.Hub.Peers) > 0 {
@@ -520,7 +525,7 @@
 		d := n.feed.Since(q.Mirror.After)
 		return peer.Answer{Mirror: &d}
 	case q.Hub != nil && n.hubAddress() == n.node.Peers:
-		a := n.exchange(q.Hub.From, q.Hub.Address, q.Hub.Loads)
+		a := n.exchange(q.Hub.From, q.Hub.Told)
 		a.Delta, a.Age = n.feed.Since(q.Hub.After), n.feed.Age(time.Now())
 		return peer.Answer{Hub: &a}
 	}
@@ -534,10 +539,11 @@
 	namedPeers = 4
 )
 
-func (n *EdgeNode) loads() []board.Load {
-	var loads []board.Load
-	n.streams.View(func(c *core.Core) { loads = c.Loads() })
-	return loads
+// told is what this daemon tells the hub.
+func (n *EdgeNode) told() board.Told {
+	t := board.Told{Address: n.node.Peers}
+	n.streams.View(func(c *core.Core) { t.Loads, t.Suspects = c.Loads(), c.Suspects(time.Now()) })
+	return t
 }
 
 // ownLoad notes what the hub has in progress itself.
@@ -545,21 +551,24 @@
 	if n.hubAddress() != n.node.Peers {
 		return
 	}
-	a := n.exchange(model.DaemonID(n.node.Daemon), n.node.Peers, n.loads())
-	n.streams.SetOthers(a.Others)
+	a := n.exchange(model.DaemonID(n.node.Daemon), n.told())
+	n.streams.SetOthers(a.Others, a.Suspects)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers = a.Peers
 	n.share(a.Daemons)
 }
 
-// exchange takes in what a daemon has in progress and returns what the others have.
-func (n *EdgeNode) exchange(from model.DaemonID, address string, loads []board.Load) peer.HubAnswer {
+// exchange takes in what a daemon tells, and returns what the others told.
+func (n *EdgeNode) exchange(from model.DaemonID, told board.Told) peer.HubAnswer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	n.board.Put(now, from, address, loads)
-	return peer.HubAnswer{Others: n.board.Others(now, from), Daemons: n.board.Daemons(now), Peers: n.board.Peers(from, namedPeers)}
+	n.board.Put(now, from, told)
+	return peer.HubAnswer{
+		Others: n.board.Others(now, from), Suspects: n.board.Suspects(now),
+		Daemons: n.board.Daemons(now), Peers: n.board.Peers(from, namedPeers),
+	}
 }
 
 func (n *EdgeNode) limits(model.Team) burn.Limits {
--- a/internal/boot/edge_test.go
+++ b/internal/boot/edge_test.go
@@ -377,5 +377,5 @@
 	_, err = io.ReadAll(resp.Body)
 	assert.Assert(t, errors.Is(err, context.Canceled))
 	assert.NilError(t, resp.Body.Close())
-	s.await("nothing is in progress", func() bool { return s.daemons[0].edge.Running() == 0 && len(s.daemons[0].loads()) == 0 })
+	s.await("nothing is in progress", func() bool { return s.daemons[0].edge.Running() == 0 && len(s.daemons[0].told().Loads) == 0 })
 }
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -23,10 +23,19 @@
 	Streams int `cbor:"3,keyasint"`
 }
 
+// Told is what a daemon tells.
+type Told struct {
+	// Address is where the daemon serves others.
+	Address string `cbor:"1,keyasint"`
+	// Loads is what it has in progress on each engine.
+	Loads []Load `cbor:"2,keyasint,omitempty"`
+	// Suspects are the engines that seem to be dead from there.
+	Suspects []model.ServerID `cbor:"3,keyasint,omitempty"`
+}
+
 type row struct {
-	address string
-	loads   []Load
-	until   time.Time
+	Told
+	until time.Time
 }
 
 // State is the board at its owner.
@@ -39,9 +48,21 @@
 // New returns an empty board.
 func New() *State { return &State{rows: map[model.DaemonID]row{}} }
 
-// Put takes in what a daemon at an address has in progress.
-func (st *State) Put(now time.Time, from model.DaemonID, address string, loads []Load) {
-	st.rows[from] = row{address: address, loads: loads, until: now.Add(Fresh)}
+// Put takes in what a daemon tells.
+func (st *State) Put(now time.Time, from model.DaemonID, told Told) {
+	st.rows[from] = row{Told: told, until: now.Add(Fresh)}
+}
+
+// Suspects returns the engines that seem to be dead to any daemon, in order.
+func (st *State) Suspects(now time.Time) []model.ServerID {
+	var ids []model.ServerID
+	for _, r := range st.rows {
+		if now.Before(r.until) {
+			ids = append(ids, r.Suspects...)
+		}
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
 }
 
 // Daemons returns how many daemons told something lately.
@@ -60,7 +81,7 @@
 	ids := slices.DeleteFunc(slices.Sorted(maps.Keys(st.rows)), func(id model.DaemonID) bool { return id == but })
 	var peers []string
 	for i := range min(n, len(ids)) {
-		peers = append(peers, st.rows[ids[(st.turn+i)%len(ids)]].address)
+		peers = append(peers, st.rows[ids[(st.turn+i)%len(ids)]].Address)
 	}
 	st.turn++
 	slices.Sort(peers)
@@ -78,7 +99,7 @@
 		if id == but {
 			continue
 		}
-		for _, l := range r.loads {
+		for _, l := range r.Loads {
 			sum := sums[l.Server]
 			sums[l.Server] = Load{Server: l.Server, Tokens: sum.Tokens + l.Tokens, Streams: sum.Streams + l.Streams}
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -119,6 +119,9 @@
 	}
 	if !in.OthersUntil.IsZero() {
 		c.servers.SetOthers(in.OthersUntil, in.Others)
+		for _, id := range in.Suspects {
+			c.recov.Avoid(now, id, in.OthersUntil.Sub(now), c.tables, out)
+		}
 	}
 	if in.Stop {
 		c.admit.Stopping = true
@@ -205,6 +208,9 @@
 		for _, id := range c.stall.Diagnosed(d, c.servers) {
 			out.Notify(msgs.Notice{Kind: msgs.ServerStalled, Server: id, Detail: "asked " + string(d.Server)})
 			c.recov.Avoid(now, id, wait, c.tables, out)
+			if !d.Silent {
+				stall.Suspect(now, c.servers.Get(id))
+			}
 			for _, user := range slices.Sorted(maps.Keys(c.servers.Get(id).Users)) {
 				c.recov.Fail(now, user, id, c.tables, out)
 			}
@@ -323,6 +329,9 @@
 // Loads is what this daemon has in progress on each engine.
 func (c *Core) Loads() []board.Load { return c.servers.Loads() }
 
+// Suspects are the engines that seem to be dead from here.
+func (c *Core) Suspects(now time.Time) []model.ServerID { return c.servers.Suspects(now) }
+
 // Servers is the number of model engines known.
 func (c *Core) Servers() int { return c.servers.Len() }
 
--- a/internal/core/edge_test.go
+++ b/internal/core/edge_test.go
@@ -206,3 +206,20 @@
 	assert.Equal(t, len(w.out.Opens), 1)
 	assert.Assert(t, w.out.Opens[0].Route.Hops[0].Server != head)
 }
+
+// TestSuspectsOfOthers answers the pattern of an engine that dies without a word: a daemon
+// that hears of it from another one sends it nothing, and tells of its own suspicion.
+func TestSuspectsOfOthers(t *testing.T) {
+	w := newChainWorld(t, 2, WithStallCheck())
+	w.in.OthersUntil = w.now.Add(time.Second)
+	w.in.Suspects = []model.ServerID{"e00"}
+	w.tick()
+	for id := range model.RequestID(6) {
+		assert.Assert(t, !w.ask(msgs.Arrival{ID: id + 1}).Route.Uses("e00"))
+	}
+	assert.Equal(t, len(w.core.Suspects(w.now)), 0)
+	w.in.Diagnoses = append(w.in.Diagnoses, msgs.Diagnosis{Server: "e01", Faulty: []string{"e10:1"}})
+	w.tick()
+	assert.DeepEqual(t, w.core.Suspects(w.now), []model.ServerID{"e10"})
+	assert.Equal(t, len(w.core.Suspects(w.now.Add(10*time.Second))), 0)
+}
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -59,9 +59,11 @@
 	// when that may be used; no news where OthersUntil is zero.
 	Others      []board.Load
 	OthersUntil time.Time
-	Arrivals    []Arrival
-	Tokens      []model.Token
-	Ends        []StreamEnd
+	// Suspects are the servers that seem to be dead to any daemon; news with Others.
+	Suspects []model.ServerID
+	Arrivals []Arrival
+	Tokens   []model.Token
+	Ends     []StreamEnd
 	// Diagnoses are answers to Asks.
 	Diagnoses []Diagnosis
 	// Gone are requests whose caller closed its connection.
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -64,7 +64,7 @@
 		return
 	}
 	r.Verdict = verdt.Ran
-	r.HeardAt = now
+	hear(now, r)
 	if tok.End {
 		if tok.Head != nil {
 			// An answer without a single event still has a head.
@@ -78,6 +78,18 @@
 	out.Sends = append(out.Sends, tok)
 }
 
+// hear notes when a stream gave a token, and how long that usually takes.
+func hear(now time.Time, r *table.Request) {
+	const smoothing = 4
+	if gap := now.Sub(r.HeardAt); r.Next > r.OpenedAt {
+		if r.Gap == 0 {
+			r.Gap = gap
+		}
+		r.Gap += (gap - r.Gap) / smoothing
+	}
+	r.HeardAt = now
+}
+
 // refusal says why a token does not count, or nothing.
 func refusal(r *table.Request, tok model.Token) string {
 	switch {
@@ -244,6 +256,7 @@
 	r.Epoch++
 	r.Route, r.Trail = chain, model.TrailOf(chain)
 	r.LastToken, r.HeardAt, r.OpenedAt = time.Time{}, now, r.Next
+	r.Gap = 0
 	t.Servers.Take(r, chain)
 	out.Opens = append(out.Opens, msgs.Open{Request: r.ID, Epoch: r.Epoch, Route: chain, From: r.Next, Priority: r.Priority})
 }
--- a/internal/core/stall/stall.go
+++ b/internal/core/stall/stall.go
@@ -14,11 +14,13 @@
 const (
 	// sweepEvery is how often the streams are looked at.
 	sweepEvery = 25 * time.Millisecond
-	// quietLimit is how long a stream may pause between two tokens before its first
-	// engine is asked. Callers notice a pause of about twice that.
+	// quietLimit is how long a stream may pause between two tokens at least before its
+	// first engine is asked. Callers notice a pause of about twice that.
 	quietLimit = 130 * time.Millisecond
+	// quietGaps is how many of its usual gaps a stream may pause.
+	quietGaps = 3
 	// firstLimit is how long the first token of a route may take.
-	firstLimit = 400 * time.Millisecond
+	firstLimit = 600 * time.Millisecond
 	// DeadFor is how long an engine that others wait for gets no work: by then a dead
 	// one has lost its entry.
 	DeadFor = 4 * time.Second
@@ -69,9 +71,12 @@
 	if r.Next == r.OpenedAt {
 		return firstLimit
 	}
-	return quietLimit
+	return max(quietLimit, quietGaps*r.Gap)
 }
 
+// Suspect notes that an engine seems to be dead, for a time.
+func Suspect(now time.Time, s *table.Server) { s.DeadUntil = now.Add(DeadFor) }
+
 // Diagnosed returns the engines to take work off.
 func (st *State) Diagnosed(d msgs.Diagnosis, servers *table.Servers) []model.ServerID {
 	if d.Silent {
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -57,6 +57,9 @@
 	HeardAt time.Time
 	// Reserved is how many tokens the servers of Route count for the request.
 	Reserved int
+	// Gap is the smoothed time between two tokens of the newest stream; 0 before the
+	// second one.
+	Gap time.Duration
 	// OpenedAt is the position from which the newest stream was opened.
 	OpenedAt int
 	// TryAt is when a request without a route looks for one again, unless the table
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -35,6 +35,8 @@
 	MoveAt time.Time
 	// AvoidUntil is when a server that failed may get work again.
 	AvoidUntil time.Time
+	// DeadUntil is until when the server seems to be dead, since others wait for it.
+	DeadUntil time.Time
 	// FullUntil is until when the server counts as full, since it declined a request.
 	FullUntil time.Time
 	// Failures counts failures since the last success.
@@ -87,6 +89,17 @@
 	t.OthersUntil = until
 }
 
+// Suspects returns the servers that seem to be dead.
+func (t *Servers) Suspects(now time.Time) []model.ServerID {
+	var ids []model.ServerID
+	for _, id := range t.IDs() {
+		if now.Before(t.rows[id].DeadUntil) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Loads returns what this daemon has in progress on each server.
 func (t *Servers) Loads() []board.Load {
 	var loads []board.Load
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -153,10 +153,11 @@
 	s.loop.post(func(in *msgs.Inbox) { in.Reports = append(in.Reports, r) })
 }
 
-// SetOthers hands over what the other daemons have in progress on each engine.
-func (s *Streams) SetOthers(loads []board.Load) {
+// SetOthers hands over what the other daemons have in progress on each engine, and the
+// engines that seem to be dead to any daemon.
+func (s *Streams) SetOthers(loads []board.Load, suspects []model.ServerID) {
 	until := time.Now().Add(board.Fresh)
-	s.loop.post(func(in *msgs.Inbox) { in.Others, in.OthersUntil = loads, until })
+	s.loop.post(func(in *msgs.Inbox) { in.Others, in.OthersUntil, in.Suspects = loads, until, suspects })
 }
 
 // Stop makes the daemon take no new requests.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -38,12 +38,10 @@
 // other daemons have in progress.
 type HubQuestion struct {
 	From model.DaemonID `cbor:"1,keyasint"`
-	// Address is where the asking daemon serves others.
-	Address string `cbor:"2,keyasint"`
+	// Told is what the asking daemon tells of itself.
+	Told board.Told `cbor:"2,keyasint"`
 	// After is the revision up to which the asking daemon knows everything.
 	After uint64 `cbor:"3,keyasint"`
-	// Loads is what the asking daemon has in progress on each engine.
-	Loads []board.Load `cbor:"4,keyasint,omitempty"`
 }
 
 // HubAnswer is the hub's answer.
@@ -53,6 +51,8 @@
 	Age time.Duration `cbor:"2,keyasint"`
 	// Others is what the other daemons have in progress on each engine.
 	Others []board.Load `cbor:"3,keyasint,omitempty"`
+	// Suspects are the engines that seem to be dead to any daemon.
+	Suspects []model.ServerID `cbor:"6,keyasint,omitempty"`
 	// Daemons is how many daemons ask the hub, itself included.
 	Daemons int `cbor:"4,keyasint"`
 	// Peers are the addresses of a few of them, for the time that the hub is lost.
