See a crashed engine by declined requests and quiet streams

Cause: after a crash streams paused 450 to 900 ms before they went on: engines' answers lag by 200 ms, and the first question came too early to tell.

Change: a server that requests were just declined for, and over which no stream gave a token for 80 ms, is dead; one that is only full goes on. Engines are asked every 75 ms. A process that stood still itself draws no conclusion. Logs say how many routes a stream was given and its longest pause.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -201,22 +201,27 @@
 		return
 	}
 	for _, d := range in.Diagnoses {
-		wait := stall.DeadFor
-		if d.Silent {
-			wait = stall.SilentFor
-		}
 		for _, id := range c.stall.Diagnosed(d, c.servers) {
-			out.Notify(msgs.Notice{Kind: msgs.ServerStalled, Server: id, Detail: "asked " + string(d.Server)})
-			c.recov.Avoid(now, id, wait, c.tables, out)
-			if !d.Silent {
-				stall.Suspect(now, c.servers.Get(id))
-			}
-			for _, user := range slices.Sorted(maps.Keys(c.servers.Get(id).Users)) {
-				c.recov.Fail(now, user, id, c.tables, out)
-			}
+			c.leave(now, id, d.Silent, "asked "+string(d.Server), out)
 		}
 	}
-	c.stall.Sweep(now, c.requests, out)
+	for _, id := range c.stall.Sweep(now, c.requests, c.servers, out) {
+		c.leave(now, id, false, "declined, and its streams are quiet", out)
+	}
+}
+
+// leave moves all work off an engine that seems dead, or that was only silent itself.
+func (c *Core) leave(now time.Time, id model.ServerID, silent bool, why string, out *msgs.Outbox) {
+	out.Notify(msgs.Notice{Kind: msgs.ServerStalled, Server: id, Detail: why})
+	wait := stall.SilentFor
+	if !silent {
+		wait = stall.DeadFor
+		stall.Suspect(now, c.servers.Get(id))
+	}
+	c.recov.Avoid(now, id, wait, c.tables, out)
+	for _, user := range slices.Sorted(maps.Keys(c.servers.Get(id).Users)) {
+		c.recov.Fail(now, user, id, c.tables, out)
+	}
 }
 
 // dispatch gives routes, to requests that lost theirs first.
--- a/internal/core/edge_test.go
+++ b/internal/core/edge_test.go
@@ -223,3 +223,43 @@
 	assert.DeepEqual(t, w.core.Suspects(w.now), []model.ServerID{"e10"})
 	assert.Equal(t, len(w.core.Suspects(w.now.Add(10*time.Second))), 0)
 }
+
+// TestDeadWithoutAsking answers the pattern of an engine that crashes under load: requests
+// are declined because of it at once, and its streams go quiet. An engine that is only
+// full goes on with its streams and keeps them.
+func TestDeadWithoutAsking(t *testing.T) {
+	type scenario struct {
+		name string
+		// quiet is whether the streams over the engine stand still.
+		quiet bool
+	}
+	for _, c := range []scenario{{"crashed", true}, {"full", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newChainWorld(t, 2, WithStallCheck())
+			whole := w.list
+			w.list = whole[:2]
+			w.tell()
+			w.tick()
+			o := w.ask(msgs.Arrival{ID: 1, MaxAttempts: 2})
+			second := o.Route.Hops[1].Server
+			w.in.Tokens = append(w.in.Tokens, model.Token{Request: 1, Epoch: o.Epoch, Position: 0, Text: "a"})
+			w.tick()
+			other := w.ask(msgs.Arrival{ID: 2, MaxAttempts: 2})
+			w.list = whole
+			w.tell()
+			w.end(other, verdt.New(verdt.NotRun, verdt.Overloaded, "declined", verdt.Server(string(second))), true)
+			moved := false
+			for i := range 5 {
+				w.now = w.now.Add(25 * time.Millisecond)
+				if !c.quiet {
+					w.in.Tokens = append(w.in.Tokens, model.Token{Request: 1, Epoch: o.Epoch, Position: i + 1, Text: "a"})
+				}
+				w.tick()
+				for _, open := range w.out.Opens {
+					moved = moved || open.Request == 1
+				}
+			}
+			assert.Equal(t, moved, c.quiet)
+		})
+	}
+}
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -64,7 +64,7 @@
 		return
 	}
 	r.Verdict = verdt.Ran
-	hear(now, r)
+	hear(now, r, t)
 	if tok.End {
 		if tok.Head != nil {
 			// An answer without a single event still has a head.
@@ -79,8 +79,13 @@
 }
 
 // hear notes when a stream gave a token, and how long that usually takes.
-func hear(now time.Time, r *table.Request) {
+func hear(now time.Time, r *table.Request, t Tables) {
 	const smoothing = 4
+	for _, h := range r.Route.Hops {
+		if s := t.Servers.Get(h.Server); s != nil {
+			s.HeardAt = now
+		}
+	}
 	if gap := now.Sub(r.HeardAt); r.Next > r.OpenedAt {
 		if r.Gap == 0 {
 			r.Gap = gap
@@ -151,7 +156,7 @@
 	if s := t.Servers.Get(failed); s != nil && r.Route.Uses(failed) {
 		if e.Declined && f.Reason == verdt.Overloaded {
 			// A server without room is well: it must not seem to be lost.
-			s.FullUntil = now.Add(fullFor)
+			s.FullUntil, s.DeclinedAt = now.Add(fullFor), now
 		} else {
 			avoid(now, s, avoidBase<<min(s.Failures, 6), t, out)
 		}
--- a/internal/core/stall/stall.go
+++ b/internal/core/stall/stall.go
@@ -27,8 +27,18 @@
 	// SilentFor is how long an engine that does not answer itself gets none. It may
 	// only be slow to answer.
 	SilentFor = time.Second
-	// askEvery is how often one engine is asked, since each question costs.
-	askEvery = 200 * time.Millisecond
+	// askEvery is how often one engine is asked, since each question costs. What engines
+	// say of themselves lags by some hundred milliseconds.
+	askEvery = 75 * time.Millisecond
+	// declinedFor is how long it counts that a server was the reason why a request did
+	// not run.
+	declinedFor = 400 * time.Millisecond
+	// silentLimit is how long no stream over such a server must have given a token for
+	// it to be dead, and not only full.
+	silentLimit = 80 * time.Millisecond
+	// pausedLimit is the time between two looks above which this process itself stood
+	// still, so that quiet streams say nothing.
+	pausedLimit = 75 * time.Millisecond
 )
 
 // State is what the system remembers between ticks.
@@ -42,12 +52,18 @@
 // New returns a system that has asked nobody.
 func New() *State { return &State{asked: map[model.ServerID]time.Time{}} }
 
-// Sweep asks the first engines of streams that do not go on.
-func (st *State) Sweep(now time.Time, requests *table.Requests, out *msgs.Outbox) {
+// Sweep asks the first engines of streams that do not go on. It returns engines that are
+// dead without having to ask: those that requests were declined for, while the streams
+// over them are quiet. An engine that is only full goes on with what it has.
+func (st *State) Sweep(now time.Time, requests *table.Requests, servers *table.Servers, out *msgs.Outbox) []model.ServerID {
 	if now.Before(st.NextSweep) {
-		return
+		return nil
 	}
+	paused := now.Sub(st.NextSweep) > pausedLimit
 	st.NextSweep = now.Add(sweepEvery)
+	if paused {
+		return nil
+	}
 	for id, until := range st.asked {
 		if now.After(until) {
 			delete(st.asked, id)
@@ -64,6 +80,19 @@
 		st.asked[head.Server] = now.Add(askEvery)
 		out.Asks = append(out.Asks, msgs.Ask{Server: head.Server, Address: head.Address})
 	}
+	return dead(now, servers)
+}
+
+// dead returns the servers with streams that were declined for lately and are quiet.
+func dead(now time.Time, servers *table.Servers) []model.ServerID {
+	var ids []model.ServerID
+	for _, id := range servers.IDs() {
+		s := servers.Get(id)
+		if len(s.Users) > 0 && now.Sub(s.DeclinedAt) < declinedFor && now.Sub(s.HeardAt) >= silentLimit && !now.Before(s.DeadUntil) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // limit is how long a stream may be quiet.
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -133,6 +133,10 @@
 	attempts int
 	events   int
 	first    time.Duration
+	// pause is the longest time between two events, epoch the number of routes that
+	// the stream was given up to its last event.
+	pause time.Duration
+	epoch model.Epoch
 }
 
 // Serve answers one request. It returns when the answer is complete or the caller has
@@ -237,7 +241,9 @@
 		t.first = now.Sub(t.arrived)
 		e.watch.FirstToken(t.in.Team, t.first)
 	} else {
-		e.watch.Gap(t.in.Team, now.Sub(*last))
+		gap := now.Sub(*last)
+		t.pause = max(t.pause, gap)
+		e.watch.Gap(t.in.Team, gap)
 	}
 	*last = now
 }
@@ -258,6 +264,7 @@
 			continue
 		}
 		t.events++
+		t.epoch = tok.Epoch
 		if err := out.Event(tok.Text); err != nil {
 			return err
 		}
@@ -388,7 +395,8 @@
 	fields := []any{
 		"request", t.in.ID, "outcome", how, "revision", uint64(t.revision), "route", t.route, "service", t.service, "team", string(t.in.Team),
 		"server", t.server, "attempts", t.attempts, "events", t.events,
-		"first_ms", t.first.Milliseconds(), "took_ms", time.Since(t.arrived).Milliseconds(),
+		"routes", uint32(t.epoch),
+		"first_ms", t.first.Milliseconds(), "pause_ms", t.pause.Milliseconds(), "took_ms", time.Since(t.arrived).Milliseconds(),
 	}
 	if f != nil {
 		fields = append(fields, "reason", f.Reason.String(), "verdict", f.Verdict.String(), "message", f.Message, "failed_server", f.Server)
