Log each decision about a request under its caller's id, and tell its story

Cause: the users' on-call engineers have logs and metrics alone, and a stream's chain, failures and moves were logged under the process's own numbers or not at all.

--- a/internal/boot/app.go
+++ b/internal/boot/app.go
@@ -48,6 +48,7 @@
 	Settings SettingsCmd `cmd:"" help:"${help_settings}"`
 	Status   StatusCmd   `cmd:"" help:"${help_status}"`
 	Report   ReportCmd   `cmd:"" help:"${help_report}"`
+	Explain  ExplainCmd  `cmd:"" help:"${help_explain}"`
 	Keys     KeysCmd     `cmd:"" help:"${help_keys}"`
 	Version  VersionCmd  `cmd:"" help:"${help_version}"`
 	Debug    bool        `help:"${help_debug}"`
--- a/internal/boot/dev.go
+++ b/internal/boot/dev.go
@@ -47,9 +47,10 @@
 
 // DevCmd runs everything on loopback.
 type DevCmd struct {
-	Once    string `help:"${help_once}"`
-	Daemons int    `default:"1" help:"${help_daemons}"`
-	Engines int    `default:"4" help:"${help_engines}"`
+	Once     string `help:"${help_once}"`
+	Daemons  int    `default:"1" help:"${help_daemons}"`
+	Engines  int    `default:"4" help:"${help_engines}"`
+	Platform bool   `help:"${help_platform}"`
 }
 
 // devSite is a whole site on loopback.
@@ -69,6 +70,9 @@
 	if c.Daemons < 1 || c.Engines < 2 {
 		return withCode(ExitUsage, errors.New("at least 1 daemon and 2 engines are needed"))
 	}
+	if c.Platform {
+		return runPlatform(ctx, common, c.Engines, c.Once)
+	}
 	// The stand-ins outlive the daemons, which hand over what they own.
 	outside, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -49,11 +49,19 @@
 		return withCode(ExitUsage, err)
 	}
 	limitProcess(node)
-	common.Log = NewLog(common.Out, c.Debug)
+	writer := evlog.NewWriter(common.Out)
+	logging, stop := context.WithCancel(context.WithoutCancel(ctx))
+	go writer.Run(logging)
+	defer func() {
+		stop()
+		<-writer.Ended()
+	}()
+	common.Log = NewLog(writer, c.Debug)
 	e, err := NewEdgeNode(common, node, c.MetricsPort)
 	if err != nil {
 		return err
 	}
+	publishEdge(e, writer)
 	return e.Run(ctx)
 }
 
--- /dev/null
+++ b/internal/boot/explain_test.go
@@ -0,0 +1,37 @@
+package boot
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logOfA = `vm-a {"time":"2026-05-05T07:00:01Z","level":"INFO","msg":"server_avoided","event":304,"server":"e2","detail":"1 failures in a row"}
+vm-a {"time":"2026-05-05T07:00:02.5Z","level":"INFO","msg":"stream_failed","event":604,"request":"q1","epoch":1,"server":"e2","reason":"stage_failed"}
+vm-a {"time":"2026-05-05T07:00:02Z","level":"INFO","msg":"stream_opened","event":603,"request":"q1","epoch":1,"chain":"e1=0-40 e2=40-80"}
+vm-a {"time":"2026-05-05T07:00:02.1Z","level":"INFO","msg":"server_gone","event":310,"server":"e9"}
+not an event
+vm-a {"time":"2026-05-05T07:00:03Z","level":"INFO","msg":"request_served","event":601,"request":"q1","outcome":"whole"}
+vm-a {"time":"2026-05-05T07:00:03Z","level":"INFO","msg":"request_served","event":601,"request":"q2","outcome":"whole"}
+vm-b {"time":"2026-05-05T07:00:02Z","level":"INFO","msg":"server_avoided","event":304,"server":"e2"}
+vm-a {"time":"2026-05-05T07:01:00Z","level":"ERROR","msg":"store_down","event":405}
+`
+
+// TestExplain: a request's lines come in order, with what its daemon logged about its
+// servers around it, and with nothing else.
+func TestExplain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	assert.NilError(t, os.WriteFile(path, []byte(logOfA), 0o600))
+	var out bytes.Buffer
+	assert.NilError(t, (&ExplainCmd{ID: "q1", Files: []string{path}}).Run(Common{Out: &out}))
+	var names []string
+	for line := range strings.Lines(out.String()) {
+		names = append(names, strings.Fields(line)[1])
+	}
+	assert.DeepEqual(t, names, []string{"server_avoided", "stream_opened", "stream_failed", "request_served"})
+	assert.ErrorContains(t, (&ExplainCmd{ID: "q9", Files: []string{path}}).Run(Common{Out: &out}), "q9")
+}
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -62,6 +62,8 @@
 type Send struct {
 	Server model.Member
 	Began  time.Time
+	// InProgress is how many requests this daemon had at the server before.
+	InProgress int
 }
 
 // Outcome is how a send ended.
@@ -126,7 +128,7 @@
 	r.Attempts++
 	r.Tried = append(r.Tried, best.member.ID)
 	best.inFlight++
-	return Send{Server: best.member, Began: now}, nil
+	return Send{Server: best.member, Began: now, InProgress: best.inFlight - 1}, nil
 }
 
 // choose returns the server that should answer first. Servers that were tried
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -62,6 +62,8 @@
 	// running counts the requests in progress.
 	running atomic.Int64
 
+	meter *Meter
+
 	mu    sync.Mutex
 	calls *relay.State
 	rng   *rand.Rand
@@ -69,7 +71,7 @@
 
 // NewEdge returns an edge without a routing.
 func NewEdge(log evlog.Log, streams *Streams, sender engine.Relay, calls *relay.State, seed uint64, watch Observer) *Edge {
-	return &Edge{log: log, streams: streams, sender: sender, calls: calls, rng: rand.New(rand.NewPCG(seed, 2)), watch: watch}
+	return &Edge{log: log, streams: streams, sender: sender, calls: calls, rng: rand.New(rand.NewPCG(seed, 2)), watch: watch, meter: NewMeter()}
 }
 
 // SetRouting puts a routing in force, unless a newer one is. It returns whether it did.
@@ -112,6 +114,9 @@
 	e.calls.Keep(ids)
 }
 
+// Meter returns what is counted of the requests.
+func (e *Edge) Meter() *Meter { return e.meter }
+
 // Running is the number of requests in progress.
 func (e *Edge) Running() int64 { return e.running.Load() }
 
@@ -139,6 +144,8 @@
 	epoch model.Epoch
 }
 
+func (t *trip) took() time.Duration { return time.Since(t.arrived) }
+
 // Serve answers one request. It returns when the answer is complete or the caller has
 // gone.
 func (e *Edge) Serve(ctx context.Context, in *Inbound, out Outlet) {
@@ -309,6 +316,8 @@
 			return
 		}
 		t.attempts, t.server = r.Attempts, send.Server.ID
+		e.log.Info(evlog.RequestSent, "request", t.in.ID, "attempt", r.Attempts, "server", send.Server.ID, "zone", send.Server.Zone,
+			"in_progress", send.InProgress, "left_ms", time.Until(t.deadline).Milliseconds())
 		answer, failure := e.send(ctx, t, rule, r, send)
 		if answer != nil {
 			kept = answer
@@ -392,11 +401,12 @@
 // served logs how a request ended, and counts it.
 func (e *Edge) served(t *trip, how string, f *verdt.Error) {
 	e.watch.Ended(t.in.Team, f)
+	e.meter.ended(t, how, f)
 	fields := []any{
 		"request", t.in.ID, "outcome", how, "revision", uint64(t.revision), "route", t.route, "service", t.service, "team", string(t.in.Team),
 		"server", t.server, "attempts", t.attempts, "events", t.events,
 		"routes", uint32(t.epoch),
-		"first_ms", t.first.Milliseconds(), "pause_ms", t.pause.Milliseconds(), "took_ms", time.Since(t.arrived).Milliseconds(),
+		"first_ms", t.first.Milliseconds(), "pause_ms", t.pause.Milliseconds(), "took_ms", t.took().Milliseconds(),
 	}
 	if f != nil {
 		fields = append(fields, "reason", f.Reason.String(), "verdict", f.Verdict.String(), "message", f.Message, "failed_server", f.Server)
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -262,12 +264,36 @@
 	if row.origin == nil {
 		stream.Tokens = row.tokens[:o.From:o.From]
 	}
+	if row.origin != nil {
+		s.log.Info(evlog.StreamOpened, "request", row.origin.ID, "epoch", o.Epoch, "from", o.From, "chain", chainText(o.Route))
+	}
 	s.wg.Go(func() {
 		defer cancel()
 		s.stream(ctx, stream)
 	})
 }
 
+// chainText writes a route for the log.
+func chainText(r model.Route) string {
+	var b strings.Builder
+	for i, h := range r.Hops {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s=%d-%d", h.Server, h.Span.From, h.Span.To)
+	}
+	return b.String()
+}
+
+// nameOf is the name under which a request is logged: its caller's, or this process's.
+// The caller holds mu.
+func (s *Streams) nameOf(id model.RequestID) any {
+	if row := s.rows[id]; row != nil && row.origin != nil {
+		return row.origin.ID
+	}
+	return id
+}
+
 // stream carries one epoch until its end.
 func (s *Streams) stream(ctx context.Context, stream engine.Stream) {
 	err := s.engine.Open(ctx, stream, func(tok model.Token) {
@@ -281,6 +307,10 @@
 			end.Declined = failed.Declined
 			s.keepAnswer(stream.Request, failed.Answer)
 		}
+		if stream.Origin != nil {
+			s.log.Info(evlog.StreamFailed, "request", stream.Origin.ID, "epoch", stream.Epoch, "reason", end.Failure.Reason.String(),
+				"verdict", end.Failure.Verdict.String(), "server", end.Failure.Server, "declined", end.Declined, "message", end.Failure.Message)
+		}
 	}
 	s.loop.post(func(in *msgs.Inbox) { in.Ends = append(in.Ends, end) })
 }
@@ -303,9 +333,9 @@
 	case msgs.ServerAvoided:
 		s.log.Info(evlog.ServerAvoided, "server", n.Server, "detail", n.Detail)
 	case msgs.StreamMoved:
-		s.log.Info(evlog.StreamMoved, "request", n.Request, "detail", n.Detail)
+		s.log.Info(evlog.StreamMoved, "request", s.nameOf(n.Request), "detail", n.Detail)
 	case msgs.TokenDropped:
-		s.log.Debug(evlog.TokenDropped, "request", n.Request, "detail", n.Detail)
+		s.log.Debug(evlog.TokenDropped, "request", s.nameOf(n.Request), "detail", n.Detail)
 	case msgs.ServerStalled:
 		s.log.Info(evlog.ServerStalled, "server", n.Server, "detail", n.Detail)
 	case msgs.ListEmpty:
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	_EventName_0      = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadable"
-	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadable"
+	_EventName_0      = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_dropped"
+	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_dropped"
 	_EventName_1      = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_gone"
@@ -18,22 +18,22 @@
 	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_lost"
 	_EventName_4      = "peer_unreachable"
 	_EventLowerName_4 = "peer_unreachable"
-	_EventName_5      = "request_failedrequest_servedrequest_repeated"
-	_EventLowerName_5 = "request_failedrequest_servedrequest_repeated"
+	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sent"
+	_EventLowerName_5 = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sent"
 )
 
 var (
-	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100}
+	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
 	_EventIndex_2 = [...]uint8{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148}
 	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118}
 	_EventIndex_4 = [...]uint8{0, 16}
-	_EventIndex_5 = [...]uint8{0, 14, 28, 44}
+	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82}
 )
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 106:
+	case 100 <= i && i <= 107:
 		i -= 100
 		return _EventName_0[_EventIndex_0[i]:_EventIndex_0[i+1]]
 	case 200 <= i && i <= 204:
@@ -47,7 +47,7 @@
 		return _EventName_3[_EventIndex_3[i]:_EventIndex_3[i+1]]
 	case i == 500:
 		return _EventName_4
-	case 600 <= i && i <= 602:
+	case 600 <= i && i <= 605:
 		i -= 600
 		return _EventName_5[_EventIndex_5[i]:_EventIndex_5[i+1]]
 	default:
@@ -66,6 +66,7 @@
 	_ = x[PartFailed-(104)]
 	_ = x[FileReloaded-(105)]
 	_ = x[FileUnreadable-(106)]
+	_ = x[LinesDropped-(107)]
 	_ = x[SettingsInForce-(200)]
 	_ = x[SettingsUnreadable-(201)]
 	_ = x[SettingsStale-(202)]
@@ -97,9 +98,12 @@
 	_ = x[RequestFailed-(600)]
 	_ = x[RequestServed-(601)]
 	_ = x[RequestRepeated-(602)]
+	_ = x[StreamOpened-(603)]
+	_ = x[StreamFailed-(604)]
+	_ = x[RequestSent-(605)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:    DaemonStarted,
@@ -109,6 +113,7 @@
 	_EventName_0[61:72]:   PartFailed,
 	_EventName_0[72:85]:   FileReloaded,
 	_EventName_0[85:100]:  FileUnreadable,
+	_EventName_0[100:113]: LinesDropped,
 	_EventName_1[0:17]:    SettingsInForce,
 	_EventName_1[17:36]:   SettingsUnreadable,
 	_EventName_1[36:50]:   SettingsStale,
@@ -140,6 +145,9 @@
 	_EventName_5[0:14]:    RequestFailed,
 	_EventName_5[14:28]:   RequestServed,
 	_EventName_5[28:44]:   RequestRepeated,
+	_EventName_5[44:57]:   StreamOpened,
+	_EventName_5[57:70]:   StreamFailed,
+	_EventName_5[70:82]:   RequestSent,
 }
 
 var _EventLowerNameToValueMap = map[string]Event{
@@ -150,6 +158,7 @@
 	_EventLowerName_0[61:72]:   PartFailed,
 	_EventLowerName_0[72:85]:   FileReloaded,
 	_EventLowerName_0[85:100]:  FileUnreadable,
+	_EventLowerName_0[100:113]: LinesDropped,
 	_EventLowerName_1[0:17]:    SettingsInForce,
 	_EventLowerName_1[17:36]:   SettingsUnreadable,
 	_EventLowerName_1[36:50]:   SettingsStale,
@@ -181,6 +190,9 @@
 	_EventLowerName_5[0:14]:    RequestFailed,
 	_EventLowerName_5[14:28]:   RequestServed,
 	_EventLowerName_5[28:44]:   RequestRepeated,
+	_EventLowerName_5[44:57]:   StreamOpened,
+	_EventLowerName_5[57:70]:   StreamFailed,
+	_EventLowerName_5[70:82]:   RequestSent,
 }
 
 var _EventNames = []string{
@@ -191,6 +203,7 @@
 	_EventName_0[61:72],
 	_EventName_0[72:85],
 	_EventName_0[85:100],
+	_EventName_0[100:113],
 	_EventName_1[0:17],
 	_EventName_1[17:36],
 	_EventName_1[36:50],
@@ -222,6 +235,9 @@
 	_EventName_5[0:14],
 	_EventName_5[14:28],
 	_EventName_5[28:44],
+	_EventName_5[44:57],
+	_EventName_5[57:70],
+	_EventName_5[70:82],
 }
 
 // EventString retrieves an enum value from the enum constants string name.
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -24,6 +24,8 @@
 	FileReloaded Event = 105
 	// FileUnreadable tells that it could not be read; what was read before holds.
 	FileUnreadable Event = 106
+	// LinesDropped tells how many log lines were dropped since nobody read them.
+	LinesDropped Event = 107
 	// SettingsInForce tells that a new revision is in force here.
 	SettingsInForce Event = 200
 	// SettingsUnreadable tells that the settings log holds what cannot be read.
@@ -88,6 +90,12 @@
 	RequestServed Event = 601
 	// RequestRepeated tells that a request was sent again.
 	RequestRepeated Event = 602
+	// StreamOpened tells by which chain of engines a request runs.
+	StreamOpened Event = 603
+	// StreamFailed tells why a chain did not finish a request.
+	StreamFailed Event = 604
+	// RequestSent tells to which server of a plain service a request was sent, and why.
+	RequestSent Event = 605
 )
 
 // Log writes numbered events.
