--- a/internal/boot/devplat.go
+++ b/internal/boot/devplat.go
@@ -89,8 +89,8 @@
 			_, err := fmt.Fprint(out, answer)
 			return err
 		case err == nil:
-			_, err := fmt.Fprintf(out, "callers:   http://%s\nreadiness: http://%s/-/ready\n\ncurl -N -H 'Host: %s' -H 'Authorization: Bearer %s' -d hello http://%s/draft/1\ncurl -H 'Host: %s' -H 'Authorization: Bearer %s' -d visit http://%s/book/1\n",
-				n.CallersAddress(), n.ReadinessAddress(), devHost, devKey, n.CallersAddress(), devHost, devKey, n.CallersAddress())
+			_, err := fmt.Fprintf(out, "callers:   http://%s\nreadiness: http://%s%s\n\ncurl -N -H 'Host: %s' -H 'Authorization: Bearer %s' -d hello http://%s/draft/1\ncurl -H 'Host: %s' -H 'Authorization: Bearer %s' -d visit http://%s/book/1\n",
+				n.CallersAddress(), n.ReadinessAddress(), platform.PathReady, devHost, devKey, n.CallersAddress(), devHost, devKey, n.CallersAddress())
 			return err
 		case time.Now().After(end):
 			return fmt.Errorf("no stream got through: %w", err)
--- a/internal/evlog/writer.go
+++ b/internal/evlog/writer.go
@@ -11,6 +11,10 @@
 // maxPending is how many lines wait for a slow reader before further ones are dropped.
 const maxPending = 4096
 
+// maxBatch bounds the lines that are written in one piece: a pipe takes no more than that
+// without the lines of several writers getting mixed (PIPE_BUF).
+const maxBatch = 4096
+
 // Writer hands log lines to another writer and never blocks its callers. Lines that it
 // has no room for are dropped and counted; the count is logged.
 type Writer struct {
@@ -59,21 +63,29 @@
 	}
 }
 
-// drain writes a line and all that wait behind it in one piece.
+// drain writes a line and all that wait behind it, in pieces of several lines.
 func (w *Writer) drain(batch []byte) {
 	for {
 		select {
 		case line := <-w.lines:
+			if len(batch)+len(line) > maxBatch {
+				w.flush(batch)
+				batch = batch[:0]
+			}
 			batch = append(batch, line...)
 		default:
-			if len(batch) > 0 {
-				// A log that cannot be written cannot be reported either.
-				_, _ = w.out.Write(batch)
-			}
+			w.flush(batch)
 			return
 		}
 	}
 }
 
+func (w *Writer) flush(batch []byte) {
+	if len(batch) > 0 {
+		// A log that cannot be written cannot be reported either.
+		_, _ = w.out.Write(batch)
+	}
+}
+
 // Ended is closed when Run has written the last line.
 func (w *Writer) Ended() <-chan struct{} { return w.ended }
