Keep half of the retry budget for streams in progress

Change: requests without an answer use at most half of the budget; their callers are told when to come back. Streams that were moved on purpose are no longer logged as failed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -281,7 +281,7 @@
 	case result != route.Found:
 		c.blocked = true
 		r.TryAt, r.TriedVersion = now.Add(busyRetry), c.servers.Version
-	case r.Phase == table.Rerouting && c.budget != nil && !c.budget.Take(now, r.Model):
+	case r.Phase == table.Rerouting && c.budget != nil && !c.budget.Take(now, r.Model, budgetPart(r)):
 		c.recov.GiveUp(now, r, verdt.Overloaded, "too many requests are being sent again", c.tables, out)
 	default:
 		c.recov.Start(now, r, chain, c.tables, out)
@@ -289,6 +289,17 @@
 	return result
 }
 
+// freshPart is the part of the budget for requests whose caller has got nothing yet. Such
+// a caller can be told to come back, while a stream that is not sent again is cut.
+const freshPart = 0.5
+
+func budgetPart(r *table.Request) float64 {
+	if r.Next > r.From {
+		return 1
+	}
+	return freshPart
+}
+
 // heads returns the servers that a request's next stream has to begin at, or none for
 // any. A request may be sent to a number of servers only; those that ended do not count,
 // and one that it was sent to before is no further one.
--- a/internal/core/edge_test.go
+++ b/internal/core/edge_test.go
@@ -263,3 +263,23 @@
 		})
 	}
 }
+
+// TestBegunStreamsGoFirst answers the pattern of two crashes within one window: the budget
+// that requests without an answer have used leaves room for streams in progress.
+func TestBegunStreamsGoFirst(t *testing.T) {
+	const burst = 8 * 4
+	w := newChainWorld(t, 3, WithBudget(retry.New(0, burst, 10*time.Second)))
+	begun := w.ask(msgs.Arrival{ID: 100})
+	w.in.Tokens = append(w.in.Tokens, model.Token{Request: 100, Epoch: begun.Epoch, Position: 0, Text: "a"})
+	w.tick()
+	refused := 0
+	for id := range model.RequestID(4) {
+		o := w.ask(msgs.Arrival{ID: id + 1})
+		w.end(o, reset(o.Route.Hops[1].Server), false)
+		refused += len(w.out.Finishes)
+		w.now = w.now.Add(time.Second)
+	}
+	assert.Assert(t, refused > 0)
+	w.end(begun, reset(begun.Route.Hops[1].Server), false)
+	assert.Equal(t, len(w.out.Opens), 1)
+}
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -122,7 +122,7 @@
 	if best == nil {
 		return Send{}, verdt.New(r.Verdict, verdt.NoRoute, "no backend server of the service takes requests", verdt.RetryAt(now.Add(comeBack)))
 	}
-	if r.Attempts > 0 && !st.budget.Take(now, r.Service) {
+	if r.Attempts > 0 && !st.budget.Take(now, r.Service, 1) {
 		return Send{}, verdt.New(r.Verdict, verdt.Overloaded, "too many requests are being sent again", verdt.RetryAt(now.Add(comeBack)))
 	}
 	r.Attempts++
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -61,14 +61,15 @@
 	w.requests[w.slot(0)]++
 }
 
-// Take counts a repeated send to a service, if the budget has room for it.
-func (b *Budget) Take(now time.Time, service string) bool {
+// Take counts a repeated send to a service, if the part of the budget that it may use has
+// room for it. Sends that matter less use a smaller part, and leave the rest to others.
+func (b *Budget) Take(now time.Time, service string, part float64) bool {
 	w := b.at(now, service)
 	repeats := 0.0
 	for _, n := range w.repeats {
 		repeats += n
 	}
-	if repeats+1 > b.Ratio*w.earned()+b.Burst/float64(max(1, b.daemons)) {
+	if repeats+1 > part*(b.Ratio*w.earned()+b.Burst/float64(max(1, b.daemons))) {
 		return false
 	}
 	w.repeats[w.slot(0)]++
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -38,7 +38,7 @@
 			},
 			"repeats": func(t *rapid.T) {
 				for range rapid.IntRange(1, 10).Draw(t, "number") {
-					if b.Take(now, "s") {
+					if b.Take(now, "s", 1) {
 						log = append(log, sent{at: now, repeat: true})
 					}
 				}
@@ -79,21 +79,35 @@
 	now := time.Unix(1_000_000, 0)
 	b := New(0, startDaemons, testWindow)
 	b.SetDaemons(now, 1)
-	assert.Assert(t, b.Take(now, "s"))
-	assert.Assert(t, !b.Take(now, "s"))
+	assert.Assert(t, b.Take(now, "s", 1))
+	assert.Assert(t, !b.Take(now, "s", 1))
 	now = now.Add(testWindow)
 	b.SetDaemons(now, 1)
 	for range startDaemons - 1 {
-		assert.Assert(t, b.Take(now, "s"))
+		assert.Assert(t, b.Take(now, "s", 1))
 	}
-	assert.Assert(t, !b.Take(now, "s"))
+	assert.Assert(t, !b.Take(now, "s", 1))
 }
 
 // TestServicesApart: one service's repeats do not draw on another's budget.
 func TestServicesApart(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	b := New(0, startDaemons, testWindow)
-	assert.Assert(t, b.Take(now, "a"))
-	assert.Assert(t, !b.Take(now, "a"))
-	assert.Assert(t, b.Take(now, "b"))
+	assert.Assert(t, b.Take(now, "a", 1))
+	assert.Assert(t, !b.Take(now, "a", 1))
+	assert.Assert(t, b.Take(now, "b", 1))
+}
+
+// TestPartOfTheBudget: sends that may use a part leave the rest to others.
+func TestPartOfTheBudget(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := New(0, 10*startDaemons, testWindow)
+	for range 5 {
+		assert.Assert(t, b.Take(now, "s", 0.5))
+	}
+	assert.Assert(t, !b.Take(now, "s", 0.5))
+	for range 5 {
+		assert.Assert(t, b.Take(now, "s", 1))
+	}
+	assert.Assert(t, !b.Take(now, "s", 1))
 }
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -307,7 +307,7 @@
 			end.Declined = failed.Declined
 			s.keepAnswer(stream.Request, failed.Answer)
 		}
-		if stream.Origin != nil {
+		if stream.Origin != nil && ctx.Err() == nil {
 			s.log.Info(evlog.StreamFailed, "request", stream.Origin.ID, "epoch", stream.Epoch, "reason", end.Failure.Reason.String(),
 				"verdict", end.Failure.Verdict.String(), "server", end.Failure.Server, "declined", end.Declined, "message", end.Failure.Message)
 		}
