Ask for several quiet streams before an engine counts as dead

Change: a dead engine needs three begun streams, all quiet for two of their own gaps; the daemons share the questions to one engine.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -205,7 +205,7 @@
 			c.leave(now, id, d.Silent, "asked "+string(d.Server), out)
 		}
 	}
-	for _, id := range c.stall.Sweep(now, c.requests, c.servers, out) {
+	for _, id := range c.stall.Sweep(now, c.requests, c.servers, c.sharing, out) {
 		c.leave(now, id, false, "declined, and its streams are quiet", out)
 	}
 }
--- a/internal/core/edge_test.go
+++ b/internal/core/edge_test.go
@@ -226,40 +226,42 @@
 
 // TestDeadWithoutAsking answers the pattern of an engine that crashes under load: requests
 // are declined because of it at once, and its streams go quiet. An engine that is only
-// full goes on with its streams and keeps them.
+// full goes on with its streams and keeps them, and one or two quiet streams, as a daemon
+// of a large fleet has on an engine, are no proof.
 func TestDeadWithoutAsking(t *testing.T) {
 	type scenario struct {
-		name string
-		// quiet is whether the streams over the engine stand still.
-		quiet bool
+		name    string
+		streams int
+		// going is how many of the streams go on.
+		going int
+		dead  bool
 	}
-	for _, c := range []scenario{{"crashed", true}, {"full", false}} {
+	for _, c := range []scenario{
+		{"crashed", 3, 0, true},
+		{"full", 3, 3, false},
+		{"one stream goes on", 3, 1, false},
+		{"too few to tell", 2, 0, false},
+	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newChainWorld(t, 2, WithStallCheck())
-			whole := w.list
-			w.list = whole[:2]
-			w.tell()
-			w.tick()
-			o := w.ask(msgs.Arrival{ID: 1, MaxAttempts: 2})
-			second := o.Route.Hops[1].Server
-			w.in.Tokens = append(w.in.Tokens, model.Token{Request: 1, Epoch: o.Epoch, Position: 0, Text: "a"})
-			w.tick()
-			other := w.ask(msgs.Arrival{ID: 2, MaxAttempts: 2})
-			w.list = whole
-			w.tell()
+			w := newChainWorld(t, 1, WithStallCheck())
+			var second model.ServerID
+			var opens []msgs.Open
+			for id := range model.RequestID(c.streams) {
+				o := w.ask(msgs.Arrival{ID: id + 1, MaxAttempts: 2})
+				second, opens = o.Route.Hops[1].Server, append(opens, o)
+				w.in.Tokens = append(w.in.Tokens, model.Token{Request: o.Request, Epoch: o.Epoch, Position: 0, Text: "a"})
+				w.tick()
+			}
+			other := w.ask(msgs.Arrival{ID: 100, MaxAttempts: 2})
 			w.end(other, verdt.New(verdt.NotRun, verdt.Overloaded, "declined", verdt.Server(string(second))), true)
-			moved := false
-			for i := range 5 {
+			for i := range 6 {
 				w.now = w.now.Add(25 * time.Millisecond)
-				if !c.quiet {
-					w.in.Tokens = append(w.in.Tokens, model.Token{Request: 1, Epoch: o.Epoch, Position: i + 1, Text: "a"})
+				for _, o := range opens[:c.going] {
+					w.in.Tokens = append(w.in.Tokens, model.Token{Request: o.Request, Epoch: o.Epoch, Position: i + 1, Text: "a"})
 				}
 				w.tick()
-				for _, open := range w.out.Opens {
-					moved = moved || open.Request == 1
-				}
 			}
-			assert.Equal(t, moved, c.quiet)
+			assert.Equal(t, len(w.core.Suspects(w.now)) > 0, c.dead)
 		})
 	}
 }
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -64,7 +64,7 @@
 		return
 	}
 	r.Verdict = verdt.Ran
-	hear(now, r, t)
+	hear(now, r)
 	if tok.End {
 		if tok.Head != nil {
 			// An answer without a single event still has a head.
@@ -79,13 +79,8 @@
 }
 
 // hear notes when a stream gave a token, and how long that usually takes.
-func hear(now time.Time, r *table.Request, t Tables) {
+func hear(now time.Time, r *table.Request) {
 	const smoothing = 4
-	for _, h := range r.Route.Hops {
-		if s := t.Servers.Get(h.Server); s != nil {
-			s.HeardAt = now
-		}
-	}
 	if gap := now.Sub(r.HeardAt); r.Next > r.OpenedAt {
 		if r.Gap == 0 {
 			r.Gap = gap
--- a/internal/core/stall/stall.go
+++ b/internal/core/stall/stall.go
@@ -27,15 +27,22 @@
 	// SilentFor is how long an engine that does not answer itself gets none. It may
 	// only be slow to answer.
 	SilentFor = time.Second
-	// askEvery is how often one engine is asked, since each question costs. What engines
-	// say of themselves lags by some hundred milliseconds.
+	// askEvery is how often one engine is asked at most, since each question costs. What
+	// engines say of themselves lags by some hundred milliseconds.
 	askEvery = 75 * time.Millisecond
+	// askShare is the time between two questions of all daemons to one engine: daemons
+	// tell each other what they learn.
+	askShare = 10 * time.Millisecond
 	// declinedFor is how long it counts that a server was the reason why a request did
 	// not run.
 	declinedFor = 400 * time.Millisecond
 	// silentLimit is how long no stream over such a server must have given a token for
 	// it to be dead, and not only full.
 	silentLimit = 80 * time.Millisecond
+	// silentGaps is how many of its usual gaps each of these streams must be quiet.
+	silentGaps = 2
+	// leastQuiet is how many quiet streams are enough to tell. A daemon with fewer asks.
+	leastQuiet = 3
 	// pausedLimit is the time between two looks above which this process itself stood
 	// still, so that quiet streams say nothing.
 	pausedLimit = 75 * time.Millisecond
@@ -55,7 +62,7 @@
 // Sweep asks the first engines of streams that do not go on. It returns engines that are
 // dead without having to ask: those that requests were declined for, while the streams
 // over them are quiet. An engine that is only full goes on with what it has.
-func (st *State) Sweep(now time.Time, requests *table.Requests, servers *table.Servers, out *msgs.Outbox) []model.ServerID {
+func (st *State) Sweep(now time.Time, requests *table.Requests, servers *table.Servers, daemons int, out *msgs.Outbox) []model.ServerID {
 	if now.Before(st.NextSweep) {
 		return nil
 	}
@@ -77,24 +84,40 @@
 		if _, asked := st.asked[head.Server]; asked {
 			continue
 		}
-		st.asked[head.Server] = now.Add(askEvery)
+		st.asked[head.Server] = now.Add(max(askEvery, time.Duration(daemons)*askShare))
 		out.Asks = append(out.Asks, msgs.Ask{Server: head.Server, Address: head.Address})
 	}
-	return dead(now, servers)
+	return dead(now, requests, servers)
 }
 
-// dead returns the servers with streams that were declined for lately and are quiet.
-func dead(now time.Time, servers *table.Servers) []model.ServerID {
+// dead returns the servers that were declined for lately and whose streams are quiet.
+func dead(now time.Time, requests *table.Requests, servers *table.Servers) []model.ServerID {
 	var ids []model.ServerID
 	for _, id := range servers.IDs() {
 		s := servers.Get(id)
-		if len(s.Users) > 0 && now.Sub(s.DeclinedAt) < declinedFor && now.Sub(s.HeardAt) >= silentLimit && !now.Before(s.DeadUntil) {
+		if now.Sub(s.DeclinedAt) < declinedFor && !now.Before(s.DeadUntil) && allQuiet(now, s, requests) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// allQuiet reports whether enough streams over a server have begun, and none goes on.
+func allQuiet(now time.Time, s *table.Server, requests *table.Requests) bool {
+	quiet := 0
+	for id := range s.Users {
+		r := requests.Get(id)
+		if r == nil || r.Next == r.OpenedAt {
+			continue
+		}
+		if now.Sub(r.HeardAt) < max(silentLimit, silentGaps*r.Gap) {
+			return false
+		}
+		quiet++
+	}
+	return quiet >= leastQuiet
+}
+
 // limit is how long a stream may be quiet.
 func limit(r *table.Request) time.Duration {
 	if r.Next == r.OpenedAt {
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -37,9 +37,8 @@
 	AvoidUntil time.Time
 	// DeadUntil is until when the server seems to be dead, since others wait for it.
 	DeadUntil time.Time
-	// HeardAt is when a stream over the server last gave a token, DeclinedAt when the
-	// server was last named as the reason why a request did not run.
-	HeardAt, DeclinedAt time.Time
+	// DeclinedAt is when the server was last named as the reason why a request did not run.
+	DeclinedAt time.Time
 	// FullUntil is until when the server counts as full, since it declined a request.
 	FullUntil time.Time
 	// Failures counts failures since the last success.
