Remove what the platform's adapter decoded and nothing used

Cause: a last reading found fields of the settings file, the configuration and the callers' headers that no decision reads. Ruled out: a use in the core for any of them yet.

--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -26,8 +26,6 @@
 	Deadline time.Time
 	// PromptTokens and MaxTokens are 0 for requests that are no prompts.
 	PromptTokens, MaxTokens int
-	// LengthHint is the caller's guess at the answer's tokens; 0 is none.
-	LengthHint int
 	// Next is the position of the first event that the caller wants.
 	Next int
 }
--- a/pkg/setts/routing.go
+++ b/pkg/setts/routing.go
@@ -43,8 +43,6 @@
 	Timeout time.Duration
 	// Target is the time to the first byte of the answer that callers expect.
 	Target time.Duration
-	// Gap is the longest pause between events that callers expect.
-	Gap time.Duration
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Shares are the services that requests go to; at least one.
@@ -67,8 +65,6 @@
 // ServiceRule is one service behind the router.
 type ServiceRule struct {
 	Name string
-	// MaxConnections bounds the connections to one backend server, over all daemons.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *EngineProfile
 }
@@ -89,12 +85,6 @@
 	StepTime, SequenceTime time.Duration
 	// ReadRate is how many prompt tokens a second all layers read at pace 1.
 	ReadRate float64
-	// Stride is how many tokens one event of a stream holds.
-	Stride int
-	// ActivationBytes cross the link between two engines for each token.
-	ActivationBytes float64
-	// ZoneBytesPerSecond is the rate of the link between two availability zones.
-	ZoneBytesPerSecond float64
 	// LoadTime is how long all layers take to load.
 	LoadTime time.Duration
 	// UsualPrompt and UsualAnswer are mean numbers of tokens.
