--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -47,14 +47,49 @@
 				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
 			},
 		})
-		checkWindows(t, log)
+		checkWindows(t, log, testBurst)
+	})
+}
+
+// TestManyDaemonsKeepTheBudget: in any window, all daemons together repeat at most the
+// ratio of the requests that count for it plus the burst, whenever their requests come.
+func TestManyDaemonsKeepTheBudget(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		const burst, most = 20, 300
+		now := time.Unix(1_000_000, 0)
+		daemons := rapid.IntRange(startDaemons, 2*startDaemons).Draw(t, "daemons")
+		var all []*Budget
+		for range daemons {
+			b := New(testRatio, burst, testWindow)
+			b.SetDaemons(now, daemons)
+			all = append(all, b)
+		}
+		var log []sent
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(t *rapid.T) {
+				b := all[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+				repeat := rapid.Bool().Draw(t, "repeat")
+				for range min(rapid.IntRange(1, 30).Draw(t, "number"), most-len(log)) {
+					if !repeat {
+						b.Request(now, "s")
+					} else if !b.Take(now, "s", 1) {
+						return
+					}
+					log = append(log, sent{at: now, repeat: repeat})
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		checkWindows(t, log, burst)
 	})
 }
 
 // checkWindows holds all windows that begin at an event, or right after one, against the
 // rule: the requests of a window, of the one before it or of the one half a window before
 // it count, whichever has most.
-func checkWindows(t *rapid.T, log []sent) {
+func checkWindows(t *rapid.T, log []sent, burst float64) {
 	count := func(from time.Time, repeat bool) float64 {
 		n := 0.0
 		for _, s := range log {
@@ -67,7 +102,7 @@
 	for _, s := range log {
 		for _, from := range []time.Time{s.at, s.at.Add(1), s.at.Add(1 - testWindow)} {
 			requests := max(count(from, false), count(from.Add(-testWindow), false), count(from.Add(-testWindow/2), false))
-			if repeats := count(from, true); repeats > testRatio*requests+testBurst+1e-9 {
+			if repeats := count(from, true); repeats > testRatio*requests+burst+1e-9 {
 				t.Fatalf("%v repeats for %v requests in the window from %s", repeats, requests, from)
 			}
 		}
