Ask for the whole tree while a settings log is empty

Cause: Follower.ApplyChanges reported success for no changes to a follower without settings. Change: ApplyChanges returns false without settings, and its caller's own check goes.

--- a/internal/force/keeper.go
+++ b/internal/force/keeper.go
@@ -113,7 +113,7 @@
 		k.log.Error(errors.New("the platform's settings are older than those in force"), evlog.SettingsOlder, "platform", head.Revision, "in_force", current)
 		return nil
 	}
-	if applied, err := k.ApplyChanges(head.Entries); applied && k.Revision() >= head.Revision && k.EffectiveSettings() != nil {
+	if applied, err := k.ApplyChanges(head.Entries); applied && k.Revision() >= head.Revision {
 		k.Confirm()
 		return err
 	}
--- a/internal/rings/follow.go
+++ b/internal/rings/follow.go
@@ -41,7 +41,8 @@
 }
 
 // ApplyChanges applies the changes that follow the revision in force. It returns
-// false if there is a gap before one of them, so that a whole tree is needed.
+// false if a whole tree is needed: there is a gap before one of the changes, or there
+// are no settings to apply them to.
 func (f *Follower) ApplyChanges(changes []setts.Change) (bool, error) {
 	if f.current == nil && len(changes) > 0 && changes[0].Revision == 1 {
 		// Revision 1 applies to the empty tree.
@@ -64,7 +65,7 @@
 			f.recentChanges = f.recentChanges[1:]
 		}
 	}
-	return true, nil
+	return f.current != nil, nil
 }
 
 // ChangesSince returns the changes after a revision, or false if some of them are no
--- a/internal/rings/log_test.go
+++ b/internal/rings/log_test.go
@@ -239,6 +239,20 @@
 	})
 }
 
+// TestFollowerOfEmptyLogNeedsTree checks that a follower without settings asks for the
+// whole tree if the log holds no change yet, instead of reporting that it is up to date.
+func TestFollowerOfEmptyLogNeedsTree(t *testing.T) {
+	f := &Follower{}
+	applied, err := f.ApplyChanges(nil)
+	assert.NilError(t, err)
+	assert.Assert(t, !applied)
+	assert.Assert(t, f.EffectiveSettings() == nil)
+	assert.Assert(t, f.ApplyTree(setts.NewTree()))
+	applied, err = f.ApplyChanges(nil)
+	assert.NilError(t, err)
+	assert.Assert(t, applied)
+}
+
 // TestSubmitResolvesLostAnswer checks that Submit, after a lost answer, finds its
 // change in the head and reports it as accepted.
 func TestSubmitResolvesLostAnswer(t *testing.T) {
