Never report changes of the store as of an earlier time

Cause: changes from the hub are dated by when the store last answered the hub, so they could be dated before changes that were already applied. The core drops an engine's report that is older than the last one: a daemon that got the engines without layers from one daemon and then the layers from the hub never learned of the layers, and answered every stream overloaded for as long as no other server changed (log of TestEdgeStoreOutage: away_ms -118 at the first delta from the hub, then nine streams refused after 3 s each). Change: StoreMirror dates a delta no earlier than the one before it.

--- a/internal/drive/feed.go
+++ b/internal/drive/feed.go
@@ -77,6 +77,8 @@
 	// From then on only changes are read, unless the service has lost their history.
 	hasRead    bool
 	retryDelay time.Duration
+	// appliedAsOf is the time of the last delta that was applied; it never decreases.
+	appliedAsOf time.Time
 }
 
 // NewStoreMirror returns a StoreMirror with an empty copy.
@@ -201,14 +203,20 @@
 	f.apply(asOf, d)
 }
 
-// apply applies a delta to the copy and reports the changes to onChange.
-func (f *StoreMirror) apply(now time.Time, d mirror.Delta) {
+// apply applies a delta that was current at a given time and reports the changes to onChange.
+// The reported times do not decrease, although another daemon's answer may hold newer changes
+// as of an earlier time: the receiver drops what is older than what it has.
+func (f *StoreMirror) apply(asOf time.Time, d mirror.Delta) {
 	f.applying <- struct{}{}
 	defer func() { <-f.applying }()
 	f.mu.Lock()
 	changes := f.state.Apply(d)
+	if asOf.After(f.appliedAsOf) {
+		f.appliedAsOf = asOf
+	}
+	asOf = f.appliedAsOf
 	f.mu.Unlock()
-	f.onChange(now, changes)
+	f.onChange(asOf, changes)
 }
 
 // markDown records and logs the start of an outage of the service, as seen from here.
--- a/internal/drive/feed_test.go
+++ b/internal/drive/feed_test.go
@@ -118,3 +118,21 @@
 		assert.Assert(t, len(revisions) > 1 && slices.IsSorted(revisions), "%v", revisions)
 	})
 }
+
+// TestTimesOfChangesDoNotDecrease: changes arrive from the hub, which last heard from the service
+// some time ago, after others were applied. They are not reported as of an earlier time, since
+// an engine's report that seems older than the last one is dropped.
+func TestTimesOfChangesDoNotDecrease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var times []time.Time
+		hub := &countingHub{}
+		f := NewStoreMirror(evlog.New(logr.Discard()), &unresponsiveService{}, hub, func(now time.Time, _ []mirror.Item) { times = append(times, now) })
+		for _, age := range []time.Duration{0, time.Second, 400 * time.Millisecond, time.Minute} {
+			hub.age = age
+			f.AskHub(t.Context())
+			time.Sleep(HubInterval)
+		}
+		assert.Equal(t, len(times), 4)
+		assert.Assert(t, slices.IsSortedFunc(times, time.Time.Compare), "%v", times)
+	})
+}
