Probe the connection of a request between daemons that waits for its answer

Cause: a connection whose packets no longer reach the other daemon, while that daemon's still arrive, was only noticed by the idle timeout, which every arriving packet restarts. Change: a request that waits for a second has its connection probed; if a probe gets no answer for 3 s, the connection is closed and the request ends as may_have_run.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -58,10 +58,20 @@
 
 // AskAddress is Ask for the daemon at an address.
 func (c *Client) AskAddress(ctx context.Context, address string, q Request) (Answer, error) {
-	stream, err := c.openStream(ctx, address)
+	stream, conn, err := c.openStream(ctx, address)
 	if err != nil {
 		return Answer{}, peerLostError(verdt.NotRun, "no connection to daemon at "+address)
 	}
+	probeContext, stopProbing := context.WithCancel(ctx)
+	probingEnded := make(chan struct{})
+	go func() {
+		defer close(probingEnded)
+		c.probeUntilDone(probeContext, address, conn)
+	}()
+	defer func() {
+		stopProbing()
+		<-probingEnded
+	}()
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(1)
 		stream.CancelWrite(1)
@@ -74,6 +84,50 @@
 	return answer, nil
 }
 
+const (
+	// probeInterval is how long a request waits for its response before its connection is
+	// probed, and the pause between two probes.
+	probeInterval = time.Second
+	// probeTimeout bounds a probe. A daemon answers probes at once, whatever it executes.
+	probeTimeout = 3 * time.Second
+)
+
+// probeUntilDone probes the connection of a request until ctx ends, and closes the connection
+// if a probe gets no response. The idle timeout does not notice a connection that is cut in
+// this direction only: every packet of the peer, retransmissions included, restarts it.
+func (c *Client) probeUntilDone(ctx context.Context, address string, conn *quic.Conn) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := probe(ctx, conn); err != nil && ctx.Err() == nil {
+			c.dropConn(address, conn)
+			return
+		}
+	}
+}
+
+// probe sends an empty request on a connection.
+func probe(ctx context.Context, conn *quic.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(1)
+		stream.CancelWrite(1)
+	})
+	defer stop()
+	_, err = roundTrip(stream, Request{})
+	return err
+}
+
 // peerLostError returns a PeerLost failure that may be retried after a second.
 func peerLostError(verdict verdt.Verdict, message string) *verdt.Error {
 	return verdt.New(verdict, verdt.PeerLost, message, verdt.RetryAt(time.Now().Add(time.Second)))
@@ -101,25 +155,25 @@
 
 // openStream opens a stream on the cached connection, or on a new one if the cached
 // connection is closed.
-func (c *Client) openStream(ctx context.Context, address string) (*quic.Stream, error) {
+func (c *Client) openStream(ctx context.Context, address string) (*quic.Stream, *quic.Conn, error) {
 	c.mu.Lock()
 	conn := c.conns[address]
 	c.mu.Unlock()
 	if conn != nil {
 		if stream, err := conn.OpenStreamSync(ctx); err == nil {
-			return stream, nil
+			return stream, conn, nil
 		}
 		c.dropConn(address, conn)
 	}
 	conn, err := quic.DialAddr(ctx, address, c.tlsConfig, quicConfig())
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, nil, trace.Wrap(err)
 	}
 	c.mu.Lock()
 	c.conns[address] = conn
 	c.mu.Unlock()
 	stream, err := conn.OpenStreamSync(ctx)
-	return stream, trace.Wrap(err)
+	return stream, conn, trace.Wrap(err)
 }
 
 // dropConn closes a connection and removes it from the cache unless already replaced.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -125,6 +125,84 @@
 	assert.Equal(t, len(answer.Burn), 1)
 }
 
+// TestOneWayCutEndsRequestInFlight checks that a request fails soon if its packets do not reach
+// the other daemon, although the connection is open, and that a request that merely takes long
+// is not cut.
+func TestOneWayCutEndsRequestInFlight(t *testing.T) {
+	authority := newTestAuthority(t)
+	const runTime = 2500 * time.Millisecond
+	arrived := make(chan struct{}, 1)
+	address := startServer(t, issueKeys(t, authority, "d1"), handlerFunc(func(ctx context.Context, q Request) Answer {
+		if q.Burn == nil {
+			return Answer{}
+		}
+		arrived <- struct{}{}
+		select {
+		case <-ctx.Done():
+		case <-time.After(runTime):
+		}
+		return Answer{Burn: []byte{1}}
+	}))
+	proxy := startUDPProxy(t, address)
+	client := newTestClient(t, issueKeys(t, authority, "d0"), proxy.address())
+	answer, err := client.Ask(t.Context(), "d1", Request{Burn: &BurnRequest{}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Burn), 1)
+	<-arrived
+
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	proxy.cut.Store(true)
+	began := time.Now()
+	_, err = client.Ask(ctx, "d1", Request{Burn: &BurnRequest{}})
+	assert.Equal(t, verdt.AsError(err, verdt.Ran).Verdict, verdt.MayHaveRun)
+	assert.Assert(t, time.Since(began) < 2*(probeInterval+probeTimeout), "%s", time.Since(began))
+}
+
+// udpProxy forwards datagrams between one client and a server. While cut is set it drops those
+// to the server.
+type udpProxy struct {
+	cut      atomic.Bool
+	listener net.PacketConn
+}
+
+func startUDPProxy(t *testing.T, target string) *udpProxy {
+	t.Helper()
+	listener, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	upstream, err := net.Dial("udp", target)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _ = listener.Close(), upstream.Close() })
+	p := &udpProxy{listener: listener}
+	var client atomic.Value
+	go func() {
+		buf := make([]byte, 1<<16)
+		for {
+			n, sender, err := listener.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			client.Store(sender)
+			if !p.cut.Load() {
+				_, _ = upstream.Write(buf[:n])
+			}
+		}
+	}()
+	go func() {
+		buf := make([]byte, 1<<16)
+		for {
+			n, err := upstream.Read(buf)
+			if err != nil {
+				return
+			}
+			_, _ = listener.WriteTo(buf[:n], client.Load().(net.Addr))
+		}
+	}()
+	return p
+}
+
+func (p *udpProxy) address() string { return p.listener.LocalAddr().String() }
+
 func FuzzDecodeRequest(f *testing.F) {
 	codec, err := sharedCodec()
 	assert.NilError(f, err)
