--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -24,6 +24,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/elect"
 	"bulrushpond.example/bulrushpond/internal/core/relay"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
+	"bulrushpond.example/bulrushpond/internal/core/roster"
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
@@ -92,9 +93,13 @@
 	// claimDelaySpread spreads the claims of a vacant placement ownership, so that most
 	// daemons see the first claim before they make their own.
 	claimDelaySpread = 600 * time.Millisecond
-	// lapsedEntryHold is how long after an outage of the key-value service a server whose
-	// entry expired is still used: live servers write their entries again.
+	// lapsedEntryHold is how long after an outage or a restore of the key-value service a
+	// server whose entry is missing is still used: live servers write their entries again.
 	lapsedEntryHold = 2200 * time.Millisecond
+	// entryExpiryBeats is the number of missed heartbeats after which an entry expires, and
+	// entryExpiryMargin the time until this daemon has learned of it.
+	entryExpiryBeats  = 3
+	entryExpiryMargin = time.Second
 	// certificateLifetime exceeds the uptime of any process.
 	certificateLifetime = 10 * 365 * 24 * time.Hour
 	// edgeShutdownDelay is how long a stopping daemon still accepts new requests. It
@@ -133,11 +138,8 @@
 	stopping                                           atomic.Bool
 
 	mu sync.Mutex
-	// members are the backend servers by key of the key-value service. lapsedUntil holds
-	// those whose entry expired during an outage of the service, with the time at which
-	// they are removed; both guarded by mu.
-	members     map[string]model.Member
-	lapsedUntil map[string]time.Time
+	// roster holds the backend servers; guarded by mu.
+	roster *roster.State
 	// peers are the addresses of a few other daemons; daemonCount is the number of all
 	// daemons, at least 1; both guarded by mu.
 	peers       []string
@@ -167,7 +169,7 @@
 	}
 	d := &EdgeDaemon{
 		deps: deps, vm: vm, store: platform.NewStoreClient(vm.StoreAddress), engines: platform.NewEngineClient(), processID: processID,
-		members: map[string]model.Member{}, lapsedUntil: map[string]time.Time{}, loadBoard: board.New(), daemonCount: 1, shutdownDelay: edgeShutdownDelay,
+		roster: roster.New(entryExpiryBeats*vm.HeartbeatInterval+entryExpiryMargin, lapsedEntryHold), loadBoard: board.New(), daemonCount: 1, shutdownDelay: edgeShutdownDelay,
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -183,7 +185,7 @@
 	}
 	d.duty = drive.NewDuty(deps.Log, d.store, d.engines, d, &elect.State{
 		Process: d.vm.PeersAddress + ownerSeparator + processID, DutyKey: placementKey,
-		Wait: claimDelay(vm),
+		Wait: claimDelay(vm), FleetStarts: vm.FleetStarts,
 	})
 	return d, nil
 }
--- a/internal/boot/edge_test.go
+++ b/internal/boot/edge_test.go
@@ -65,7 +65,7 @@
 	daemon, err := NewEdgeDaemon(Dependencies{Log: NewLog(io.Discard, false), Out: io.Discard}, platform.VMSettings{
 		VMName: fmt.Sprintf("d%d", len(env.daemons)), Zone: "a", IP: "127.0.0.1",
 		CallersAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0", Seeds: seeds,
-		StoreAddress: env.platform.Address(), Cores: 1, ShutdownTimeout: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryBurst: 200,
+		StoreAddress: env.platform.Address(), FleetStarts: true, HeartbeatInterval: 200 * time.Millisecond, Cores: 1, ShutdownTimeout: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryBurst: 200,
 	}, 0, WithEdgeShutdownDelay(50*time.Millisecond))
 	assert.NilError(env.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -286,6 +286,71 @@
 	}
 }
 
+// TestEdgeStoreRestore checks that daemons keep the newest configuration when the key-value
+// service comes back from an older copy, twice in a row, that they follow it again afterwards
+// although revisions are given out again, and that engines accept the orders of the next owner
+// of the placement.
+func TestEdgeStoreRestore(t *testing.T) {
+	env := newTestEnvironment(t, 2)
+	time.Sleep(copyAge)
+	env.configure(fakes.Config{Keys: map[string][]string{"north": {"key-n"}}, Public: true})
+	inForce := func(i int) bool { return env.call(i, http.MethodGet, "/open/x", "", "").code == http.StatusOK }
+	for i := range env.daemons {
+		env.waitUntil("the new route is in force", func() bool { return inForce(i) })
+	}
+	for range 2 {
+		restored := make(chan struct{})
+		go func() {
+			defer close(restored)
+			env.platform.Restore(copyAge, time.Second)
+		}()
+		for waiting := true; waiting; {
+			select {
+			case <-restored:
+				waiting = false
+			case <-time.After(20 * time.Millisecond):
+			}
+			for i := range env.daemons {
+				assert.Assert(t, inForce(i), "daemon %d went back to the older configuration", i)
+				assert.Assert(t, env.stream(i, "/draft/x").complete)
+			}
+		}
+	}
+	env.configure(fakes.Config{Keys: map[string][]string{"north": {"key-n"}}})
+	for i := range env.daemons {
+		env.waitUntil("the route is removed", func() bool { return !inForce(i) })
+	}
+	for _, e := range env.platform.Servers() {
+		if e.Kind != "" {
+			e.Crash()
+			e.RemoveEntry()
+		}
+	}
+	for i := range 4 {
+		_, err := env.platform.Start(fmt.Sprintf("n%d", i), "a", "card")
+		assert.NilError(t, err)
+	}
+	for i := range env.daemons {
+		env.waitUntil("a stream completes on engines that started after the restore", func() bool { return env.stream(i, "/draft/x").complete })
+	}
+}
+
+// copyAge is the age of the copy from which the key-value service is restored.
+const copyAge = 800 * time.Millisecond
+
+// TestEdgeStartAfterStoreRestore checks that a daemon that starts just after a restore serves,
+// and takes over the newest configuration as soon as the operators have written it again.
+func TestEdgeStartAfterStoreRestore(t *testing.T) {
+	env := newTestEnvironment(t, 1)
+	time.Sleep(copyAge)
+	env.configure(fakes.Config{Keys: map[string][]string{"north": {"key-n"}}, Public: true})
+	env.platform.Store.Restore(copyAge)
+	env.start(nil)
+	env.waitUntil("the new daemon completes a stream", func() bool { return env.stream(1, "/draft/x").complete })
+	env.platform.Restore(0, 0)
+	env.waitUntil("the new route is in force", func() bool { return env.call(1, http.MethodGet, "/open/x", "", "").code == http.StatusOK })
+}
+
 // TestEdgeStartDuringStoreOutage checks that a daemon without a configuration answers 503 and
 // is not ready, and that it serves once the key-value service is available.
 func TestEdgeStartDuringStoreOutage(t *testing.T) {
--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -23,12 +23,12 @@
 
 // Ask implements drive.HubClient. It also sends the load of this daemon and takes over the
 // load of the others, their number and a few peers from the answer.
-func (d *EdgeDaemon) Ask(ctx context.Context, after uint64) (mirror.Delta, time.Duration, bool) {
+func (d *EdgeDaemon) Ask(ctx context.Context, after model.Position) (mirror.Delta, time.Duration, bool) {
 	hub := d.hubAddress()
 	if hub == "" || hub == d.vm.PeersAddress {
 		return mirror.Delta{}, 0, false
 	}
-	request := peer.HubRequest{From: model.DaemonID(d.vm.VMName), Status: d.ownLoad(), After: after}
+	request := peer.HubRequest{From: model.DaemonID(d.vm.VMName), Status: d.ownLoad(), After: after.Revision, Era: &after.Era}
 	answer, err := d.client.AskAddress(ctx, hub, peer.Request{Hub: &request})
 	if err != nil || answer.Hub == nil {
 		d.deps.Log.Info(evlog.PeerUnreachable, "peer", hub, "error", hubErrorText(err))
@@ -62,12 +62,12 @@
 }
 
 // AskAnyDaemon implements drive.HubClient. It asks the next peer or seed.
-func (d *EdgeDaemon) AskAnyDaemon(ctx context.Context, after uint64) (mirror.Delta, bool) {
+func (d *EdgeDaemon) AskAnyDaemon(ctx context.Context, after model.Position) (mirror.Delta, bool) {
 	address := d.nextPeer()
 	if address == "" {
 		return mirror.Delta{}, false
 	}
-	answer, err := d.client.AskAddress(ctx, address, peer.Request{Mirror: &peer.MirrorRequest{After: after}})
+	answer, err := d.client.AskAddress(ctx, address, peer.Request{Mirror: &peer.MirrorRequest{After: after.Revision, Era: &after.Era}})
 	if err != nil || answer.Mirror == nil || answer.Mirror.Revision == 0 {
 		d.deps.Log.Debug(evlog.PeerUnreachable, "peer", address)
 		return mirror.Delta{}, false
@@ -93,16 +93,26 @@
 func (d *EdgeDaemon) Answer(_ context.Context, request peer.Request) peer.Answer {
 	switch {
 	case request.Mirror != nil:
-		delta := d.feed.ChangesSince(request.Mirror.After)
+		delta := d.changesSince(request.Mirror.After, request.Mirror.Era)
 		return peer.Answer{Mirror: &delta}
 	case request.Hub != nil && d.hubAddress() == d.vm.PeersAddress:
 		answer := d.exchangeLoad(request.Hub.From, request.Hub.Status)
-		answer.Delta, answer.Age = d.feed.ChangesSince(request.Hub.After), d.feed.Age(time.Now())
+		answer.Delta, answer.Age = d.changesSince(request.Hub.After, request.Hub.Era), d.feed.Age(time.Now())
 		return peer.Answer{Hub: &answer}
 	}
 	return peer.Answer{}
 }
 
+// changesSince returns the changes in the key-value service after a revision of an era. A
+// daemon that knows no eras gets those after the revision in the current era.
+func (d *EdgeDaemon) changesSince(revision uint64, era *uint64) mirror.Delta {
+	after := model.Position{Era: d.feed.Position().Era, Revision: revision}
+	if era != nil {
+		after.Era = *era
+	}
+	return d.feed.ChangesSince(after)
+}
+
 const (
 	// ownLoadInterval is how often the hub records its own load.
 	ownLoadInterval = 250 * time.Millisecond
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -54,7 +54,9 @@
 	SettingsRevision uint64 `json:"settings_revision"`
 	// StoreRevision is the revision of the copy of the key-value service. StoreAgeMs is
 	// the time since the service last answered this daemon directly.
-	StoreRevision      uint64 `json:"store_revision"`
+	StoreRevision uint64 `json:"store_revision"`
+	// StoreEra counts how often the key-value service was restored from an older copy.
+	StoreEra           uint64 `json:"store_era"`
 	StoreAgeMs         int64  `json:"store_age_ms"`
 	RequestsInProgress int64  `json:"requests_in_progress"`
 	StreamsRecovered   uint64 `json:"streams_recovered"`
@@ -72,7 +74,7 @@
 func publishEdgeMetrics(d *EdgeDaemon, logWriter *evlog.Writer) {
 	expvar.Publish("bulrushpond_edge", expvar.Func(func() any {
 		vars := EdgeVars{
-			Meters: d.edge.Meter().Read(), StoreRevision: d.feed.Revision(), StoreAgeMs: d.feed.Age(time.Now()).Milliseconds(),
+			Meters: d.edge.Meter().Read(), StoreEra: d.feed.Position().Era, StoreRevision: d.feed.Position().Revision, StoreAgeMs: d.feed.Age(time.Now()).Milliseconds(),
 			RequestsInProgress: d.edge.InProgress(), PlacementFence: d.duty.FencingToken(), LogLinesDropped: logWriter.DroppedLines(),
 		}
 		if routing := d.edge.Routing(); routing != nil {
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -15,23 +15,23 @@
 )
 
 // applyStoreChanges applies changed entries of the copy of the key-value service.
-func (d *EdgeDaemon) applyStoreChanges(now time.Time, items []mirror.Item) {
+func (d *EdgeDaemon) applyStoreChanges(now time.Time, changes mirror.Changes) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	serversChanged := false
-	for _, item := range items {
+	for _, item := range changes.Items {
 		switch {
 		case item.Key == platform.KeyRouting:
 			if d.applyRouting(item) {
 				serversChanged = true
 			}
 		case strings.HasPrefix(item.Key, platform.ServerKeyPrefix):
-			if d.applyServer(now, item) {
+			if d.applyServer(now, item, changes.Restored) {
 				serversChanged = true
 			}
 		}
 	}
-	if d.removeLapsed(now) {
+	if d.roster.Expire(now) {
 		serversChanged = true
 	}
 	if serversChanged {
@@ -59,50 +59,33 @@
 }
 
 // applyServer applies the entry of a backend server. It reports whether the set of servers
-// or a server's data changed; a renewed heartbeat alone is no change. The caller holds mu.
-func (d *EdgeDaemon) applyServer(now time.Time, item mirror.Item) bool {
+// or a server's data changed; a renewed heartbeat alone is no change. restored is set for an
+// entry from the first snapshot of a restored service. The caller holds mu.
+func (d *EdgeDaemon) applyServer(now time.Time, item mirror.Item, restored bool) bool {
 	if item.Removed {
-		previous, known := d.members[item.Key]
-		if !known {
-			return false
+		previous, _ := d.roster.Get(item.Key)
+		removed := d.roster.Remove(now, item.Key, restored, d.feed.RecoveredAt())
+		if removed {
+			d.deps.Log.Info(evlog.ServerGone, "server", previous.ID, "revision", item.Revision, "restored", restored)
 		}
-		if until := d.feed.RecoveredAt().Add(lapsedEntryHold); previous.State == model.Live && now.Before(until) {
-			d.lapsedUntil[item.Key] = until
-			return false
-		}
-		delete(d.members, item.Key)
-		d.deps.Log.Info(evlog.ServerGone, "server", previous.ID, "revision", item.Revision)
-		return true
+		return removed
 	}
 	member, err := platform.DecodeMember(item.Key, item.Value)
 	if err != nil {
 		d.deps.Log.Error(err, evlog.MemberUnreadable, "key", item.Key, "revision", item.Revision)
 		return false
 	}
-	delete(d.lapsedUntil, item.Key)
-	previous, known := d.members[item.Key]
-	if known && previous == member {
+	changed := d.roster.Put(now, item.Key, member, restored)
+	event := evlog.ServerSeen
+	switch {
+	case d.roster.Holds(item.Key):
+		event = evlog.ServerEntryHeld
+	case !changed:
 		return false
 	}
-	d.members[item.Key] = member
-	d.deps.Log.Info(evlog.ServerSeen, "server", member.ID, "address", member.Address, "zone", member.Zone, "service", member.Service, "kind", member.Kind,
+	d.deps.Log.Info(event, "server", member.ID, "address", member.Address, "zone", member.Zone, "service", member.Service, "kind", member.Kind,
 		"state", member.State.String(), "from", member.Span.From, "to", member.Span.To, "revision", item.Revision)
-	return true
-}
-
-// removeLapsed removes servers whose expired entry was not written again in time, and
-// reports whether there were any. The caller holds mu.
-func (d *EdgeDaemon) removeLapsed(now time.Time) bool {
-	removed := false
-	for key, until := range d.lapsedUntil {
-		if now.Before(until) {
-			continue
-		}
-		delete(d.lapsedUntil, key)
-		delete(d.members, key)
-		removed = true
-	}
-	return removed
+	return changed
 }
 
 // distributeServers passes the backend servers to the components that use them. The
@@ -114,7 +97,7 @@
 	}
 	var members []model.Member
 	known := map[string]bool{}
-	for _, member := range d.members {
+	for _, member := range d.roster.Members() {
 		service, found := routing.Services[member.Service]
 		if !found || service.Engine == nil {
 			member.Role = model.Service
@@ -136,11 +119,11 @@
 
 // OwnerView implements drive.DutyView with the owner of the placement.
 func (d *EdgeDaemon) OwnerView() elect.OwnerView {
-	var seen elect.OwnerView
-	if item, ok := d.feed.Get(placementKey); ok {
+	item, position, ok := d.feed.Get(placementKey)
+	seen := elect.OwnerView{Known: position.Revision > 0, Era: position.Era}
+	if ok {
 		seen.Owner, seen.OwnerRevision = string(item.Value), item.Revision
 	}
-	seen.Known = d.feed.Revision() > 0
 	return seen
 }
 
@@ -159,7 +142,7 @@
 			continue
 		}
 		pool := drive.Pool{Profile: service.Engine}
-		for _, member := range d.members {
+		for _, member := range d.roster.Members() {
 			if member.Service == name {
 				if slices.Contains(suspects, model.ServerID(member.ID)) {
 					// Its layers are reassigned before its entry expires.
--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -1,6 +1,7 @@
 // Package elect elects the daemon that owns a duty. The owner holds a key in the
-// platform's key-value service that is attached to its lease. The key's creation
-// revision is the fencing token of the owner's orders, since revisions are never reused.
+// platform's key-value service that is attached to its lease. The fencing token of the
+// owner's orders is made of the era and the revision of the key's creation. Revisions alone
+// are given out again if the service is restored from an older copy of itself.
 package elect
 
 import (
@@ -24,8 +25,18 @@
 	// suspensionThreshold is by how much the wall clock may advance more than the
 	// monotonic clock before the process counts as having been suspended.
 	suspensionThreshold = 500 * time.Millisecond
+	// eraShift is the number of bits of a fencing token that hold the revision. Tokens stay
+	// exact in receivers that read numbers as float64 up to era 8191.
+	eraShift = 40
 )
 
+// fencingToken returns the token of a key that was created at a position. Tokens grow with
+// the position.
+func fencingToken(created model.Position) uint64 { return created.Era<<eraShift | created.Revision }
+
+// eraOf returns the era of a fencing token.
+func eraOf(token uint64) uint64 { return token >> eraShift }
+
 //go:generate enumer -type=Kind -transform=snake -output=kind_enumer.go
 
 // Kind is the operation of a call to the key-value service.
@@ -60,6 +71,8 @@
 	// empty and 0 if nobody owns the duty.
 	Owner         string
 	OwnerRevision uint64
+	// Era is the era of the copy.
+	Era uint64
 }
 
 // State is one daemon's side of the election.
@@ -72,8 +85,19 @@
 	// Wait is how long a duty must be unowned before this daemon claims it. It differs
 	// between daemons, so that few claim it at once.
 	Wait time.Duration
+	// FleetStarts is set while the whole fleet starts for the first time, so that no owner
+	// can be left over from before this process started.
+	FleetStarts bool
 
-	lease model.LeaseID
+	// era is the newest known era of the service; eraKnown is set once there is one.
+	era      uint64
+	eraKnown bool
+	// actsFrom is when this daemon may claim the duty or act as its owner at the earliest.
+	// An owner of an earlier era may act until its lease expires.
+	actsFrom time.Time
+	lease    model.LeaseID
+	// leaseEra is the era in which the lease was granted.
+	leaseEra uint64
 	// leaseExpiry is when the lease expires, counted from when its last renewal was sent.
 	leaseExpiry time.Time
 	renewAt     time.Time
@@ -98,6 +122,13 @@
 // with the call's result.
 func (st *State) Next(now time.Time, view OwnerView) Call {
 	st.detectSuspension(now)
+	if view.Known {
+		st.noteEra(now, view.Era)
+	}
+	if st.lease != 0 && st.leaseEra < view.Era && !st.ownsDuty(view) {
+		// The restored service may have given the lease's ID to another daemon.
+		st.forgetLease()
+	}
 	switch {
 	case !view.Known || view.Owner != "":
 		st.unownedSince = time.Time{}
@@ -123,6 +154,20 @@
 	st.lastNow = now
 }
 
+// noteEra records that the service is in an era. An owner may act at once, since all other
+// daemons wait until its lease has expired, whatever the restored service knows of it.
+func (st *State) noteEra(now time.Time, era uint64) {
+	if st.eraKnown && era <= st.era {
+		return
+	}
+	fleetStarts := !st.eraKnown && st.FleetStarts
+	acts := st.fence != 0 && !now.Before(st.actsFrom) && now.Before(st.leaseExpiry)
+	st.era, st.eraKnown = era, true
+	if !fleetStarts && !acts {
+		st.actsFrom = now.Add(LeaseTTL)
+	}
+}
+
 // forgetLease forgets the lease and the claim that is attached to it.
 func (st *State) forgetLease() { st.lease, st.fence = 0, 0 }
 
@@ -147,6 +192,9 @@
 // chooseCall returns the call that the state requires now, forgetting an expired lease.
 func (st *State) chooseCall(now time.Time, view OwnerView) Call {
 	switch {
+	case view.Era < st.era:
+		// The revision in the copy may be that of another daemon's key by now.
+		return Call{}
 	case (st.stopping || st.fenceRejected()) && st.ownsDuty(view):
 		return Call{Kind: Release, CAS: model.CAS{Key: st.DutyKey, Expect: view.OwnerRevision, Delete: true}}
 	case !view.Known:
@@ -155,7 +203,7 @@
 		st.forgetLease()
 	case st.lease != 0 && st.ownsDuty(view) && !now.Before(st.renewAt):
 		return Call{Kind: Renew, Lease: st.lease}
-	case st.stopping || st.unownedSince.IsZero() || now.Sub(st.unownedSince) < st.Wait:
+	case st.stopping || st.unownedSince.IsZero() || now.Sub(st.unownedSince) < st.Wait || now.Before(st.actsFrom):
 	case st.lease == 0 || !now.Before(st.renewAt):
 		// A claim requires a lease with time left.
 		return Call{Kind: Grant}
@@ -165,17 +213,21 @@
 	return Call{}
 }
 
-// Result records the result of a call: the lease of a Grant, the revision of a Claim.
-func (st *State) Result(now time.Time, call Call, outcome model.Outcome, lease model.LeaseID, revision uint64) {
+// Result records the result of a call: the lease of a Grant, the position of a Claim. The era
+// of position counts for every call that was answered.
+func (st *State) Result(now time.Time, call Call, outcome model.Outcome, lease model.LeaseID, position model.Position) {
 	st.callInFlight = false
 	st.nextCallAt = now
+	if outcome != model.Unknown {
+		st.noteEra(now, position.Era)
+	}
 	if outcome != model.Done {
 		st.nextCallAt = now.Add(retryDelay)
 	}
 	switch call.Kind {
 	case Grant:
 		if outcome == model.Done {
-			st.lease = lease
+			st.lease, st.leaseEra = lease, position.Era
 			st.extendLease()
 		}
 	case Renew:
@@ -191,7 +243,7 @@
 		// write would be refused.
 		st.nextCallAt = now.Add(retryDelay)
 		if call.Kind == Claim && outcome == model.Done {
-			st.fence = revision
+			st.fence = fencingToken(position)
 		}
 		if call.Kind == Release {
 			st.fence = 0
@@ -212,14 +264,24 @@
 // Owner returns the fencing token of this daemon's duty, or false if the daemon must
 // not act because another one may own the duty by the time that an order arrives.
 func (st *State) Owner(now time.Time, view OwnerView) (fence uint64, ok bool) {
+	if view.Known {
+		st.noteEra(now, view.Era)
+	}
+	if view.Era < st.era || now.Before(st.actsFrom) {
+		return 0, false
+	}
 	if st.ownsDuty(view) && st.fence == 0 {
 		// The claim succeeded, but its response was lost.
-		st.fence = view.OwnerRevision
+		st.fence = fencingToken(model.Position{Era: view.Era, Revision: view.OwnerRevision})
+	}
+	if eraOf(st.fence) < view.Era && !st.ownsDuty(view) {
+		// The restored service has lost the claim.
+		st.fence = 0
 	}
 	if st.fence == 0 || st.fence <= st.rejectedFence || st.stopping || st.lease == 0 || now.After(st.leaseExpiry.Add(-leaseSafetyMargin)) {
 		return 0, false
 	}
-	if view.Owner != "" && !st.ownsDuty(view) && view.OwnerRevision > st.fence {
+	if view.Owner != "" && !st.ownsDuty(view) && fencingToken(model.Position{Era: view.Era, Revision: view.OwnerRevision}) > st.fence {
 		return 0, false
 	}
 	return st.fence, true
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -50,7 +50,7 @@
 // when no daemon owns it, and places layers on the engines while it is the owner.
 type Duty struct {
 	log    evlog.Log
-	kv     plat.KV
+	store  plat.LeaseStore
 	placer Placer
 	view   DutyView
 
@@ -63,8 +63,8 @@
 }
 
 // NewDuty returns a Duty that this daemon does not own yet.
-func NewDuty(log evlog.Log, kv plat.KV, placer Placer, view DutyView, election *elect.State) *Duty {
-	return &Duty{log: log, kv: kv, placer: placer, view: view, election: election, placement: place.New()}
+func NewDuty(log evlog.Log, store plat.LeaseStore, placer Placer, view DutyView, election *elect.State) *Duty {
+	return &Duty{log: log, store: store, placer: placer, view: view, election: election, placement: place.New()}
 }
 
 // Serve runs a tick every dutyInterval until the context ends. It implements
@@ -158,21 +158,20 @@
 func (d *Duty) callStore(ctx context.Context, c elect.Call) {
 	ctx, cancel := context.WithTimeout(ctx, dutyStoreTimeout)
 	defer cancel()
-	var outcome model.Outcome
+	var result plat.WriteResult
 	var lease model.LeaseID
-	var revision uint64
 	switch c.Kind {
 	case elect.Grant:
-		lease, outcome = d.kv.Grant(ctx, elect.LeaseTTL)
+		lease, result = d.store.Grant(ctx, elect.LeaseTTL)
 	case elect.Renew:
-		outcome = d.kv.KeepAlive(ctx, c.Lease)
+		result = d.store.KeepAlive(ctx, c.Lease)
 	case elect.Claim, elect.Release:
-		revision, outcome = d.kv.CAS(ctx, c.CAS)
+		result = d.store.CAS(ctx, c.CAS)
 	case elect.None:
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.election.Result(time.Now(), c, outcome, lease, revision)
+	d.election.Result(time.Now(), c, result.Outcome, lease, result.Position)
 }
 
 // sendOrder sends one engine its layers. A rejected fencing token is reported to the
--- a/internal/drive/feed.go
+++ b/internal/drive/feed.go
@@ -9,6 +9,7 @@
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/mirror"
 	"bulrushpond.example/bulrushpond/internal/plat"
+	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
 const (
@@ -39,13 +40,13 @@
 // HubClient gives access to the copies of the key-value service that other daemons have:
 // that of the hub, which reads the service for the others, and that of any daemon.
 type HubClient interface {
-	// Ask asks the hub for the changes after a revision. It returns false if no other
+	// Ask asks the hub for the changes after a position. It returns false if no other
 	// daemon is the hub or if the hub does not answer. age is how long ago the service
 	// last answered the hub.
-	Ask(ctx context.Context, after uint64) (d mirror.Delta, age time.Duration, ok bool)
-	// AskAnyDaemon asks any other daemon for the changes after a revision. It is used while
+	Ask(ctx context.Context, after model.Position) (d mirror.Delta, age time.Duration, ok bool)
+	// AskAnyDaemon asks any other daemon for the changes after a position. It is used while
 	// the service does not answer here.
-	AskAnyDaemon(ctx context.Context, after uint64) (mirror.Delta, bool)
+	AskAnyDaemon(ctx context.Context, after model.Position) (mirror.Delta, bool)
 }
 
 // StoreMirror keeps this daemon's copy of the platform's key-value service up to date. One
@@ -57,8 +58,8 @@
 	log    evlog.Log
 	source plat.PrefixReader
 	hub    HubClient
-	// onChange receives the changed items in order, one call at a time.
-	onChange func(now time.Time, items []mirror.Item)
+	// onChange receives the changes in order, one call at a time.
+	onChange func(now time.Time, changes mirror.Changes)
 	// applying is a semaphore, held from applying a delta until onChange has returned.
 	applying chan struct{}
 
@@ -71,7 +72,8 @@
 	// downSince is when the service stopped answering; zero while it answers, or while
 	// the hub's answers are current.
 	downSince time.Time
-	// recoveredAt is when the last outage of the service ended, or zero.
+	// recoveredAt is when the last outage of the service ended, or when it was restored from
+	// an older copy, or zero.
 	recoveredAt time.Time
 	// hasRead is set once this daemon has a complete copy, from the service or the hub.
 	// From then on only changes are read, unless the service has lost their history.
@@ -82,7 +84,7 @@
 }
 
 // NewStoreMirror returns a StoreMirror with an empty copy.
-func NewStoreMirror(log evlog.Log, source plat.PrefixReader, hub HubClient, onChange func(time.Time, []mirror.Item)) *StoreMirror {
+func NewStoreMirror(log evlog.Log, source plat.PrefixReader, hub HubClient, onChange func(time.Time, mirror.Changes)) *StoreMirror {
 	return &StoreMirror{log: log, source: source, hub: hub, onChange: onChange, applying: make(chan struct{}, 1), state: mirror.New()}
 }
 
@@ -133,15 +135,15 @@
 // outage of the service too: with the same request the daemons tell each other what
 // they have in progress.
 func (f *StoreMirror) AskHub(ctx context.Context) {
-	f.mu.Lock()
-	after := f.state.Revision()
-	f.mu.Unlock()
+	after := f.Position()
 	ctx, cancel := context.WithTimeout(ctx, hubTimeout)
 	defer cancel()
 	d, age, ok := f.hub.Ask(ctx, after)
 	now := time.Now()
 	switch {
 	case !ok:
+	case d.Era < after.Era:
+		// The hub has not noticed yet that the service was restored.
 	case age > maxHubAge:
 		f.apply(now, d)
 	default:
@@ -152,11 +154,14 @@
 	}
 }
 
-// readService reads the changes from the service itself, or all keys if there was no
-// read yet or the service no longer has the history.
+// errEarlierEra means that the service answered from before a restore that is known here.
+var errEarlierEra = errors.New("the key-value service answered with an earlier era than before")
+
+// readService reads the changes from the service itself, or all keys if there was no read
+// yet, the service no longer has the history, or the service was restored since the last read.
 func (f *StoreMirror) readService(ctx context.Context) error {
 	f.mu.Lock()
-	hasRead, after := f.hasRead, f.state.Revision()
+	hasRead, after := f.hasRead, f.state.Position()
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
 	defer cancel()
@@ -165,9 +170,12 @@
 	if hasRead {
 		d, err = f.source.Changes(ctx, "", after, longPollWait)
 	}
-	if !hasRead || errors.Is(err, plat.ErrCompacted) {
+	if !hasRead || errors.Is(err, plat.ErrCompacted) || (err == nil && d.Era > after.Era) {
 		d, err = f.source.Read(ctx, "")
 	}
+	if err == nil && d.Era < after.Era {
+		err = errEarlierEra
+	}
 	if err != nil {
 		return err
 	}
@@ -183,10 +191,7 @@
 func (f *StoreMirror) askAnyDaemon(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, hubTimeout)
 	defer cancel()
-	f.mu.Lock()
-	after := f.state.Revision()
-	f.mu.Unlock()
-	if d, ok := f.hub.AskAnyDaemon(ctx, after); ok {
+	if d, ok := f.hub.AskAnyDaemon(ctx, f.Position()); ok {
 		f.apply(time.Now(), d)
 	}
 }
@@ -210,7 +215,12 @@
 	f.applying <- struct{}{}
 	defer func() { <-f.applying }()
 	f.mu.Lock()
+	before := f.state.Position()
 	changes := f.state.Apply(d)
+	if changes.Restored {
+		f.recoveredAt = asOf
+		f.log.Info(evlog.StoreRestored, "era", d.Era, "revision", d.Revision, "era_before", before.Era, "revision_before", before.Revision, "changed", len(changes.Items))
+	}
 	if asOf.After(f.appliedAsOf) {
 		f.appliedAsOf = asOf
 	}
@@ -225,7 +235,7 @@
 	defer f.mu.Unlock()
 	if f.downSince.IsZero() {
 		f.downSince = time.Now()
-		f.log.Error(err, evlog.StoreDown, "revision", f.state.Revision())
+		f.log.Error(err, evlog.StoreDown, "revision", f.state.Position().Revision)
 	}
 }
 
@@ -240,30 +250,33 @@
 	return now.Sub(f.lastContact)
 }
 
-// ChangesSince returns the changes after a revision.
-func (f *StoreMirror) ChangesSince(after uint64) mirror.Delta {
+// ChangesSince returns the changes after a position.
+func (f *StoreMirror) ChangesSince(after model.Position) mirror.Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state.ChangesSince(after)
 }
 
-// Get returns the item of a key, or false if the key does not exist.
-func (f *StoreMirror) Get(key string) (mirror.Item, bool) {
+// Get returns the item of a key, or false if the key does not exist, and the position of the
+// copy that says so.
+func (f *StoreMirror) Get(key string) (mirror.Item, model.Position, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Get(key)
+	item, ok := f.state.Get(key)
+	return item, f.state.Position(), ok
 }
 
-// RecoveredAt returns when the last outage of the service ended, or zero.
+// RecoveredAt returns when the last outage of the service ended or it was restored, or zero.
 func (f *StoreMirror) RecoveredAt() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.recoveredAt
 }
 
-// Revision returns the revision up to which the copy is complete; 0 before the first read.
-func (f *StoreMirror) Revision() uint64 {
+// Position returns the position up to which the copy is complete; its revision is 0 before
+// the first read.
+func (f *StoreMirror) Position() model.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Revision()
+	return f.state.Position()
 }
--- a/internal/drive/feed_test.go
+++ b/internal/drive/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/mirror"
 	"bulrushpond.example/bulrushpond/internal/plat"
+	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
 // unresponsiveService never answers a read.
@@ -24,7 +26,7 @@
 	return mirror.Delta{}, ctx.Err()
 }
 
-func (s *unresponsiveService) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (mirror.Delta, error) {
+func (s *unresponsiveService) Changes(ctx context.Context, _ string, _ model.Position, _ time.Duration) (mirror.Delta, error) {
 	return s.Read(ctx, "")
 }
 
@@ -35,12 +37,12 @@
 	age      time.Duration
 }
 
-func (h *countingHub) Ask(context.Context, uint64) (mirror.Delta, time.Duration, bool) {
+func (h *countingHub) Ask(context.Context, model.Position) (mirror.Delta, time.Duration, bool) {
 	h.requests++
 	return mirror.Delta{Items: []mirror.Item{{Key: "k", Revision: uint64(h.requests)}}, Revision: uint64(h.requests)}, h.age, true
 }
 
-func (h *countingHub) AskAnyDaemon(context.Context, uint64) (mirror.Delta, bool) {
+func (h *countingHub) AskAnyDaemon(context.Context, model.Position) (mirror.Delta, bool) {
 	return mirror.Delta{}, false
 }
 
@@ -58,7 +60,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				service, hub := &unresponsiveService{}, &countingHub{age: tc.age}
-				f := NewStoreMirror(evlog.New(logr.Discard()), service, hub, func(time.Time, []mirror.Item) {})
+				f := NewStoreMirror(evlog.New(logr.Discard()), service, hub, func(time.Time, mirror.Changes) {})
 				ctx, cancel := context.WithCancel(t.Context())
 				ended := make(chan error, 1)
 				f.AskHub(ctx)
@@ -70,7 +72,7 @@
 				cancel()
 				assert.ErrorIs(t, <-ended, context.Canceled)
 				assert.Equal(t, hub.requests, 41)
-				assert.Equal(t, f.Revision(), uint64(41))
+				assert.Equal(t, f.Position().Revision, uint64(41))
 				assert.Equal(t, service.reads > 0, tc.readsService)
 			})
 		})
@@ -87,7 +89,7 @@
 	return mirror.Delta{Items: []mirror.Item{{Key: "k", Revision: uint64(2 * s.reads)}}, Revision: uint64(2 * s.reads)}, nil
 }
 
-func (s *changingService) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (mirror.Delta, error) {
+func (s *changingService) Changes(ctx context.Context, _ string, _ model.Position, _ time.Duration) (mirror.Delta, error) {
 	return s.Read(ctx, "")
 }
 
@@ -98,12 +100,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		var revisions []uint64
 		busy := false
-		f := NewStoreMirror(evlog.New(logr.Discard()), &changingService{}, &countingHub{age: time.Minute}, func(_ time.Time, items []mirror.Item) {
+		f := NewStoreMirror(evlog.New(logr.Discard()), &changingService{}, &countingHub{age: time.Minute}, func(_ time.Time, changes mirror.Changes) {
 			assert.Assert(t, !busy, "calls of onChange overlap")
 			busy = true
 			time.Sleep(3 * HubInterval)
 			busy = false
-			for _, item := range items {
+			for _, item := range changes.Items {
 				revisions = append(revisions, item.Revision)
 			}
 		})
@@ -126,7 +128,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var times []time.Time
 		hub := &countingHub{}
-		f := NewStoreMirror(evlog.New(logr.Discard()), &unresponsiveService{}, hub, func(now time.Time, _ []mirror.Item) { times = append(times, now) })
+		f := NewStoreMirror(evlog.New(logr.Discard()), &unresponsiveService{}, hub, func(now time.Time, _ mirror.Changes) { times = append(times, now) })
 		for _, age := range []time.Duration{0, time.Second, 400 * time.Millisecond, time.Minute} {
 			hub.age = age
 			f.AskHub(t.Context())
@@ -136,3 +138,75 @@
 		assert.Assert(t, slices.IsSortedFunc(times, time.Time.Compare), "%v", times)
 	})
 }
+
+// restoredService is at an era and a revision, and has one key whose value names both.
+type restoredService struct {
+	position  model.Position
+	fullReads int
+}
+
+func (s *restoredService) item() mirror.Item {
+	return mirror.Item{Key: "k", Value: fmt.Appendf(nil, "%d.%d", s.position.Era, s.position.Revision), Revision: s.position.Revision}
+}
+
+func (s *restoredService) Read(context.Context, string) (mirror.Delta, error) {
+	s.fullReads++
+	return mirror.Delta{Era: s.position.Era, Revision: s.position.Revision, Full: true, Items: []mirror.Item{s.item()}}, nil
+}
+
+func (s *restoredService) Changes(_ context.Context, _ string, after model.Position, _ time.Duration) (mirror.Delta, error) {
+	if after.Revision > s.position.Revision {
+		return mirror.Delta{}, plat.ErrCompacted
+	}
+	d := mirror.Delta{Era: s.position.Era, Revision: s.position.Revision}
+	if after.Revision < s.position.Revision {
+		d.Items = append(d.Items, s.item())
+	}
+	return d, nil
+}
+
+// TestRestoredServiceIsReadOnce: after a restore all keys are read once, whether the service has
+// the revision of the last read or not, and then changes only. An answer of an earlier era counts
+// as an outage.
+func TestRestoredServiceIsReadOnce(t *testing.T) {
+	type scenario struct {
+		name          string
+		restored      model.Position
+		wantFullReads int
+		wantErr       bool
+	}
+	for _, tc := range []scenario{
+		{"the revision does not exist", model.Position{Era: 2, Revision: 80}, 2, false},
+		{"the revision was given out again", model.Position{Era: 2, Revision: 120}, 2, false},
+		{"no restore", model.Position{Era: 1, Revision: 101}, 1, false},
+		{"earlier era", model.Position{Era: 0, Revision: 101}, 1, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			service := &restoredService{position: model.Position{Era: 1, Revision: 100}}
+			f := NewStoreMirror(evlog.New(logr.Discard()), service, &countingHub{}, func(time.Time, mirror.Changes) {})
+			assert.NilError(t, f.readService(t.Context()))
+			service.position = tc.restored
+			for range 5 {
+				err := f.readService(t.Context())
+				assert.Equal(t, err != nil, tc.wantErr, "%v", err)
+			}
+			assert.Equal(t, service.fullReads, tc.wantFullReads)
+			if !tc.wantErr {
+				item, position, _ := f.Get("k")
+				assert.Equal(t, position, tc.restored)
+				assert.DeepEqual(t, item, service.item())
+			}
+		})
+	}
+}
+
+// TestHubOfEarlierEraIsNotCurrent: a hub that has not noticed a restore is no replacement for
+// reading the service.
+func TestHubOfEarlierEraIsNotCurrent(t *testing.T) {
+	service := &restoredService{position: model.Position{Era: 1, Revision: 100}}
+	f := NewStoreMirror(evlog.New(logr.Discard()), service, &countingHub{}, func(time.Time, mirror.Changes) {})
+	assert.NilError(t, f.readService(t.Context()))
+	f.AskHub(t.Context())
+	assert.Assert(t, !f.hubIsCurrent(time.Now()))
+	assert.Equal(t, f.Position(), service.position)
+}
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -12,10 +12,10 @@
 	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_dropped"
 	_EventName_1      = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
-	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_gone"
-	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_gone"
-	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_lost"
-	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_lost"
+	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_held"
+	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_held"
+	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
+	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
 	_EventName_4      = "peer_unreachable"
 	_EventLowerName_4 = "peer_unreachable"
 	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sent"
@@ -25,8 +25,8 @@
 var (
 	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
-	_EventIndex_2 = [...]uint8{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148}
-	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118}
+	_EventIndex_2 = [...]uint8{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197}
+	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132}
 	_EventIndex_4 = [...]uint8{0, 16}
 	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82}
 )
@@ -39,10 +39,10 @@
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _EventName_1[_EventIndex_1[i]:_EventIndex_1[i+1]]
-	case 300 <= i && i <= 310:
+	case 300 <= i && i <= 313:
 		i -= 300
 		return _EventName_2[_EventIndex_2[i]:_EventIndex_2[i+1]]
-	case 400 <= i && i <= 410:
+	case 400 <= i && i <= 411:
 		i -= 400
 		return _EventName_3[_EventIndex_3[i]:_EventIndex_3[i+1]]
 	case i == 500:
@@ -83,6 +83,9 @@
 	_ = x[MemberUnreadable-(308)]
 	_ = x[ServerSeen-(309)]
 	_ = x[ServerGone-(310)]
+	_ = x[ServerSaidLeaving-(311)]
+	_ = x[ServerPaused-(312)]
+	_ = x[ServerEntryHeld-(313)]
 	_ = x[ShardOwned-(400)]
 	_ = x[ShardLost-(401)]
 	_ = x[ShardReleased-(402)]
@@ -94,6 +97,7 @@
 	_ = x[OrderFailed-(408)]
 	_ = x[DutyOwned-(409)]
 	_ = x[DutyLost-(410)]
+	_ = x[StoreRestored-(411)]
 	_ = x[PeerUnreachable-(500)]
 	_ = x[RequestFailed-(600)]
 	_ = x[RequestServed-(601)]
@@ -103,95 +107,100 @@
 	_ = x[RequestSent-(605)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent}
 
 var _EventNameToValueMap = map[string]Event{
-	_EventName_0[0:14]:    DaemonStarted,
-	_EventName_0[14:29]:   DaemonStopping,
-	_EventName_0[29:43]:   DaemonStopped,
-	_EventName_0[43:61]:   DaemonStopForced,
-	_EventName_0[61:72]:   PartFailed,
-	_EventName_0[72:85]:   FileReloaded,
-	_EventName_0[85:100]:  FileUnreadable,
-	_EventName_0[100:113]: LinesDropped,
-	_EventName_1[0:17]:    SettingsInForce,
-	_EventName_1[17:36]:   SettingsUnreadable,
-	_EventName_1[36:50]:   SettingsStale,
-	_EventName_1[50:66]:   SettingsCurrent,
-	_EventName_1[66:80]:   SettingsOlder,
-	_EventName_2[0:16]:    ListUnreachable,
-	_EventName_2[16:28]:   ListEmptied,
-	_EventName_2[28:41]:   ServerLeaves,
-	_EventName_2[41:56]:   ServerReturned,
-	_EventName_2[56:70]:   ServerAvoided,
-	_EventName_2[70:82]:   StreamMoved,
-	_EventName_2[82:95]:   TokenDropped,
-	_EventName_2[95:109]:  ServerStalled,
-	_EventName_2[109:126]: MemberUnreadable,
-	_EventName_2[126:137]: ServerSeen,
-	_EventName_2[137:148]: ServerGone,
-	_EventName_3[0:11]:    ShardOwned,
-	_EventName_3[11:21]:   ShardLost,
-	_EventName_3[21:35]:   ShardReleased,
-	_EventName_3[35:45]:   ShardFull,
-	_EventName_3[45:58]:   ShardCorrupt,
-	_EventName_3[58:68]:   StoreDown,
-	_EventName_3[68:76]:   StoreUp,
-	_EventName_3[76:87]:   OrderGiven,
-	_EventName_3[87:99]:   OrderFailed,
-	_EventName_3[99:109]:  DutyOwned,
-	_EventName_3[109:118]: DutyLost,
-	_EventName_4[0:16]:    PeerUnreachable,
-	_EventName_5[0:14]:    RequestFailed,
-	_EventName_5[14:28]:   RequestServed,
-	_EventName_5[28:44]:   RequestRepeated,
-	_EventName_5[44:57]:   StreamOpened,
-	_EventName_5[57:70]:   StreamFailed,
-	_EventName_5[70:82]:   RequestSent,
-}
-
-var _EventLowerNameToValueMap = map[string]Event{
+	_EventName_0[0:14]:         DaemonStarted,
 	_EventLowerName_0[0:14]:    DaemonStarted,
+	_EventName_0[14:29]:        DaemonStopping,
 	_EventLowerName_0[14:29]:   DaemonStopping,
+	_EventName_0[29:43]:        DaemonStopped,
 	_EventLowerName_0[29:43]:   DaemonStopped,
+	_EventName_0[43:61]:        DaemonStopForced,
 	_EventLowerName_0[43:61]:   DaemonStopForced,
+	_EventName_0[61:72]:        PartFailed,
 	_EventLowerName_0[61:72]:   PartFailed,
+	_EventName_0[72:85]:        FileReloaded,
 	_EventLowerName_0[72:85]:   FileReloaded,
+	_EventName_0[85:100]:       FileUnreadable,
 	_EventLowerName_0[85:100]:  FileUnreadable,
+	_EventName_0[100:113]:      LinesDropped,
 	_EventLowerName_0[100:113]: LinesDropped,
+	_EventName_1[0:17]:         SettingsInForce,
 	_EventLowerName_1[0:17]:    SettingsInForce,
+	_EventName_1[17:36]:        SettingsUnreadable,
 	_EventLowerName_1[17:36]:   SettingsUnreadable,
+	_EventName_1[36:50]:        SettingsStale,
 	_EventLowerName_1[36:50]:   SettingsStale,
+	_EventName_1[50:66]:        SettingsCurrent,
 	_EventLowerName_1[50:66]:   SettingsCurrent,
+	_EventName_1[66:80]:        SettingsOlder,
 	_EventLowerName_1[66:80]:   SettingsOlder,
+	_EventName_2[0:16]:         ListUnreachable,
 	_EventLowerName_2[0:16]:    ListUnreachable,
+	_EventName_2[16:28]:        ListEmptied,
 	_EventLowerName_2[16:28]:   ListEmptied,
+	_EventName_2[28:41]:        ServerLeaves,
 	_EventLowerName_2[28:41]:   ServerLeaves,
+	_EventName_2[41:56]:        ServerReturned,
 	_EventLowerName_2[41:56]:   ServerReturned,
+	_EventName_2[56:70]:        ServerAvoided,
 	_EventLowerName_2[56:70]:   ServerAvoided,
+	_EventName_2[70:82]:        StreamMoved,
 	_EventLowerName_2[70:82]:   StreamMoved,
+	_EventName_2[82:95]:        TokenDropped,
 	_EventLowerName_2[82:95]:   TokenDropped,
+	_EventName_2[95:109]:       ServerStalled,
 	_EventLowerName_2[95:109]:  ServerStalled,
+	_EventName_2[109:126]:      MemberUnreadable,
 	_EventLowerName_2[109:126]: MemberUnreadable,
+	_EventName_2[126:137]:      ServerSeen,
 	_EventLowerName_2[126:137]: ServerSeen,
+	_EventName_2[137:148]:      ServerGone,
 	_EventLowerName_2[137:148]: ServerGone,
+	_EventName_2[148:167]:      ServerSaidLeaving,
+	_EventLowerName_2[148:167]: ServerSaidLeaving,
+	_EventName_2[167:180]:      ServerPaused,
+	_EventLowerName_2[167:180]: ServerPaused,
+	_EventName_2[180:197]:      ServerEntryHeld,
+	_EventLowerName_2[180:197]: ServerEntryHeld,
+	_EventName_3[0:11]:         ShardOwned,
 	_EventLowerName_3[0:11]:    ShardOwned,
+	_EventName_3[11:21]:        ShardLost,
 	_EventLowerName_3[11:21]:   ShardLost,
+	_EventName_3[21:35]:        ShardReleased,
 	_EventLowerName_3[21:35]:   ShardReleased,
+	_EventName_3[35:45]:        ShardFull,
 	_EventLowerName_3[35:45]:   ShardFull,
+	_EventName_3[45:58]:        ShardCorrupt,
 	_EventLowerName_3[45:58]:   ShardCorrupt,
+	_EventName_3[58:68]:        StoreDown,
 	_EventLowerName_3[58:68]:   StoreDown,
+	_EventName_3[68:76]:        StoreUp,
 	_EventLowerName_3[68:76]:   StoreUp,
+	_EventName_3[76:87]:        OrderGiven,
 	_EventLowerName_3[76:87]:   OrderGiven,
+	_EventName_3[87:99]:        OrderFailed,
 	_EventLowerName_3[87:99]:   OrderFailed,
+	_EventName_3[99:109]:       DutyOwned,
 	_EventLowerName_3[99:109]:  DutyOwned,
+	_EventName_3[109:118]:      DutyLost,
 	_EventLowerName_3[109:118]: DutyLost,
+	_EventName_3[118:132]:      StoreRestored,
+	_EventLowerName_3[118:132]: StoreRestored,
+	_EventName_4[0:16]:         PeerUnreachable,
 	_EventLowerName_4[0:16]:    PeerUnreachable,
+	_EventName_5[0:14]:         RequestFailed,
 	_EventLowerName_5[0:14]:    RequestFailed,
+	_EventName_5[14:28]:        RequestServed,
 	_EventLowerName_5[14:28]:   RequestServed,
+	_EventName_5[28:44]:        RequestRepeated,
 	_EventLowerName_5[28:44]:   RequestRepeated,
+	_EventName_5[44:57]:        StreamOpened,
 	_EventLowerName_5[44:57]:   StreamOpened,
+	_EventName_5[57:70]:        StreamFailed,
 	_EventLowerName_5[57:70]:   StreamFailed,
+	_EventName_5[70:82]:        RequestSent,
 	_EventLowerName_5[70:82]:   RequestSent,
 }
 
@@ -220,6 +229,9 @@
 	_EventName_2[109:126],
 	_EventName_2[126:137],
 	_EventName_2[137:148],
+	_EventName_2[148:167],
+	_EventName_2[167:180],
+	_EventName_2[180:197],
 	_EventName_3[0:11],
 	_EventName_3[11:21],
 	_EventName_3[21:35],
@@ -231,6 +243,7 @@
 	_EventName_3[87:99],
 	_EventName_3[99:109],
 	_EventName_3[109:118],
+	_EventName_3[118:132],
 	_EventName_4[0:16],
 	_EventName_5[0:14],
 	_EventName_5[14:28],
@@ -247,7 +260,7 @@
 		return val, nil
 	}
 
-	if val, ok := _EventLowerNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _EventNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to Event values", s)
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -66,6 +66,14 @@
 	ServerSeen Event = 309
 	// ServerGone means that a backend server's entry was removed.
 	ServerGone Event = 310
+	// ServerSaidLeaving means that an answer of a server, or another daemon, said that the
+	// server is about to stop.
+	ServerSaidLeaving Event = 311
+	// ServerPaused means that a server declined a request and asked for a pause.
+	ServerPaused Event = 312
+	// ServerEntryHeld means that an entry from an older copy of the key-value service
+	// contradicts what is known, and does not count yet.
+	ServerEntryHeld Event = 313
 	// ShardOwned means that this daemon became the owner of a journal shard.
 	ShardOwned Event = 400
 	// ShardLost means that this daemon lost the ownership of a shard.
@@ -88,6 +96,8 @@
 	DutyOwned Event = 409
 	// DutyLost means that this daemon no longer assigns layers to engines.
 	DutyLost Event = 410
+	// StoreRestored means that the key-value service came back from an older copy of itself.
+	StoreRestored Event = 411
 	// PeerUnreachable means that another daemon does not answer.
 	PeerUnreachable Event = 500
 	// RequestFailed means that a caller was sent an error.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -1,19 +1,23 @@
 // Package mirror keeps a daemon's copy of the keys below a prefix of the platform's
 // key-value service. Updates come from a watch on the service and from other daemons
-// that can still reach it. Whatever the source, no key returns to an older revision.
+// that can still reach it. Whatever the source, no key returns to an older position: a
+// service that was restored from an older copy has a higher era.
 package mirror
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"strings"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
 // Item is the latest change of one key: its value or its removal.
 type Item struct {
 	Key   string `cbor:"1,keyasint"`
 	Value []byte `cbor:"2,keyasint,omitempty"`
-	// Revision is the revision of the key's last change; it is unique per change.
+	// Revision is the revision of the key's last change; it is unique per change and era.
 	Revision uint64 `cbor:"3,keyasint"`
 	// Removed is set where the last change removed the key; Value is empty then.
 	Removed bool `cbor:"4,keyasint,omitempty"`
@@ -26,6 +30,21 @@
 	Revision uint64 `cbor:"2,keyasint"`
 	// Full marks a full snapshot: keys that are not in Items do not exist at Revision.
 	Full bool `cbor:"3,keyasint,omitempty"`
+	// Era is the era of the service that Items and Revision belong to. Daemons of earlier
+	// versions send none.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Position returns the position up to which the delta is complete.
+func (d Delta) Position() model.Position { return model.Position{Era: d.Era, Revision: d.Revision} }
+
+// Changes is the result of a delta on the local copy.
+type Changes struct {
+	// Items are the items that changed the copy.
+	Items []Item
+	// Restored is set if Items come from a full snapshot of a service that was restored
+	// from an older copy of itself. They may then be older than what they replace.
+	Restored bool
 }
 
 // maxTombstones bounds the removals that are kept for deltas to other daemons.
@@ -36,8 +55,8 @@
 	// items holds the live keys and the tombstones.
 	items      map[string]Item
 	tombstones int
-	// revision is the revision up to which the copy is complete; it never decreases.
-	revision uint64
+	// position is the position up to which the copy is complete; it never decreases.
+	position model.Position
 	// prunedRevision is the revision up to which tombstones may be missing.
 	prunedRevision uint64
 }
@@ -45,8 +64,9 @@
 // New returns an empty copy.
 func New() *State { return &State{items: map[string]Item{}} }
 
-// Revision returns the revision up to which the copy is complete; 0 before the first read.
-func (s *State) Revision() uint64 { return s.revision }
+// Position returns the position up to which the copy is complete; its revision is 0 before the
+// first read.
+func (s *State) Position() model.Position { return s.position }
 
 // Get returns a live key.
 func (s *State) Get(key string) (Item, bool) {
@@ -65,10 +85,18 @@
 	return live
 }
 
-// Apply merges a delta and returns the items that changed the copy.
-func (s *State) Apply(d Delta) []Item {
+// Apply merges a delta. A delta of an earlier era is ignored, and so is one of a later era
+// unless it is a full snapshot, since it lacks what the restore changed.
+func (s *State) Apply(d Delta) Changes {
+	switch {
+	case d.Era < s.position.Era, d.Era > s.position.Era && !d.Full:
+		return Changes{}
+	case d.Era > s.position.Era:
+		restored := s.position.Revision > 0
+		return Changes{Items: s.replaceAll(d), Restored: restored}
+	}
 	var changed []Item
-	if d.Full && d.Revision >= s.revision {
+	if d.Full && d.Revision >= s.position.Revision {
 		changed = s.removeMissing(d)
 		// A full snapshot has no tombstones of keys that were removed earlier.
 		s.prunedRevision = d.Revision
@@ -83,8 +111,29 @@
 		s.put(item)
 		changed = append(changed, item)
 	}
-	s.revision = max(s.revision, d.Revision)
+	s.position.Revision = max(s.position.Revision, d.Revision)
 	s.pruneTombstones()
+	return Changes{Items: changed}
+}
+
+// replaceAll replaces the copy by a full snapshot of a later era and returns the differences.
+func (s *State) replaceAll(d Delta) []Item {
+	previous := s.items
+	s.items, s.tombstones, s.position, s.prunedRevision = map[string]Item{}, 0, d.Position(), d.Revision
+	var changed []Item
+	for _, item := range d.Items {
+		s.put(item)
+		if old, known := previous[item.Key]; !known || old.Removed || !bytes.Equal(old.Value, item.Value) {
+			changed = append(changed, item)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(previous)) {
+		if _, kept := s.items[key]; !kept && !previous[key].Removed {
+			removal := Item{Key: key, Revision: d.Revision, Removed: true}
+			s.put(removal)
+			changed = append(changed, removal)
+		}
+	}
 	return changed
 }
 
@@ -143,16 +192,21 @@
 	}
 }
 
-// ChangesSince returns the changes after a revision, or a full snapshot if tombstones after
-// that revision may have been pruned.
-func (s *State) ChangesSince(after uint64) Delta {
-	d := Delta{Revision: s.revision, Full: after == 0 || after < s.prunedRevision}
+// ChangesSince returns the changes after a position, or a full snapshot if the position is of
+// an earlier era or tombstones after it may have been pruned. A position of a later era gets
+// no changes.
+func (s *State) ChangesSince(after model.Position) Delta {
+	d := Delta{Era: s.position.Era, Revision: s.position.Revision}
+	if after.Era > s.position.Era {
+		return d
+	}
+	d.Full = after.Revision == 0 || after.Era < s.position.Era || after.Revision < s.prunedRevision
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
 		item := s.items[key]
 		if d.Full && item.Removed {
 			continue
 		}
-		if d.Full || item.Revision > after {
+		if d.Full || item.Revision > after.Revision {
 			d.Items = append(d.Items, item)
 		}
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -44,6 +44,8 @@
 	Status board.DaemonStatus `cbor:"2,keyasint"`
 	// After is the revision up to which the requesting daemon has all changes.
 	After uint64 `cbor:"3,keyasint"`
+	// Era is the era of After; nil from daemons of earlier versions, which know none.
+	Era *uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // HubAnswer is the hub's response to a HubRequest.
@@ -63,6 +65,8 @@
 // MirrorRequest requests the changes in the key-value service after a revision.
 type MirrorRequest struct {
 	After uint64 `cbor:"1,keyasint"`
+	// Era is the era of After; nil from daemons of earlier versions, which know none.
+	Era *uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // SettingsRequest requests the settings changes after a revision.
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -2,6 +2,7 @@
 package model
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 )
@@ -27,6 +28,20 @@
 // Revision numbers the changes to the settings, from 1. It never decreases.
 type Revision uint64
 
+// Position is a point in the history of the platform's key-value service. Positions are
+// ordered by Era first.
+type Position struct {
+	// Era counts the times that the service was restored from an older copy of itself.
+	Era uint64
+	// Revision counts the changes. A restore sets it back to that of the copy.
+	Revision uint64
+}
+
+// Compare returns -1 if p is before other, 0 if they are equal, and 1 otherwise.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+}
+
 //go:generate enumer -type=Role -transform=snake -text -output=role_enumer.go
 
 // Role is the function of a member of the membership list.
