Heed what engines say about leaving and pauses in their answers

Cause: an engine's Server-Leaving header and the Retry-After of its 503 were not read: it got new requests for as long as its entry said ready, and requests again at once after each refusal. Change: any answer tells engine.Observer. A server that says that it leaves gets no new work from any daemon (told over the exchange) until its next start. A server that asks for a pause gets no request from this daemon until it ends, a minute at most. A request that only paused servers could serve, too late, is refused at once with the time at which the first of them opens; refusals of plain services bear a Retry-After now.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -136,6 +136,9 @@
 
 	callerListener, readinessListener, metricsListener net.Listener
 	stopping                                           atomic.Bool
+	// pauses counts the answers in which a server asked for a pause, leaving the servers that
+	// said that they will stop.
+	pauses, leaving atomic.Uint64
 
 	mu sync.Mutex
 	// roster holds the backend servers; guarded by mu.
@@ -168,9 +171,10 @@
 		return nil, err
 	}
 	d := &EdgeDaemon{
-		deps: deps, vm: vm, store: platform.NewStoreClient(vm.StoreAddress), engines: platform.NewEngineClient(), processID: processID,
+		deps: deps, vm: vm, store: platform.NewStoreClient(vm.StoreAddress), processID: processID,
 		roster: roster.New(entryExpiryBeats*vm.HeartbeatInterval+entryExpiryMargin, lapsedEntryHold), loadBoard: board.New(), daemonCount: 1, shutdownDelay: edgeShutdownDelay,
 	}
+	d.engines = platform.NewEngineClient(platform.WithObserver(d))
 	for _, opt := range opts {
 		opt(d)
 	}
--- a/internal/boot/edge_test.go
+++ b/internal/boot/edge_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -335,6 +337,87 @@
 	}
 }
 
+// serversOf returns the servers of the platform with a kind of accelerator, or the plain ones.
+func (env *testEnvironment) serversOf(kind string) []*fakes.Server {
+	var servers []*fakes.Server
+	for _, s := range env.platform.Servers() {
+		if s.Kind == kind {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
+// TestEdgeServerSaysThatItLeaves checks that a server whose answers say that it leaves gets no
+// more requests, from any daemon, although its entry says that it is ready, that the answers are
+// passed on, and that what runs there ends.
+func TestEdgeServerSaysThatItLeaves(t *testing.T) {
+	env := newTestEnvironment(t, 2)
+	assert.Equal(t, env.call(0, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK)
+	leaving := env.serversOf("")[0]
+	if leaving.Requests() == 0 {
+		leaving = env.serversOf("")[1]
+	}
+	leaving.SayLeaving()
+	env.waitUntil("an answer says that the server leaves", func() bool {
+		return env.call(0, http.MethodGet, "/read/x", "key-n", "").header.Get("Server-Leaving") == "1"
+	})
+	// The daemons exchange their state several times a second.
+	time.Sleep(time.Second)
+	before := leaving.Requests()
+	for range 30 {
+		for i := range env.daemons {
+			assert.Equal(t, env.call(i, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK)
+		}
+	}
+	assert.Equal(t, leaving.Requests(), before)
+
+	engine := env.serversOf("card")[0]
+	engine.SayLeaving()
+	env.waitUntil("a stream starts at the engine that leaves", func() bool {
+		resp := env.stream(0, "/draft/x")
+		checkEventSequence(t, resp, 20)
+		return resp.header.Get("Server-Leaving") == "1"
+	})
+	time.Sleep(time.Second)
+	before = engine.Requests()
+	for range 5 {
+		for i := range env.daemons {
+			assert.Assert(t, env.stream(i, "/draft/x").complete)
+		}
+	}
+	assert.Equal(t, engine.Requests(), before)
+}
+
+// TestEdgeServerAsksForPause checks that a server that asks for a pause gets at most one request
+// from a daemon during the pause, and that callers get a Retry-After from it if all do.
+func TestEdgeServerAsksForPause(t *testing.T) {
+	env := newTestEnvironment(t, 1)
+	assert.Equal(t, env.call(0, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK)
+	servers := env.serversOf("")
+	if servers[0].Requests() == 0 {
+		slices.Reverse(servers)
+	}
+	before := servers[0].Requests()
+	servers[0].Pause(time.Minute)
+	for range 20 {
+		assert.Equal(t, env.call(0, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK)
+	}
+	assert.Equal(t, servers[0].Requests(), before+1)
+	servers[1].Pause(1500 * time.Millisecond)
+	var resp response
+	for range 3 {
+		resp = env.call(0, http.MethodPost, "/book/x", "key-n", "")
+		assert.Equal(t, resp.code, http.StatusServiceUnavailable)
+	}
+	retryAfter, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, retryAfter > 0.5 && retryAfter <= 1.5, "%v", retryAfter)
+	servers[1].Pause(0)
+	time.Sleep(1500 * time.Millisecond)
+	assert.Equal(t, env.call(0, http.MethodPost, "/book/x", "key-n", "").code, http.StatusOK)
+}
+
 // copyAge is the age of the copy from which the key-value service is restored.
 const copyAge = 800 * time.Millisecond
 
--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -35,6 +35,7 @@
 		return mirror.Delta{}, 0, false
 	}
 	d.streams.SetOthers(answer.Hub.Others)
+	d.serversLeave(answer.Hub.Others.Leaving, hub)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(answer.Hub.Peers) > 0 {
@@ -125,6 +126,9 @@
 	var load board.DaemonStatus
 	d.streams.View(func(c *core.Core) { load = c.DaemonStatus(time.Now()) })
 	load.Address = d.vm.PeersAddress
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	load.Leaving = d.roster.SaidLeaving()
 	return load
 }
 
@@ -135,6 +139,7 @@
 	}
 	answer := d.exchangeLoad(model.DaemonID(d.vm.VMName), d.ownLoad())
 	d.streams.SetOthers(answer.Others)
+	d.serversLeave(answer.Others.Leaving, "other daemons")
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers = answer.Peers
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -67,6 +67,10 @@
 	// another daemon owns the placement.
 	PlacementFence  uint64 `json:"placement_fence"`
 	LogLinesDropped uint64 `json:"log_lines_dropped"`
+	// ServerPauses counts the answers in which a backend server asked for a pause, and
+	// ServersSaidLeaving the servers that said that they will stop.
+	ServerPauses       uint64 `json:"server_pauses"`
+	ServersSaidLeaving uint64 `json:"servers_said_leaving"`
 }
 
 // publishEdgeMetrics publishes the metrics of a daemon at /debug/vars. It may be called
@@ -76,6 +80,7 @@
 		vars := EdgeVars{
 			Meters: d.edge.Meter().Read(), StoreEra: d.feed.Position().Era, StoreRevision: d.feed.Position().Revision, StoreAgeMs: d.feed.Age(time.Now()).Milliseconds(),
 			RequestsInProgress: d.edge.InProgress(), PlacementFence: d.duty.FencingToken(), LogLinesDropped: logWriter.DroppedLines(),
+			ServerPauses: d.pauses.Load(), ServersSaidLeaving: d.leaving.Load(),
 		}
 		if routing := d.edge.Routing(); routing != nil {
 			vars.SettingsRevision = uint64(routing.Revision)
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -88,6 +88,35 @@
 	return changed
 }
 
+// ServerLeaves implements engine.Observer.
+func (d *EdgeDaemon) ServerLeaves(server string) {
+	d.serversLeave([]model.ServerID{model.ServerID(server)}, "its answer")
+}
+
+// serversLeave keeps new work from servers that said that they will stop. source is logged.
+func (d *EdgeDaemon) serversLeave(servers []model.ServerID, source string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for _, id := range servers {
+		if d.roster.MarkLeaving(string(id)) {
+			changed = true
+			d.leaving.Add(1)
+			d.deps.Log.Info(evlog.ServerSaidLeaving, "server", id, "source", source)
+		}
+	}
+	if changed {
+		d.distributeServers(time.Now())
+	}
+}
+
+// ServerPauses implements engine.Observer.
+func (d *EdgeDaemon) ServerPauses(server string, until time.Time) {
+	d.pauses.Add(1)
+	d.streams.PauseServer(model.ServerID(server), until)
+	d.edge.PauseServer(server, until)
+}
+
 // distributeServers passes the backend servers to the components that use them. The
 // caller holds mu.
 func (d *EdgeDaemon) distributeServers(now time.Time) {
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -61,6 +61,8 @@
 	Pipes []PipeLoad `cbor:"4,keyasint,omitempty"`
 	// Full are the engines that recently declined its requests for lack of capacity.
 	Full []model.ServerID `cbor:"5,keyasint,omitempty"`
+	// Leaving are the servers whose answers said that they will stop.
+	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
 }
 
 // View is the summary of the other daemons' reports that a daemon gets.
@@ -74,6 +76,8 @@
 	ReplacingLayers []model.ServerID `cbor:"4,keyasint,omitempty"`
 	// Full are the engines that recently declined any daemon's requests.
 	Full []model.ServerID `cbor:"5,keyasint,omitempty"`
+	// Leaving are the servers that told any daemon that they will stop.
+	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
 }
 
 // daemonReport is a daemon's last report and when it expires.
@@ -85,11 +89,13 @@
 // State is the board of the daemon that keeps it.
 type State struct {
 	reports map[model.DaemonID]daemonReport
-	// loads, pipes, suspects and full are the sums over reports, without zero entries.
+	// loads, pipes, suspects, full and leaving are the sums over reports, without zero
+	// entries.
 	loads    map[model.ServerID]Load
 	pipes    map[Pipe]int
 	suspects map[model.ServerID]int
 	full     map[model.ServerID]int
+	leaving  map[model.ServerID]int
 	// daemons holds the keys of reports, sorted.
 	daemons   []model.DaemonID
 	nextSweep time.Time
@@ -100,7 +106,7 @@
 // New returns an empty board.
 func New() *State {
 	return &State{
-		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{},
+		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{}, leaving: map[model.ServerID]int{},
 	}
 }
 
@@ -133,6 +139,7 @@
 	}
 	addToCounts(st.suspects, status.Suspects, sign)
 	addToCounts(st.full, status.Full, sign)
+	addToCounts(st.leaving, status.Leaving, sign)
 }
 
 // addToCounts adds sign to the count of each ID and removes counts that become 0.
@@ -190,7 +197,7 @@
 	return slices.Compact(peers)
 }
 
-// Others returns the sums over all daemons but one, sorted. Suspects and Full include
+// Others returns the sums over all daemons but one, sorted. Suspects, Full and Leaving include
 // that daemon's own.
 func (st *State) Others(now time.Time, except model.DaemonID) View {
 	st.sweep(now)
@@ -203,7 +210,7 @@
 	for _, p := range own.Pipes {
 		ownPipes[p.Pipe] = p.Tokens
 	}
-	v := View{Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full))}
+	v := View{Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving))}
 	for id, sum := range st.loads {
 		ownLoad := ownLoads[id]
 		if remaining := (Load{Server: id, Tokens: sum.Tokens - ownLoad.Tokens, Streams: sum.Streams - ownLoad.Streams}); remaining.Tokens != 0 || remaining.Streams != 0 {
--- a/internal/core/board/board_test.go
+++ b/internal/core/board/board_test.go
@@ -22,11 +22,11 @@
 	pipe := PipeBetween("b", "a")
 	st.Put(now, "a", DaemonStatus{Address: "10.0.0.1:1", Loads: []Load{{Server: "e", Tokens: 10, Streams: 1}}, Suspects: []model.ServerID{"g", "f"}, Pipes: []PipeLoad{{pipe, 7}}})
 	st.Put(now, "b", DaemonStatus{Address: "10.0.0.2:1", Loads: []Load{{Server: "e", Tokens: 20, Streams: 2}, {Server: "f", Tokens: 1, Streams: 1}}, Pipes: []PipeLoad{{pipe, 5}}})
-	st.Put(now, "c", DaemonStatus{Address: "10.0.0.3:1", Loads: []Load{{Server: "e", Tokens: 5, Streams: 1}}, Suspects: []model.ServerID{"g"}})
+	st.Put(now, "c", DaemonStatus{Address: "10.0.0.3:1", Loads: []Load{{Server: "e", Tokens: 5, Streams: 1}}, Suspects: []model.ServerID{"g"}, Leaving: []model.ServerID{"h"}})
 	assert.DeepEqual(t, st.Suspects(now), []model.ServerID{"f", "g"})
 	assert.DeepEqual(t, st.Others(now, "a"), View{
 		Loads: []Load{{Server: "e", Tokens: 25, Streams: 3}, {Server: "f", Tokens: 1, Streams: 1}},
-		Pipes: []PipeLoad{{pipe, 5}}, Suspects: []model.ServerID{"f", "g"},
+		Pipes: []PipeLoad{{pipe, 5}}, Suspects: []model.ServerID{"f", "g"}, Leaving: []model.ServerID{"h"},
 	})
 	assert.Equal(t, st.Daemons(now), 3)
 	assert.DeepEqual(t, st.Peers("a", 4), []string{"10.0.0.2:1", "10.0.0.3:1"})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,6 +117,12 @@
 	if in.List != nil {
 		c.drain.ApplyList(now, in.List, c.servers, out)
 	}
+	for _, p := range in.Pauses {
+		until := retry.PauseEnd(now, p.Until)
+		if c.servers.Pause(p.Server, until) {
+			out.Notify(msgs.Notice{Kind: msgs.ServerPaused, Server: p.Server, Detail: until.Sub(now).String()})
+		}
+	}
 	for _, r := range in.Reports {
 		c.drain.ApplyReport(now, r, c.servers, out)
 	}
@@ -259,7 +265,9 @@
 	if len(c.requests.Rerouting) > 0 {
 		for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
 			if r := c.requests.Get(id); !now.Before(r.TryAt) || r.TriedVersion != c.servers.Version {
-				c.startRequest(now, r, c.models[r.Model], out)
+				if c.startRequest(now, r, c.models[r.Model], out) == route.Paused {
+					c.failIfPausedBeyond(now, r, r.RerouteUntil, out)
+				}
 			} else {
 				c.blocked = true
 			}
@@ -282,10 +290,29 @@
 		case route.NoChain, route.Busy:
 			q.Outage = result == route.NoChain
 			return
+		case route.Paused:
+			q.Outage = false
+			if !c.failIfPausedBeyond(now, r, r.QueueUntil, out) {
+				return
+			}
 		}
 	}
 }
 
+// failIfPausedBeyond fails a request that only paused servers could serve if none of them may be
+// sent requests before a time, and reports whether it did.
+func (c *Core) failIfPausedBeyond(now time.Time, r *table.Request, until time.Time, out *msgs.Outbox) bool {
+	pauseEnd := c.servers.NextPauseEnd(now, r.Model)
+	if pauseEnd.Before(until) {
+		return false
+	}
+	if r.Phase == table.Queued {
+		c.admit.Withdraw(r)
+	}
+	c.recov.FailRequestUntil(now, r, verdt.Overloaded, "all backend servers asked for a pause", pauseEnd, c.tables, out)
+	return true
+}
+
 // dispatchCost returns the cost of a dispatch that is charged to its team, in generated
 // tokens. Prompt tokens are cheaper than generated ones, since they are processed in parallel.
 func dispatchCost(r *table.Request) float64 {
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -46,6 +46,12 @@
 	Declined bool
 }
 
+// Pause reports that a server declined a request and wants none from this daemon until a time.
+type Pause struct {
+	Server model.ServerID
+	Until  time.Time
+}
+
 // Inbox holds the events since the last tick.
 type Inbox struct {
 	// List is the platform's latest membership list; nil means unchanged.
@@ -62,6 +68,8 @@
 	Arrivals    []Arrival
 	Tokens      []model.Token
 	Ends        []StreamEnd
+	// Pauses lists servers that want no requests from this daemon for a while.
+	Pauses []Pause
 	// Diagnoses are the answers to Asks.
 	Diagnoses []Diagnosis
 	// CallerGone lists the requests whose callers closed their connections.
@@ -75,13 +83,14 @@
 	*in = Inbox{
 		Reports: in.Reports[:0], Arrivals: in.Arrivals[:0], Tokens: in.Tokens[:0],
 		Ends: in.Ends[:0], CallerGone: in.CallerGone[:0], Diagnoses: in.Diagnoses[:0],
+		Pauses: in.Pauses[:0],
 	}
 }
 
 // Empty reports whether the inbox holds no event.
 func (in *Inbox) Empty() bool {
 	return in.List == nil && in.Settings == nil && in.Daemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
-		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses) == 0
+		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses) == 0
 }
 
 // Open starts or resumes a stream.
@@ -158,6 +167,8 @@
 	ListEmpty
 	// ServerStalled means that other engines wait for an engine, or that it does not respond.
 	ServerStalled
+	// ServerPaused means that a backend server asked for a pause and gets no requests.
+	ServerPaused
 )
 
 // Outbox holds the commands that result from a tick. They are to be executed in the
--- a/internal/core/msgs/noticekind_enumer.go
+++ b/internal/core/msgs/noticekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalled"
+const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_paused"
 
-var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88}
+var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101}
 
-const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalled"
+const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_paused"
 
 func (i NoticeKind) String() string {
 	if i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -31,28 +31,28 @@
 	_ = x[TokenDropped-(4)]
 	_ = x[ListEmpty-(5)]
 	_ = x[ServerStalled-(6)]
+	_ = x[ServerPaused-(7)]
 }
 
-var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled}
+var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
-	_NoticeKindName[0:14]:  ServerLeaving,
-	_NoticeKindName[14:25]: ServerBack,
-	_NoticeKindName[25:39]: ServerAvoided,
-	_NoticeKindName[39:51]: StreamMoved,
-	_NoticeKindName[51:64]: TokenDropped,
-	_NoticeKindName[64:74]: ListEmpty,
-	_NoticeKindName[74:88]: ServerStalled,
-}
-
-var _NoticeKindLowerNameToValueMap = map[string]NoticeKind{
-	_NoticeKindLowerName[0:14]:  ServerLeaving,
-	_NoticeKindLowerName[14:25]: ServerBack,
-	_NoticeKindLowerName[25:39]: ServerAvoided,
-	_NoticeKindLowerName[39:51]: StreamMoved,
-	_NoticeKindLowerName[51:64]: TokenDropped,
-	_NoticeKindLowerName[64:74]: ListEmpty,
-	_NoticeKindLowerName[74:88]: ServerStalled,
+	_NoticeKindName[0:14]:        ServerLeaving,
+	_NoticeKindLowerName[0:14]:   ServerLeaving,
+	_NoticeKindName[14:25]:       ServerBack,
+	_NoticeKindLowerName[14:25]:  ServerBack,
+	_NoticeKindName[25:39]:       ServerAvoided,
+	_NoticeKindLowerName[25:39]:  ServerAvoided,
+	_NoticeKindName[39:51]:       StreamMoved,
+	_NoticeKindLowerName[39:51]:  StreamMoved,
+	_NoticeKindName[51:64]:       TokenDropped,
+	_NoticeKindLowerName[51:64]:  TokenDropped,
+	_NoticeKindName[64:74]:       ListEmpty,
+	_NoticeKindLowerName[64:74]:  ListEmpty,
+	_NoticeKindName[74:88]:       ServerStalled,
+	_NoticeKindLowerName[74:88]:  ServerStalled,
+	_NoticeKindName[88:101]:      ServerPaused,
+	_NoticeKindLowerName[88:101]: ServerPaused,
 }
 
 var _NoticeKindNames = []string{
@@ -63,6 +63,7 @@
 	_NoticeKindName[51:64],
 	_NoticeKindName[64:74],
 	_NoticeKindName[74:88],
+	_NoticeKindName[88:101],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
@@ -72,7 +73,7 @@
 		return val, nil
 	}
 
-	if val, ok := _NoticeKindLowerNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _NoticeKindNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to NoticeKind values", s)
--- a/internal/core/msgs/storekind_enumer.go
+++ b/internal/core/msgs/storekind_enumer.go
@@ -33,16 +33,13 @@
 var _StoreKindValues = []StoreKind{StoreGet, StoreCAS, StoreGrant, StoreKeepAlive}
 
 var _StoreKindNameToValueMap = map[string]StoreKind{
-	_StoreKindName[0:9]:   StoreGet,
-	_StoreKindName[9:18]:  StoreCAS,
-	_StoreKindName[18:29]: StoreGrant,
-	_StoreKindName[29:45]: StoreKeepAlive,
-}
-
-var _StoreKindLowerNameToValueMap = map[string]StoreKind{
+	_StoreKindName[0:9]:        StoreGet,
 	_StoreKindLowerName[0:9]:   StoreGet,
+	_StoreKindName[9:18]:       StoreCAS,
 	_StoreKindLowerName[9:18]:  StoreCAS,
+	_StoreKindName[18:29]:      StoreGrant,
 	_StoreKindLowerName[18:29]: StoreGrant,
+	_StoreKindName[29:45]:      StoreKeepAlive,
 	_StoreKindLowerName[29:45]: StoreKeepAlive,
 }
 
@@ -60,7 +57,7 @@
 		return val, nil
 	}
 
-	if val, ok := _StoreKindLowerNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _StoreKindNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to StoreKind values", s)
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -240,10 +240,15 @@
 
 // FailRequest fails a request immediately and cancels its stream.
 func (st *State) FailRequest(now time.Time, r *table.Request, reason verdt.Reason, message string, t Tables, out *msgs.Outbox) {
+	st.FailRequestUntil(now, r, reason, message, now.Add(retryAfterFailure), t, out)
+}
+
+// FailRequestUntil is FailRequest with the time at which the caller may retry.
+func (st *State) FailRequestUntil(now time.Time, r *table.Request, reason verdt.Reason, message string, retryAt time.Time, t Tables, out *msgs.Outbox) {
 	if r.Phase == table.Running {
 		out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	}
-	f := verdt.New(r.FailureVerdict(), reason, message, verdt.RetryAt(now.Add(retryAfterFailure)))
+	f := verdt.New(r.FailureVerdict(), reason, message, verdt.RetryAt(retryAt))
 	st.finish(r, t, out, msgs.Finish{Request: r.ID, Failure: f})
 }
 
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -36,6 +36,8 @@
 	member     model.Member
 	inFlight   int
 	avoidUntil time.Time
+	// pausedUntil is the time until which the server wants no requests from this daemon.
+	pausedUntil time.Time
 	// latency is the moving average of the response time; 0 before the first response.
 	latency time.Duration
 	// successRate is the moving average of the share of requests that the server
@@ -120,7 +122,7 @@
 	}
 	best := st.chooseServer(now, r)
 	if best == nil {
-		return Attempt{}, verdt.New(r.Verdict, verdt.NoRoute, "no backend server of the service takes requests", verdt.RetryAt(now.Add(retryDelay)))
+		return Attempt{}, verdt.New(r.Verdict, verdt.NoRoute, "no backend server of the service takes requests", verdt.RetryAt(st.RetryAt(now, r.Service)))
 	}
 	if r.Attempts > 0 && !st.budget.TryTake(now, r.Service, 1) {
 		return Attempt{}, verdt.New(r.Verdict, verdt.Overloaded, "too many requests are being sent again", verdt.RetryAt(now.Add(retryDelay)))
@@ -131,14 +133,40 @@
 	return Attempt{Server: best.member, Began: now, InProgress: best.inFlight - 1}, nil
 }
 
+// RetryAt returns when a caller may retry a request to a service that did not run: when the first
+// of its live servers takes requests again.
+func (st *State) RetryAt(now time.Time, service string) time.Time {
+	var next time.Time
+	for _, s := range st.servers {
+		if s.member.Service == service && s.member.State == model.Live && (next.IsZero() || s.pausedUntil.Before(next)) {
+			next = s.pausedUntil
+		}
+	}
+	if soonest := now.Add(retryDelay); next.Before(soonest) {
+		return soonest
+	}
+	return next
+}
+
+// Pause keeps all requests from a server until the given time, and reports whether that is news.
+func (st *State) Pause(now time.Time, id string, until time.Time) bool {
+	until = retry.PauseEnd(now, until)
+	s := st.servers[id]
+	if s == nil || !until.After(s.pausedUntil) {
+		return false
+	}
+	s.pausedUntil = until
+	return true
+}
+
 // chooseServer returns the live server of the service with the lowest cost, or nil.
-// Servers that are in cooldown come after the others, and servers that were tried before
-// come last.
+// Paused servers are left out. Servers that are in cooldown come after the others, and servers
+// that were tried before come last.
 func (st *State) chooseServer(now time.Time, r *Request) *server {
 	var best *server
 	lowestCost := math.Inf(1)
 	for _, s := range st.servers {
-		if s.member.Service != r.Service || s.member.State != model.Live {
+		if s.member.Service != r.Service || s.member.State != model.Live || now.Before(s.pausedUntil) {
 			continue
 		}
 		cost := st.estimatedCost(s)
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -118,3 +118,32 @@
 	assert.Equal(t, failure.Reason, verdt.Overloaded)
 	assert.Equal(t, failure.Verdict, verdt.MayHaveRun)
 }
+
+// TestPausedServersGetNoRequests: servers that shed load ask for pauses. Requests go to the
+// others; once all are paused, requests are refused at once, as not run, until the first pause
+// ends.
+func TestPausedServersGetNoRequests(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	st := newState(2)
+	request := func() *Request { return &Request{Service: "app", Deadline: now.Add(time.Minute), MaxAttempts: 2} }
+	assert.Assert(t, st.Pause(now, "s0", now.Add(2*time.Second)))
+	assert.Assert(t, !st.Pause(now, "s0", now.Add(time.Second)), "a shorter pause is no news")
+	for range 20 {
+		attempt, failure := st.Next(now, request())
+		assert.Assert(t, failure == nil)
+		assert.Equal(t, attempt.Server.ID, "s1")
+	}
+	st.Pause(now, "s1", now.Add(1000*time.Hour))
+	_, failure := st.Next(now, request())
+	assert.Equal(t, failure.Verdict, verdt.NotRun)
+	assert.Equal(t, failure.RetryAt, now.Add(2*time.Second))
+	now = now.Add(2 * time.Second)
+	attempt, failure := st.Next(now, request())
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, attempt.Server.ID, "s0")
+	now = now.Add(time.Minute)
+	assert.Assert(t, st.Pause(now, "s0", now.Add(time.Second)))
+	attempt, failure = st.Next(now, request())
+	assert.Assert(t, failure == nil, "no pause lasts longer than a minute")
+	assert.Equal(t, attempt.Server.ID, "s1")
+}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -53,6 +53,17 @@
 // daemon that starts beside others does not use the whole burst.
 const initialDaemons = 8
 
+// maxPause bounds how long a server may ask not to be sent requests.
+const maxPause = time.Minute
+
+// PauseEnd returns when a server that asked for a pause may be sent requests again.
+func PauseEnd(now, until time.Time) time.Time {
+	if limit := now.Add(maxPause); until.After(limit) {
+		return limit
+	}
+	return until
+}
+
 // New returns the budget of one daemon; length is that of the sliding window.
 func New(ratio, burst float64, length time.Duration) *Budget {
 	return &Budget{Ratio: ratio, Burst: burst, Window: length, daemons: initialDaemons, windows: map[string]*window{}}
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -96,15 +96,38 @@
 	for range c.usable {
 		c.jitter = append(c.jitter, 1+costJitter*(2*c.rng.Float64()-1))
 	}
-	if route, ok := c.search(now, servers, q, true); ok {
+	if route, ok := c.search(now, servers, q, withRoom); ok {
 		return route, Found
 	}
-	if _, ok := c.search(now, servers, q, false); ok {
+	if _, ok := c.search(now, servers, q, notPaused); ok {
 		return model.Route{}, Busy
 	}
+	if _, ok := c.search(now, servers, q, anyUsable); ok {
+		return model.Route{}, Paused
+	}
 	return model.Route{}, NoChain
 }
 
+// filter selects the servers and pipes that a search may use.
+type filter uint8
+
+const (
+	// withRoom selects servers and pipes with room for the request.
+	withRoom filter = iota
+	// notPaused selects all usable servers that did not ask for a pause.
+	notPaused
+	// anyUsable selects all usable servers.
+	anyUsable
+)
+
+// admits reports whether a filter admits a server.
+func (c *Chains) admits(now time.Time, f filter, s *table.Server, daemons int, tokens float64) bool {
+	if f != anyUsable && now.Before(s.PausedUntil) {
+		return false
+	}
+	return f != withRoom || c.hasRoom(now, s, daemons, tokens)
+}
+
 // refresh updates the usable servers of a model if the server table changed or an
 // unusable server may have become usable.
 func (c *Chains) refresh(now time.Time, servers *table.Servers, modelName string) {
@@ -130,13 +153,12 @@
 }
 
 // search finds the cheapest chain by dynamic programming over the layers, in ascending
-// order so that each is visited once, and the zones. With needRoom, it leaves out full
-// servers and pipes.
-func (c *Chains) search(now time.Time, servers *table.Servers, q Query, needRoom bool) (model.Route, bool) {
+// order so that each is visited once, and the zones.
+func (c *Chains) search(now time.Time, servers *table.Servers, q Query, f filter) (model.Route, bool) {
 	zones := c.zones()
 	layers := max(1, q.Layers)
 	tokens := q.Request.Tokens(usualAnswerTokens)
-	pipeOpen := c.findOpenPipes(now, servers, zones, tokens, q.Daemons, needRoom)
+	pipeOpen := c.findOpenPipes(now, servers, zones, tokens, q.Daemons, f == withRoom)
 	best := make([][]partialChain, layers+1)
 	for i := range best {
 		best[i] = make([]partialChain, len(zones))
@@ -147,7 +169,7 @@
 	for layer := range layers {
 		for i, s := range c.usable {
 			span := s.Report.Span
-			if span.From > layer || span.To <= layer || span.To > layers || (needRoom && !c.hasRoom(now, s, q.Daemons, float64(tokens))) ||
+			if span.From > layer || span.To <= layer || span.To > layers || !c.admits(now, f, s, q.Daemons, float64(tokens)) ||
 				!allowed(q, s.ID, layer) {
 				continue
 			}
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -19,6 +19,9 @@
 	Busy
 	// NoChain means that no chain of usable servers covers all layers.
 	NoChain
+	// Paused means that chains exist, but only over servers that asked this daemon for a
+	// pause.
+	Paused
 )
 
 // Query holds the parameters of Picker.Pick.
--- a/internal/core/route/result_enumer.go
+++ b/internal/core/route/result_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ResultName = "foundbusyno_chain"
+const _ResultName = "foundbusyno_chainpaused"
 
-var _ResultIndex = [...]uint8{0, 5, 9, 17}
+var _ResultIndex = [...]uint8{0, 5, 9, 17, 23}
 
-const _ResultLowerName = "foundbusyno_chain"
+const _ResultLowerName = "foundbusyno_chainpaused"
 
 func (i Result) String() string {
 	if i >= Result(len(_ResultIndex)-1) {
@@ -27,26 +27,27 @@
 	_ = x[Found-(0)]
 	_ = x[Busy-(1)]
 	_ = x[NoChain-(2)]
+	_ = x[Paused-(3)]
 }
 
-var _ResultValues = []Result{Found, Busy, NoChain}
+var _ResultValues = []Result{Found, Busy, NoChain, Paused}
 
 var _ResultNameToValueMap = map[string]Result{
-	_ResultName[0:5]:  Found,
-	_ResultName[5:9]:  Busy,
-	_ResultName[9:17]: NoChain,
-}
-
-var _ResultLowerNameToValueMap = map[string]Result{
-	_ResultLowerName[0:5]:  Found,
-	_ResultLowerName[5:9]:  Busy,
-	_ResultLowerName[9:17]: NoChain,
+	_ResultName[0:5]:        Found,
+	_ResultLowerName[0:5]:   Found,
+	_ResultName[5:9]:        Busy,
+	_ResultLowerName[5:9]:   Busy,
+	_ResultName[9:17]:       NoChain,
+	_ResultLowerName[9:17]:  NoChain,
+	_ResultName[17:23]:      Paused,
+	_ResultLowerName[17:23]: Paused,
 }
 
 var _ResultNames = []string{
 	_ResultName[0:5],
 	_ResultName[5:9],
 	_ResultName[9:17],
+	_ResultName[17:23],
 }
 
 // ResultString retrieves an enum value from the enum constants string name.
@@ -56,7 +57,7 @@
 		return val, nil
 	}
 
-	if val, ok := _ResultLowerNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _ResultNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to Result values", s)
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -45,6 +45,8 @@
 	// FullUntil is the time until which the server counts as full after it declined a
 	// request of any daemon.
 	FullUntil time.Time
+	// PausedUntil is the time until which the server wants no requests from this daemon.
+	PausedUntil time.Time
 	// Failures counts the failures since the last success.
 	Failures int
 	// Users holds the requests whose current route passes through the server.
@@ -145,6 +147,28 @@
 	}
 }
 
+// Pause keeps all requests from a server until the given time, and reports whether that is news.
+func (t *Servers) Pause(id model.ServerID, until time.Time) bool {
+	s := t.rows[id]
+	if s == nil || !until.After(s.PausedUntil) {
+		return false
+	}
+	s.PausedUntil = until
+	return true
+}
+
+// NextPauseEnd returns when the first paused server of a model may be sent requests again; zero
+// if none is paused.
+func (t *Servers) NextPauseEnd(now time.Time, modelName string) time.Time {
+	var next time.Time
+	for _, s := range t.rows {
+		if s.Report.Model == modelName && now.Before(s.PausedUntil) && (next.IsZero() || s.PausedUntil.Before(next)) {
+			next = s.PausedUntil
+		}
+	}
+	return next
+}
+
 // Suspects returns the servers that this daemon suspects to be dead, sorted.
 func (t *Servers) Suspects(now time.Time) []model.ServerID {
 	var ids []model.ServerID
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -99,6 +99,17 @@
 	e.relayState.UpsertServer(m)
 }
 
+// PauseServer keeps requests from a backend server of a plain service that asked for a pause.
+func (e *Edge) PauseServer(id string, until time.Time) {
+	now := time.Now()
+	e.mu.Lock()
+	paused := e.relayState.Pause(now, id, until)
+	e.mu.Unlock()
+	if paused {
+		e.log.Info(evlog.ServerPaused, "server", id, "detail", until.Sub(now).String())
+	}
+}
+
 // SetDaemons sets how many daemons share the retry budget.
 func (e *Edge) SetDaemons(n int) {
 	e.mu.Lock()
@@ -339,6 +350,11 @@
 		if !retry {
 			if failure != nil {
 				failure.Verdict = relayReq.Verdict
+				if failure.Verdict == verdt.NotRun {
+					e.mu.Lock()
+					failure.RetryAt = e.relayState.RetryAt(time.Now(), relayReq.Service)
+					e.mu.Unlock()
+				}
 			}
 			e.finishRelayed(req, lastAnswer, failure, out)
 			return
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -161,6 +161,11 @@
 	s.loop.post(func(in *msgs.Inbox) { in.Reports = append(in.Reports, r) })
 }
 
+// PauseServer keeps requests from a server that asked for a pause.
+func (s *StreamExecutor) PauseServer(id model.ServerID, until time.Time) {
+	s.loop.post(func(in *msgs.Inbox) { in.Pauses = append(in.Pauses, msgs.Pause{Server: id, Until: until}) })
+}
+
 // SetOthers sets what the other daemons have in progress and which servers they
 // suspect of a failure. It is valid for board.StatusTTL.
 func (s *StreamExecutor) SetOthers(others board.View) {
@@ -361,6 +366,8 @@
 		s.log.Debug(evlog.TokenDropped, "request", s.logID(n.Request), "detail", n.Detail)
 	case msgs.ServerStalled:
 		s.log.Info(evlog.ServerStalled, "server", n.Server, "detail", n.Detail)
+	case msgs.ServerPaused:
+		s.log.Info(evlog.ServerPaused, "server", n.Server, "detail", n.Detail)
 	case msgs.ListEmpty:
 		s.log.Error(errors.New("the membership list names no engine"), evlog.ListEmptied)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -138,6 +138,16 @@
 	BlockedBy(ctx context.Context, server string) ([]string, error)
 }
 
+// Observer learns what backend servers say about themselves in their answers. Its methods may be
+// called concurrently.
+type Observer interface {
+	// ServerLeaves reports that a server will stop soon.
+	ServerLeaves(server string)
+	// ServerPauses reports that a server declined a request and wants none from this daemon
+	// until a time. The time is the server's word: it may be far in the future.
+	ServerPauses(server string, until time.Time)
+}
+
 // Relay forwards callers' requests unchanged. Errors are *AnswerError.
 type Relay interface {
 	// Send sends a request to a backend server and returns its complete response.
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -112,6 +112,17 @@
 	{"store compaction", func(tb *testbed, _ *rand.Rand) {
 		tb.runFault("store compaction", allDaemons, false, tb.platform.Store.Compact)
 	}},
+	{"store restored", func(tb *testbed, rnd *rand.Rand) {
+		tb.runFault("store restored", allDaemons, false, func() {
+			for range 1 + rnd.IntN(2) {
+				tb.platform.Store.SetDown(true)
+				sleepBetween(rnd, 0, 2*time.Second)
+				tb.platform.Store.SetDown(false)
+				tb.platform.Restore(time.Duration(rnd.IntN(8000))*time.Millisecond, time.Duration(rnd.IntN(1200))*time.Millisecond)
+				sleepBetween(rnd, 0, 2*time.Second)
+			}
+		})
+	}},
 	{"store clock shift", func(tb *testbed, rnd *rand.Rand) {
 		tb.runFault("store clock shift", allDaemons, false, func() {
 			offset := time.Duration(rnd.IntN(6000)-3000) * time.Millisecond
@@ -160,6 +171,29 @@
 	{"plain server drained", func(tb *testbed, rnd *rand.Rand) {
 		tb.runFault("plain server drained", allDaemons, true, func() { tb.drainServer(rnd, false) })
 	}},
+	{"server says that it leaves", func(tb *testbed, rnd *rand.Rand) {
+		tb.runFault("server says that it leaves", allDaemons, true, func() {
+			engine := rnd.IntN(2) == 0
+			tb.withRandomServer(rnd, engine, func(s *fakes.Server) {
+				tb.startServer(engine)
+				time.Sleep(entryTTL)
+				s.SayLeaving()
+				time.Sleep(entryTTL)
+				s.RemoveEntry()
+				time.Sleep(drainTime)
+				s.Crash()
+			})
+		})
+	}},
+	{"server asks for pauses", func(tb *testbed, rnd *rand.Rand) {
+		tb.runFault("server asks for pauses", allDaemons, false, func() {
+			tb.withRandomServer(rnd, rnd.IntN(2) == 0, func(s *fakes.Server) {
+				s.Pause(time.Duration(200+rnd.IntN(3000)) * time.Millisecond)
+				sleepBetween(rnd, 200*time.Millisecond, 3*time.Second)
+				s.Pause(0)
+			})
+		})
+	}},
 	{"engines added", func(tb *testbed, rnd *rand.Rand) {
 		for range 1 + rnd.IntN(2) {
 			tb.startServer(true)
