--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -135,6 +135,26 @@
 	assert.Assert(t, f.orderCount-ordersBefore <= 2, "%d orders", f.orderCount-ordersBefore)
 }
 
+// TestLostLayersAreTakenOverWhileAnEngineLoads: an engine crashes while another one that has just
+// joined still loads its layers. The lost layers are taken over at once, not only when no order
+// is pending any more.
+func TestLostLayersAreTakenOverWhileAnEngineLoads(t *testing.T) {
+	f := mixedZone()
+	f.run(t, 4*time.Second, noneLost)
+	f.add("a", "small", 1)
+	f.run(t, 200*time.Millisecond, func() bool { return true })
+	assert.Equal(t, f.members[len(f.members)-1].Span, model.Span{}, "it still loads")
+	for i, m := range f.members {
+		if m.Kind == "small" {
+			f.members = slices.Delete(f.members, i, i+1)
+			break
+		}
+	}
+	assert.Assert(t, f.missingLayers() > 0)
+	f.run(t, time.Second, noneLost)
+	assert.Equal(t, f.missingLayers(), 0)
+}
+
 // largeZone returns a fleet whose zone has memory for several copies of the model.
 func largeZone() *fakeFleet {
 	f := newFleet()
