--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,7 +88,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.tables = recov.Tables{Requests: c.requests, Servers: c.servers, Picker: c.picker, RequestEnded: c.admit.RequestEnded, ReturnRetry: func(r *table.Request) { c.returnRetry(r.RetryTakenAt, r) }}
+	c.tables = recov.Tables{Requests: c.requests, Servers: c.servers, Picker: c.picker, RequestEnded: c.admit.RequestEnded}
 	return c
 }
 
@@ -336,57 +336,19 @@
 		c.recov.FailRequest(now, r, verdt.NoRoute, "the servers at which the request may begin have gone", c.tables, out)
 		return route.NoChain
 	}
-	if r.Phase == table.Rerouting && !c.reserveRetry(now, r) {
-		c.failOverBudget(now, r, out)
-		return route.NoChain
-	}
 	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.daemons, FirstServers: heads})
 	switch {
 	case result != route.Found:
 		c.blocked = true
 		r.TryAt, r.TriedVersion = now.Add(dispatchRetryInterval), c.servers.Version
-	case r.Phase == table.Rerouting && !c.useRetry(now, r):
-		c.failOverBudget(now, r, out)
+	case r.Phase == table.Rerouting && c.budget != nil && !c.budget.TryTake(now, r.Model, budgetShare(r)):
+		c.recov.FailRequest(now, r, verdt.Overloaded, "too many requests are being sent again", c.tables, out)
 	default:
 		c.recov.Start(now, r, chain, c.tables, out)
 	}
 	return result
 }
 
-// reserveRetry reserves the next retry of a request in the budget, unless it has one. A request
-// that may not be sent again is failed at once, not after a wait for a route.
-func (c *Core) reserveRetry(now time.Time, r *table.Request) bool {
-	if c.budget == nil || !r.RetryTakenAt.IsZero() {
-		return true
-	}
-	if !c.budget.TryTake(now, r.Model, budgetShare(r)) {
-		return false
-	}
-	r.RetryTakenAt = now
-	return true
-}
-
-// useRetry moves a reserved retry to the time at which it is sent, since the budget counts
-// arrivals at the servers. It returns false if the budget has no room then.
-func (c *Core) useRetry(now time.Time, r *table.Request) bool {
-	if c.budget == nil {
-		return true
-	}
-	c.returnRetry(now, r)
-	return c.budget.TryTake(now, r.Model, budgetShare(r))
-}
-
-// returnRetry gives back the reserved retry of a request.
-func (c *Core) returnRetry(now time.Time, r *table.Request) {
-	c.budget.Return(now, r.Model, r.RetryTakenAt)
-	r.RetryTakenAt = time.Time{}
-}
-
-// failOverBudget fails a request that the budget does not allow to be sent again.
-func (c *Core) failOverBudget(now time.Time, r *table.Request, out *msgs.Outbox) {
-	c.recov.FailRequest(now, r, verdt.Overloaded, "too many requests are being sent again", c.tables, out)
-}
-
 // noOutputBudgetShare is the share of the budget available to requests that have not sent a
 // token to their caller. Such a caller can be told to retry later, while a started
 // stream that is not retried is cut off.
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -48,8 +48,6 @@
 	Picker   route.Picker
 	// RequestEnded is called with the team of each request that ends.
 	RequestEnded func(model.Team)
-	// ReturnRetry is called for each request that ends with a reserved retry.
-	ReturnRetry func(*table.Request)
 }
 
 // HandleToken processes a token. It is sent to the caller only if it has the next position and the
@@ -128,9 +126,6 @@
 	r.Route = model.Route{}
 	t.Requests.Remove(r.ID)
 	t.RequestEnded(r.Team)
-	if !r.RetryTakenAt.IsZero() {
-		t.ReturnRetry(r)
-	}
 	out.Finishes = append(out.Finishes, f)
 }
 
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -98,22 +98,6 @@
 	return true
 }
 
-// Return gives back a retry that was taken at a time and not sent.
-func (b *Budget) Return(now time.Time, service string, takenAt time.Time) {
-	w := b.windowAt(now, service)
-	age := w.newestBucket - b.bucketAt(takenAt)
-	if age < 0 || age >= 2*bucketsPerWindow {
-		return
-	}
-	retries := &w.retries[w.slot(age)]
-	*retries = max(0, *retries-1)
-}
-
-// bucketAt returns the index of the bucket of a time, counted from the Unix epoch.
-func (b *Budget) bucketAt(t time.Time) int64 {
-	return t.UnixNano() / max(1, int64(b.Window/bucketsPerWindow))
-}
-
 // sum returns the requests in the buckets whose age is at least from and less than to,
 // where the newest bucket has age 0.
 func (w *window) sum(from, to int) float64 {
@@ -131,7 +115,7 @@
 		w = &window{}
 		b.windows[service] = w
 	}
-	newest := b.bucketAt(now)
+	newest := now.UnixNano() / max(1, int64(b.Window/bucketsPerWindow))
 	if newest < w.newestBucket {
 		// The clock was set back: keep counting in the newest bucket.
 		return w
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -68,9 +68,6 @@
 	// if the version of the server table no longer is TriedVersion.
 	TryAt        time.Time
 	TriedVersion uint64
-	// RetryTakenAt is the time at which the request reserved its next retry in the budget; zero
-	// if it has none.
-	RetryTakenAt time.Time
 	// HoldUntil is the time at which a request that waits for lost servers to be replaced
 	// fails. It is not after Deadline.
 	HoldUntil time.Time
