Date what a server said about leaving as of the last changes of the store

Cause: when an answer said that a server leaves, all servers were handed to the core as of now. Change: the servers are handed on as of the last changes.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -141,8 +141,10 @@
 	pauses, leaving atomic.Uint64
 
 	mu sync.Mutex
-	// roster holds the backend servers; guarded by mu.
-	roster *roster.State
+	// roster holds the backend servers as of changesAsOf, the time of the last changes from
+	// the key-value service; both guarded by mu.
+	roster      *roster.State
+	changesAsOf time.Time
 	// peers are the addresses of a few other daemons; daemonCount is the number of all
 	// daemons, at least 1; both guarded by mu.
 	peers       []string
--- a/internal/boot/edge_test.go
+++ b/internal/boot/edge_test.go
@@ -15,6 +15,9 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/mirror"
+	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/platform"
 	"bulrushpond.example/bulrushpond/platform/fakes"
 )
@@ -389,6 +392,44 @@
 	assert.Equal(t, engine.Requests(), before)
 }
 
+// TestEdgeLayersAfterServerLeft checks that changes of engines' layers are applied which the hub
+// tells as of a time before an answer said that another engine leaves.
+func TestEdgeLayersAfterServerLeft(t *testing.T) {
+	env := newTestEnvironment(t, 1)
+	entries := map[string]mirror.Item{}
+	for _, item := range env.daemons[0].feed.ChangesSince(model.Position{}).Items {
+		entries[item.Key] = item
+	}
+	daemon, err := NewEdgeDaemon(Dependencies{Log: NewLog(io.Discard, false), Out: io.Discard}, platform.VMSettings{
+		VMName: "d", Zone: "a", IP: "127.0.0.1", CallersAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0",
+		StoreAddress: env.platform.Address(), Cores: 1,
+	}, 0)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- daemon.streams.Serve(ctx) }()
+	defer func() { cancel(); <-ended }()
+	withoutLayers := entries[platform.ServerKeyPrefix+"e0"]
+	withoutLayers.Value = []byte(strings.Replace(string(withoutLayers.Value), `"layers":{`, `"unused":{`, 1))
+	asOf := time.Now().Add(-time.Second)
+	daemon.applyStoreChanges(asOf, mirror.Changes{Items: []mirror.Item{entries[platform.KeyRouting], withoutLayers, entries[platform.ServerKeyPrefix+"e1"]}})
+	for _, m := range daemon.roster.Members() {
+		if strings.HasPrefix(m.ID, "e1") {
+			daemon.ServerLeaves(m.ID)
+		}
+	}
+	daemon.applyStoreChanges(asOf.Add(time.Millisecond), mirror.Changes{Items: []mirror.Item{entries[platform.ServerKeyPrefix+"e0"]}})
+	member, _ := daemon.roster.Get(platform.ServerKeyPrefix + "e0")
+	env.waitUntil("the engine's layers are known", func() bool {
+		known := false
+		daemon.streams.View(func(c *core.Core) {
+			s, ok := c.Server(model.ServerID(member.ID))
+			known = ok && s.Report.Span == member.Span && s.Report.Span.To > 0
+		})
+		return known
+	})
+}
+
 // TestEdgeServerAsksForPause checks that a server that asks for a pause gets at most one request
 // from a daemon during the pause, and that callers get a Retry-After from it if all do.
 func TestEdgeServerAsksForPause(t *testing.T) {
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -18,6 +18,7 @@
 func (d *EdgeDaemon) applyStoreChanges(now time.Time, changes mirror.Changes) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.changesAsOf = now
 	serversChanged := false
 	for _, item := range changes.Items {
 		switch {
@@ -106,7 +107,8 @@
 		}
 	}
 	if changed {
-		d.distributeServers(time.Now())
+		// A later time would make what the key-value service says next seem older.
+		d.distributeServers(d.changesAsOf)
 	}
 }
 
