--- a/internal/boot/edge_test.go
+++ b/internal/boot/edge_test.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -15,9 +13,6 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"bulrushpond.example/bulrushpond/internal/core"
-	"bulrushpond.example/bulrushpond/internal/mirror"
-	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/platform"
 	"bulrushpond.example/bulrushpond/platform/fakes"
 )
@@ -291,190 +286,6 @@
 	}
 }
 
-// TestEdgeStoreRestore checks that daemons keep the newest configuration when the key-value
-// service comes back from an older copy, twice in a row, that they follow it again afterwards
-// although revisions are given out again, and that engines accept the orders of the next owner
-// of the placement.
-func TestEdgeStoreRestore(t *testing.T) {
-	env := newTestEnvironment(t, 2)
-	time.Sleep(copyAge)
-	env.configure(fakes.Config{Keys: map[string][]string{"north": {"key-n"}}, Public: true})
-	inForce := func(i int) bool { return env.call(i, http.MethodGet, "/open/x", "", "").code == http.StatusOK }
-	for i := range env.daemons {
-		env.waitUntil("the new route is in force", func() bool { return inForce(i) })
-	}
-	for range 2 {
-		restored := make(chan struct{})
-		go func() {
-			defer close(restored)
-			env.platform.Restore(copyAge, time.Second)
-		}()
-		for waiting := true; waiting; {
-			select {
-			case <-restored:
-				waiting = false
-			case <-time.After(20 * time.Millisecond):
-			}
-			for i := range env.daemons {
-				assert.Assert(t, inForce(i), "daemon %d went back to the older configuration", i)
-				assert.Assert(t, env.stream(i, "/draft/x").complete)
-			}
-		}
-	}
-	env.configure(fakes.Config{Keys: map[string][]string{"north": {"key-n"}}})
-	for i := range env.daemons {
-		env.waitUntil("the route is removed", func() bool { return !inForce(i) })
-	}
-	for _, e := range env.platform.Servers() {
-		if e.Kind != "" {
-			e.Crash()
-			e.RemoveEntry()
-		}
-	}
-	for i := range 4 {
-		_, err := env.platform.Start(fmt.Sprintf("n%d", i), "a", "card")
-		assert.NilError(t, err)
-	}
-	for i := range env.daemons {
-		env.waitUntil("a stream completes on engines that started after the restore", func() bool { return env.stream(i, "/draft/x").complete })
-	}
-}
-
-// serversOf returns the servers of the platform with a kind of accelerator, or the plain ones.
-func (env *testEnvironment) serversOf(kind string) []*fakes.Server {
-	var servers []*fakes.Server
-	for _, s := range env.platform.Servers() {
-		if s.Kind == kind {
-			servers = append(servers, s)
-		}
-	}
-	return servers
-}
-
-// TestEdgeServerSaysThatItLeaves checks that a server whose answers say that it leaves gets no
-// more requests, from any daemon, although its entry says that it is ready, that the answers are
-// passed on, and that what runs there ends.
-func TestEdgeServerSaysThatItLeaves(t *testing.T) {
-	env := newTestEnvironment(t, 2)
-	assert.Equal(t, env.call(0, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK)
-	leaving := env.serversOf("")[0]
-	if leaving.Requests() == 0 {
-		leaving = env.serversOf("")[1]
-	}
-	leaving.SayLeaving()
-	env.waitUntil("an answer says that the server leaves", func() bool {
-		return env.call(0, http.MethodGet, "/read/x", "key-n", "").header.Get("Server-Leaving") == "1"
-	})
-	// The daemons exchange their state several times a second.
-	time.Sleep(time.Second)
-	before := leaving.Requests()
-	for range 30 {
-		for i := range env.daemons {
-			assert.Equal(t, env.call(i, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK)
-		}
-	}
-	assert.Equal(t, leaving.Requests(), before)
-
-	engine := env.serversOf("card")[0]
-	engine.SayLeaving()
-	env.waitUntil("a stream starts at the engine that leaves", func() bool {
-		resp := env.stream(0, "/draft/x")
-		checkEventSequence(t, resp, 20)
-		return resp.header.Get("Server-Leaving") == "1"
-	})
-	time.Sleep(time.Second)
-	before = engine.Requests()
-	for range 5 {
-		for i := range env.daemons {
-			assert.Assert(t, env.stream(i, "/draft/x").complete)
-		}
-	}
-	assert.Equal(t, engine.Requests(), before)
-}
-
-// TestEdgeLayersAfterServerLeft checks that changes of engines' layers are applied which the hub
-// tells as of a time before an answer said that another engine leaves.
-func TestEdgeLayersAfterServerLeft(t *testing.T) {
-	env := newTestEnvironment(t, 1)
-	entries := map[string]mirror.Item{}
-	for _, item := range env.daemons[0].feed.ChangesSince(model.Position{}).Items {
-		entries[item.Key] = item
-	}
-	daemon, err := NewEdgeDaemon(Dependencies{Log: NewLog(io.Discard, false), Out: io.Discard}, platform.VMSettings{
-		VMName: "d", Zone: "a", IP: "127.0.0.1", CallersAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0",
-		StoreAddress: env.platform.Address(), Cores: 1,
-	}, 0)
-	assert.NilError(t, err)
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- daemon.streams.Serve(ctx) }()
-	defer func() { cancel(); <-ended }()
-	withoutLayers := entries[platform.ServerKeyPrefix+"e0"]
-	withoutLayers.Value = []byte(strings.Replace(string(withoutLayers.Value), `"layers":{`, `"unused":{`, 1))
-	asOf := time.Now().Add(-time.Second)
-	daemon.applyStoreChanges(asOf, mirror.Changes{Items: []mirror.Item{entries[platform.KeyRouting], withoutLayers, entries[platform.ServerKeyPrefix+"e1"]}})
-	for _, m := range daemon.roster.Members() {
-		if strings.HasPrefix(m.ID, "e1") {
-			daemon.ServerLeaves(m.ID)
-		}
-	}
-	daemon.applyStoreChanges(asOf.Add(time.Millisecond), mirror.Changes{Items: []mirror.Item{entries[platform.ServerKeyPrefix+"e0"]}})
-	member, _ := daemon.roster.Get(platform.ServerKeyPrefix + "e0")
-	env.waitUntil("the engine's layers are known", func() bool {
-		known := false
-		daemon.streams.View(func(c *core.Core) {
-			s, ok := c.Server(model.ServerID(member.ID))
-			known = ok && s.Report.Span == member.Span && s.Report.Span.To > 0
-		})
-		return known
-	})
-}
-
-// TestEdgeServerAsksForPause checks that a server that asks for a pause gets at most one request
-// from a daemon during the pause, and that callers get a Retry-After from it if all do.
-func TestEdgeServerAsksForPause(t *testing.T) {
-	env := newTestEnvironment(t, 1)
-	assert.Equal(t, env.call(0, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK)
-	servers := env.serversOf("")
-	if servers[0].Requests() == 0 {
-		slices.Reverse(servers)
-	}
-	before := servers[0].Requests()
-	servers[0].Pause(time.Minute)
-	for range 20 {
-		assert.Equal(t, env.call(0, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK)
-	}
-	assert.Equal(t, servers[0].Requests(), before+1)
-	servers[1].Pause(1500 * time.Millisecond)
-	var resp response
-	for range 3 {
-		resp = env.call(0, http.MethodPost, "/book/x", "key-n", "")
-		assert.Equal(t, resp.code, http.StatusServiceUnavailable)
-	}
-	retryAfter, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
-	assert.NilError(t, err)
-	assert.Assert(t, retryAfter > 0.5 && retryAfter <= 1.5, "%v", retryAfter)
-	servers[1].Pause(0)
-	time.Sleep(1500 * time.Millisecond)
-	assert.Equal(t, env.call(0, http.MethodPost, "/book/x", "key-n", "").code, http.StatusOK)
-}
-
-// copyAge is the age of the copy from which the key-value service is restored.
-const copyAge = 800 * time.Millisecond
-
-// TestEdgeStartAfterStoreRestore checks that a daemon that starts just after a restore serves,
-// and takes over the newest configuration as soon as the operators have written it again.
-func TestEdgeStartAfterStoreRestore(t *testing.T) {
-	env := newTestEnvironment(t, 1)
-	time.Sleep(copyAge)
-	env.configure(fakes.Config{Keys: map[string][]string{"north": {"key-n"}}, Public: true})
-	env.platform.Store.Restore(copyAge)
-	env.start(nil)
-	env.waitUntil("the new daemon completes a stream", func() bool { return env.stream(1, "/draft/x").complete })
-	env.platform.Restore(0, 0)
-	env.waitUntil("the new route is in force", func() bool { return env.call(1, http.MethodGet, "/open/x", "", "").code == http.StatusOK })
-}
-
 // TestEdgeStartDuringStoreOutage checks that a daemon without a configuration answers 503 and
 // is not ready, and that it serves once the key-value service is available.
 func TestEdgeStartDuringStoreOutage(t *testing.T) {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -23,8 +23,9 @@
 	return model.Member{ID: id, State: model.Live, Span: model.Span{From: 0, To: layers}}
 }
 
-func leaving(id string) model.Member {
-	m := live(id, 1)
+// leaving returns s~1 while it leaves.
+func leaving() model.Member {
+	m := live("s~1", 1)
 	m.State = model.Leaving
 	return m
 }
@@ -44,13 +45,13 @@
 	entry := func(m model.Member) *model.Member { return &m }
 	for _, tc := range []scenario{
 		{"same entry", put(live("s~1", 1)), entry(live("s~1", 1)), live("s~1", 1), live("s~1", 1)},
-		{"leaving, the copy says ready", put(leaving("s~1")), entry(live("s~1", 1)), leaving("s~1"), live("s~1", 1)},
-		{"ready, the copy says leaving", put(live("s~1", 1)), entry(leaving("s~1")), leaving("s~1"), leaving("s~1")},
+		{"leaving, the copy says ready", put(leaving()), entry(live("s~1", 1)), leaving(), live("s~1", 1)},
+		{"ready, the copy says leaving", put(live("s~1", 1)), entry(leaving()), leaving(), leaving()},
 		{"started again, the copy has the start before", put(live("s~2", 1)), entry(live("s~1", 1)), live("s~2", 1), live("s~1", 1)},
 		{"new layers, the copy has the old ones", put(live("s~1", 8)), entry(live("s~1", 3)), live("s~1", 8), live("s~1", 3)},
 		{"unknown here", func(*State) {}, entry(live("s~1", 1)), live("s~1", 1), live("s~1", 1)},
 		{"missing in the copy", put(live("s~1", 1)), nil, live("s~1", 1), model.Member{}},
-		{"leaving and missing in the copy", put(leaving("s~1")), nil, model.Member{}, model.Member{}},
+		{"leaving and missing in the copy", put(leaving()), nil, model.Member{}, model.Member{}},
 		{"gone, the copy brings it back", func(st *State) {
 			st.Put(start, "k", live("s~1", 1), false)
 			st.Remove(start, "k", false, time.Time{})
@@ -58,7 +59,7 @@
 		{"said that it leaves, the copy says ready", func(st *State) {
 			st.Put(start, "k", live("s~1", 1), false)
 			assert.Assert(t, st.MarkLeaving("s~1"))
-		}, entry(live("s~1", 1)), leaving("s~1"), leaving("s~1")},
+		}, entry(live("s~1", 1)), leaving(), leaving()},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			st := New(confirmDelay, lapsedHold)
@@ -83,7 +84,7 @@
 // what was known and the held entry of the copy.
 func TestWrittenAgainCountsAtOnce(t *testing.T) {
 	st := New(confirmDelay, lapsedHold)
-	st.Put(start, "k", leaving("s~1"), false)
+	st.Put(start, "k", leaving(), false)
 	st.Put(start, "k", live("s~1", 1), true)
 	assert.Assert(t, st.Put(start, "k", live("s~2", 5), false))
 	assert.Assert(t, !st.Expire(start.Add(confirmDelay)))
