Let begun streams wait half a second for room in the retry budget

Cause: a daemon's even part of the budget was used up while others had room (295 of about 380 retries of the fleet in 10 s), so streams that engines had cut were cut for the caller too, at once. Change: a stream that has sent output waits up to half a second for room; retries leave the window all the time. One that has sent nothing is refused at once, as before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -309,7 +309,7 @@
 	if r.Phase == table.Queued {
 		c.admit.Withdraw(r)
 	}
-	c.recov.FailRequestUntil(now, r, verdt.Overloaded, "all backend servers asked for a pause", pauseEnd, c.tables, out)
+	c.recov.FailRequestUntil(r, verdt.Overloaded, "all backend servers asked for a pause", pauseEnd, c.tables, out)
 	return true
 }
 
@@ -342,6 +342,11 @@
 		c.blocked = true
 		r.TryAt, r.TriedVersion = now.Add(dispatchRetryInterval), c.servers.Version
 	case r.Phase == table.Rerouting && c.budget != nil && !c.budget.TryTake(now, r.Model, budgetShare(r)):
+		if hasOutput(r) && now.Before(r.BudgetUntil) {
+			c.blocked = true
+			r.TryAt, r.TriedVersion = now.Add(dispatchRetryInterval), c.servers.Version
+			return route.Busy
+		}
 		c.recov.FailRequest(now, r, verdt.Overloaded, "too many requests are being sent again", c.tables, out)
 	default:
 		c.recov.Start(now, r, chain, c.tables, out)
@@ -356,12 +361,15 @@
 
 // budgetShare returns the share of the budget that a request may use, in 0..1.
 func budgetShare(r *table.Request) float64 {
-	if r.Next > r.From {
+	if hasOutput(r) {
 		return 1
 	}
 	return noOutputBudgetShare
 }
 
+// hasOutput reports whether the caller was sent a token in answer to this request.
+func hasOutput(r *table.Request) bool { return r.Next > r.From }
+
 // allowedFirstServers returns the servers one of which must be the first server of a request's next
 // route, or none if any server may be. Once a request has been sent to MaxAttempts servers,
 // it may only be sent to those again. A server that is no longer listed still counts as an
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -18,6 +18,9 @@
 const (
 	// rerouteTimeout bounds how long a request waits for another route before it fails.
 	rerouteTimeout = 5 * time.Second
+	// budgetTimeout bounds how long a stream that has begun waits for room in the retry budget.
+	// A caller whose stream is cut can resume it elsewhere, so a longer wait would not help it.
+	budgetTimeout = 500 * time.Millisecond
 	// avoidBase is the backoff after a server's first failure, during which it gets no new
 	// work. It doubles with each consecutive failure, up to maxAvoidDuration.
 	avoidBase        = 500 * time.Millisecond
@@ -220,7 +223,7 @@
 	r.TryAt = now
 	r.PreviousRoute, r.Route, r.Trail = r.Route, model.Route{}, 0
 	r.Phase = table.Rerouting
-	r.RerouteUntil = now.Add(rerouteTimeout)
+	r.RerouteUntil, r.BudgetUntil = now.Add(rerouteTimeout), now.Add(budgetTimeout)
 	t.Requests.Rerouting[r.ID] = struct{}{}
 }
 
@@ -240,11 +243,11 @@
 
 // FailRequest fails a request immediately and cancels its stream.
 func (st *State) FailRequest(now time.Time, r *table.Request, reason verdt.Reason, message string, t Tables, out *msgs.Outbox) {
-	st.FailRequestUntil(now, r, reason, message, now.Add(retryAfterFailure), t, out)
+	st.FailRequestUntil(r, reason, message, now.Add(retryAfterFailure), t, out)
 }
 
 // FailRequestUntil is FailRequest with the time at which the caller may retry.
-func (st *State) FailRequestUntil(now time.Time, r *table.Request, reason verdt.Reason, message string, retryAt time.Time, t Tables, out *msgs.Outbox) {
+func (st *State) FailRequestUntil(r *table.Request, reason verdt.Reason, message string, retryAt time.Time, t Tables, out *msgs.Outbox) {
 	if r.Phase == table.Running {
 		out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	}
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -108,6 +108,8 @@
 	return model.Route{}, NoChain
 }
 
+//go:generate enumer -type=filter -transform=snake -output=filter_enumer.go
+
 // filter selects the servers and pipes that a search may use.
 type filter uint8
 
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -51,6 +51,9 @@
 	Verdict verdt.Verdict
 	// RerouteUntil is the time at which a request without a route fails.
 	RerouteUntil time.Time
+	// BudgetUntil is the time until which a request without a route that has sent output waits
+	// for room in the retry budget.
+	BudgetUntil time.Time
 	// LastObservedAt is the time of the last token at which the route's speed was observed; zero
 	// before the first.
 	LastObservedAt time.Time
