--- a/internal/boot/explain.go
+++ b/internal/boot/explain.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"bulrushpond.example/bulrushpond/internal/evlog"
 )
 
 // ExplainCmd shows the events of one request from the logs of one or several daemons.
@@ -98,11 +100,20 @@
 const (
 	// contextWindow is how long before and after a request other events are included.
 	contextWindow = 2 * time.Second
+	// unusableWindow is how long before a request the events are included that say which
+	// servers the daemon could not use, whether the request used them or not.
+	unusableWindow = time.Minute
 )
 
+// tellsUnusable reports whether an event says that a server asked not to be used.
+func (e logEvent) tellsUnusable() bool {
+	return e.name == evlog.ServerPaused.String() || e.name == evlog.ServerSaidLeaving.String()
+}
+
 // requestTimeline returns the events that name a request, and those that the same daemons
 // logged within contextWindow of it, except events of other requests and of servers that
-// the request didn't use. The events are ordered by time.
+// the request didn't use, and the unusable servers of unusableWindow before. The events are
+// ordered by time.
 func requestTimeline(id string, events []logEvent) []logEvent {
 	var timeline []logEvent
 	requestServers := map[string]bool{}
@@ -122,17 +133,23 @@
 	}
 	byTime := func(a, b logEvent) int { return a.at.Compare(b.at) }
 	slices.SortStableFunc(timeline, byTime)
+	var unusable []logEvent
 	from, to := timeline[0].at.Add(-contextWindow), timeline[len(timeline)-1].at.Add(contextWindow)
 	for _, event := range events {
 		_, namesRequest := event.fields["request"]
+		if event.tellsUnusable() && event.at.Before(from) && event.at.After(timeline[0].at.Add(-unusableWindow)) && hosts[event.file+"|"+event.host()] {
+			unusable = append(unusable, event)
+			continue
+		}
 		if namesRequest || event.at.Before(from) || event.at.After(to) || !hosts[event.file+"|"+event.host()] {
 			continue
 		}
 		server, namesServer := event.fields["server"].(string)
-		if !namesServer || requestServers[server] {
+		if !namesServer || requestServers[server] || event.tellsUnusable() {
 			timeline = append(timeline, event)
 		}
 	}
+	timeline = append(timeline, unusable...)
 	slices.SortStableFunc(timeline, byTime)
 	return timeline
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -309,7 +309,7 @@
 	if r.Phase == table.Queued {
 		c.admit.Withdraw(r)
 	}
-	c.recov.FailRequestUntil(r, verdt.Overloaded, "all backend servers asked for a pause", pauseEnd, c.tables, out)
+	c.recov.FailRequestUntil(r, verdt.Overloaded, "all backend servers that could serve the request asked for a pause", pauseEnd, c.tables, out)
 	return true
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -144,7 +144,7 @@
 	// ServerLeaves reports that a server will stop soon.
 	ServerLeaves(server string)
 	// ServerPauses reports that a server declined a request and wants none from this daemon
-	// until a time. The time is the server's word: it may be far in the future.
+	// until a time, which may be far in the future.
 	ServerPauses(server string, until time.Time)
 }
 
