Log the streams that wait for a stalled server, and count cut streams by reason

Cause: a daemon that ends a stream because of a stalled engine logs no line of the request that says so; stream_failed only tells of streams that the engine ended. Change: event 606 stream_stalled with the request and the server, and the metric cut_streams by reason. No decision changes.

--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -169,6 +169,8 @@
 	ServerStalled
 	// ServerPaused means that a backend server asked for a pause and gets no requests.
 	ServerPaused
+	// StreamStalled means that a stream in progress waits for a server that makes no progress.
+	StreamStalled
 )
 
 // Outbox holds the commands that result from a tick. They are to be executed in the
--- a/internal/core/msgs/noticekind_enumer.go
+++ b/internal/core/msgs/noticekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_paused"
+const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedstream_stalled"
 
-var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101}
+var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115}
 
-const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_paused"
+const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedstream_stalled"
 
 func (i NoticeKind) String() string {
 	if i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -32,27 +32,30 @@
 	_ = x[ListEmpty-(5)]
 	_ = x[ServerStalled-(6)]
 	_ = x[ServerPaused-(7)]
+	_ = x[StreamStalled-(8)]
 }
 
-var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused}
+var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, StreamStalled}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
-	_NoticeKindName[0:14]:        ServerLeaving,
-	_NoticeKindLowerName[0:14]:   ServerLeaving,
-	_NoticeKindName[14:25]:       ServerBack,
-	_NoticeKindLowerName[14:25]:  ServerBack,
-	_NoticeKindName[25:39]:       ServerAvoided,
-	_NoticeKindLowerName[25:39]:  ServerAvoided,
-	_NoticeKindName[39:51]:       StreamMoved,
-	_NoticeKindLowerName[39:51]:  StreamMoved,
-	_NoticeKindName[51:64]:       TokenDropped,
-	_NoticeKindLowerName[51:64]:  TokenDropped,
-	_NoticeKindName[64:74]:       ListEmpty,
-	_NoticeKindLowerName[64:74]:  ListEmpty,
-	_NoticeKindName[74:88]:       ServerStalled,
-	_NoticeKindLowerName[74:88]:  ServerStalled,
-	_NoticeKindName[88:101]:      ServerPaused,
-	_NoticeKindLowerName[88:101]: ServerPaused,
+	_NoticeKindName[0:14]:         ServerLeaving,
+	_NoticeKindLowerName[0:14]:    ServerLeaving,
+	_NoticeKindName[14:25]:        ServerBack,
+	_NoticeKindLowerName[14:25]:   ServerBack,
+	_NoticeKindName[25:39]:        ServerAvoided,
+	_NoticeKindLowerName[25:39]:   ServerAvoided,
+	_NoticeKindName[39:51]:        StreamMoved,
+	_NoticeKindLowerName[39:51]:   StreamMoved,
+	_NoticeKindName[51:64]:        TokenDropped,
+	_NoticeKindLowerName[51:64]:   TokenDropped,
+	_NoticeKindName[64:74]:        ListEmpty,
+	_NoticeKindLowerName[64:74]:   ListEmpty,
+	_NoticeKindName[74:88]:        ServerStalled,
+	_NoticeKindLowerName[74:88]:   ServerStalled,
+	_NoticeKindName[88:101]:       ServerPaused,
+	_NoticeKindLowerName[88:101]:  ServerPaused,
+	_NoticeKindName[101:115]:      StreamStalled,
+	_NoticeKindLowerName[101:115]: StreamStalled,
 }
 
 var _NoticeKindNames = []string{
@@ -64,6 +67,7 @@
 	_NoticeKindName[64:74],
 	_NoticeKindName[74:88],
 	_NoticeKindName[88:101],
+	_NoticeKindName[101:115],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -192,6 +192,7 @@
 	if r == nil || r.Phase != table.Running {
 		return
 	}
+	out.Notify(msgs.Notice{Kind: msgs.StreamStalled, Request: id, Server: failed, Detail: fmt.Sprintf("epoch %d at token %d", r.Epoch, r.Next)})
 	st.HandleStreamEnd(now, msgs.StreamEnd{Request: id, Epoch: r.Epoch, Failure: verdt.New(
 		verdt.MayHaveRun, verdt.StageFailed, "a backend server keeps the request waiting", verdt.Server(string(failed)),
 	)}, t, out)
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -294,6 +294,9 @@
 	return out.Flush()
 }
 
+// outcomeCut is the logged outcome of a stream that ended after its caller got some of the answer.
+const outcomeCut = "cut"
+
 // finishStream ends the answer of a streamed request. If an engine answered instead of
 // streaming, the caller gets that answer.
 func (e *Edge) finishStream(req *requestState, f *msgs.Finish, reply *Reply, headSent bool, out AnswerWriter) {
@@ -302,7 +305,7 @@
 		e.recordOutcome(req, "whole", nil)
 		out.Complete()
 	case headSent:
-		e.recordOutcome(req, "cut", f.Failure)
+		e.recordOutcome(req, outcomeCut, f.Failure)
 		out.Abort()
 	default:
 		if a := reply.Answer(); a != nil && f.Failure.Verdict != verdt.NotRun {
--- a/internal/drive/meter.go
+++ b/internal/drive/meter.go
@@ -22,6 +22,7 @@
 	mu           sync.Mutex
 	outcomes     map[string]uint64
 	reasons      map[string]uint64
+	cuts         map[string]uint64
 	firstEvent   *hdrhistogram.Histogram
 	longestPause *hdrhistogram.Histogram
 	duration     *hdrhistogram.Histogram
@@ -30,7 +31,7 @@
 // NewMeter returns a Meter with all counts at zero.
 func NewMeter() *Meter {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMaxMs, histogramSignificantDigits) }
-	return &Meter{outcomes: map[string]uint64{}, reasons: map[string]uint64{}, firstEvent: histogram(), longestPause: histogram(), duration: histogram()}
+	return &Meter{outcomes: map[string]uint64{}, reasons: map[string]uint64{}, cuts: map[string]uint64{}, firstEvent: histogram(), longestPause: histogram(), duration: histogram()}
 }
 
 // count records one request that has ended.
@@ -40,6 +41,9 @@
 	m.outcomes[outcome]++
 	if f != nil {
 		m.reasons[f.Reason.String()]++
+		if outcome == outcomeCut {
+			m.cuts[f.Reason.String()]++
+		}
 	}
 	if req.eventCount > 0 {
 		recordMs(m.firstEvent, req.firstEvent.Milliseconds())
@@ -68,6 +72,9 @@
 	// Outcomes counts requests by outcome, Reasons counts failures by reason.
 	Outcomes map[string]uint64 `json:"requests"`
 	Reasons  map[string]uint64 `json:"failures"`
+	// Cuts counts the streams that were cut after their caller got some of the answer, by
+	// reason.
+	Cuts map[string]uint64 `json:"cut_streams"`
 	// FirstEvent is the time to the first event, LongestPause the longest pause between
 	// two events of a stream, Duration the time to the end of the request.
 	FirstEvent   LatencyQuantiles `json:"first_event"`
@@ -80,7 +87,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return Meters{
-		Outcomes: maps.Clone(m.outcomes), Reasons: maps.Clone(m.reasons), FirstEvent: quantilesOf(m.firstEvent), LongestPause: quantilesOf(m.longestPause), Duration: quantilesOf(m.duration),
+		Outcomes: maps.Clone(m.outcomes), Reasons: maps.Clone(m.reasons), Cuts: maps.Clone(m.cuts), FirstEvent: quantilesOf(m.firstEvent), LongestPause: quantilesOf(m.longestPause), Duration: quantilesOf(m.duration),
 	}
 }
 
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -368,6 +368,8 @@
 		s.log.Info(evlog.ServerStalled, "server", n.Server, "detail", n.Detail)
 	case msgs.ServerPaused:
 		s.log.Info(evlog.ServerPaused, "server", n.Server, "detail", n.Detail)
+	case msgs.StreamStalled:
+		s.log.Info(evlog.StreamStalled, "request", s.logID(n.Request), "server", n.Server, "detail", n.Detail)
 	case msgs.ListEmpty:
 		s.log.Error(errors.New("the membership list names no engine"), evlog.ListEmptied)
 	}
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -18,8 +18,8 @@
 	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
 	_EventName_4      = "peer_unreachable"
 	_EventLowerName_4 = "peer_unreachable"
-	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sent"
-	_EventLowerName_5 = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sent"
+	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalled"
+	_EventLowerName_5 = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalled"
 )
 
 var (
@@ -28,7 +28,7 @@
 	_EventIndex_2 = [...]uint8{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197}
 	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132}
 	_EventIndex_4 = [...]uint8{0, 16}
-	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82}
+	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96}
 )
 
 func (i Event) String() string {
@@ -47,7 +47,7 @@
 		return _EventName_3[_EventIndex_3[i]:_EventIndex_3[i+1]]
 	case i == 500:
 		return _EventName_4
-	case 600 <= i && i <= 605:
+	case 600 <= i && i <= 606:
 		i -= 600
 		return _EventName_5[_EventIndex_5[i]:_EventIndex_5[i+1]]
 	default:
@@ -105,9 +105,10 @@
 	_ = x[StreamOpened-(603)]
 	_ = x[StreamFailed-(604)]
 	_ = x[RequestSent-(605)]
+	_ = x[StreamStalled-(606)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:         DaemonStarted,
@@ -202,6 +203,8 @@
 	_EventLowerName_5[57:70]:   StreamFailed,
 	_EventName_5[70:82]:        RequestSent,
 	_EventLowerName_5[70:82]:   RequestSent,
+	_EventName_5[82:96]:        StreamStalled,
+	_EventLowerName_5[82:96]:   StreamStalled,
 }
 
 var _EventNames = []string{
@@ -251,6 +254,7 @@
 	_EventName_5[44:57],
 	_EventName_5[57:70],
 	_EventName_5[70:82],
+	_EventName_5[82:96],
 }
 
 // EventString retrieves an enum value from the enum constants string name.
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -112,6 +112,8 @@
 	StreamFailed Event = 604
 	// RequestSent says to which server of a plain service a request was sent, and why.
 	RequestSent Event = 605
+	// StreamStalled says which server a stream in progress waits for.
+	StreamStalled Event = 606
 )
 
 // Log writes events to a logr.Logger.
