Add a failing test of streams that are cut because an engine is silent

The test lets one engine of a stream's route make no progress for 1.5 s while something keeps the stream from being moved: no other route, attempts or recoveries or the retry budget used up, or a request that must not be repeated. The stream has to stay open and go on.

--- /dev/null
+++ b/internal/core/stalled_test.go
@@ -0,0 +1,90 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/retry"
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+// unlist removes servers from the membership list.
+func (w *chainHarness) unlist(ids ...model.ServerID) {
+	w.list = slices.DeleteFunc(w.list, func(m model.Member) bool { return slices.Contains(ids, model.ServerID(m.ID)) })
+	w.sendListAndReports()
+	w.tick()
+}
+
+// startStream submits a request and delivers its first token.
+func (w *chainHarness) startStream(a msgs.Arrival) msgs.Open {
+	w.t.Helper()
+	o := w.submit(a)
+	w.deliverTokens(0, []msgs.Open{o})
+	w.tick()
+	return o
+}
+
+// reportStall lets a stream pause until its first engine is asked, and answers that the engine
+// waits for the one of the second stage.
+func (w *chainHarness) reportStall(o msgs.Open) {
+	w.t.Helper()
+	ask := w.awaitAsk()
+	faulty := o.Route.Hops[1]
+	w.in.Diagnoses = append(w.in.Diagnoses, msgs.Diagnosis{Server: o.Route.Hops[0].Server, AskedAt: ask.At, Faulty: []string{faulty.Address}})
+	w.tick()
+}
+
+// TestSilentEngineCutsNoStream guards against streams that the daemon cuts because of an engine
+// that is silent for a moment. Whatever keeps a stream from being moved to another route, it
+// stays open and goes on when the engine does.
+func TestSilentEngineCutsNoStream(t *testing.T) {
+	type scenario struct {
+		name    string
+		pairs   int
+		budget  *retry.Budget
+		arrival msgs.Arrival
+		// prepare runs after the first token.
+		prepare func(*chainHarness, msgs.Open)
+	}
+	for _, tc := range []scenario{
+		{name: "no other route", pairs: 1},
+		{
+			name: "attempts used up at a server that left", pairs: 2, arrival: msgs.Arrival{MaxAttempts: 1},
+			prepare: func(w *chainHarness, o msgs.Open) { w.unlist(o.Route.Hops[0].Server) },
+		},
+		{name: "retry budget used up", pairs: 2, budget: retry.New(0, 0, 10*time.Second)},
+		{name: "recoveries used up", pairs: 2, prepare: func(w *chainHarness, _ msgs.Open) { w.core.requests.Get(1).MaxRecoveries = 0 }},
+		{name: "not repeatable", pairs: 2, arrival: msgs.Arrival{AtMostOnce: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			opts := []Option{WithStallCheck()}
+			if tc.budget != nil {
+				opts = append(opts, WithBudget(tc.budget))
+			}
+			w := newChainHarness(t, tc.pairs, opts...)
+			tc.arrival.ID = 1
+			o := w.startStream(tc.arrival)
+			if tc.prepare != nil {
+				tc.prepare(w, o)
+			}
+			w.reportStall(o)
+			for range 60 {
+				assert.Equal(t, len(w.out.Cancels), 0, "the stream was cancelled")
+				assert.Equal(t, len(w.out.Finishes), 0, "the request was ended: %v", w.out.Finishes)
+				w.now = w.now.Add(25 * time.Millisecond)
+				w.tick()
+			}
+			w.deliverTokens(1, []msgs.Open{o})
+			w.tick()
+			assert.Equal(t, len(w.out.Sends), 1)
+			w.in.Tokens = append(w.in.Tokens, model.Token{Request: 1, Epoch: o.Epoch, Position: 2, End: true})
+			w.tick()
+			assert.Equal(t, len(w.out.Finishes), 1)
+			assert.Assert(t, w.out.Finishes[0].Failure == nil)
+		})
+	}
+}
