Keep the stream of a stalled engine open until another route is found

Callers saw streams cut in the middle of the answer while engines were replaced and the configuration changed. Cause: a stall was handled as the end of the stream. The daemon closed its connection to the first engine and only then looked for another route, so that any bound on that (attempts, recoveries, retry budget, no route for 5 s, not repeatable) cut a caller whose engine was still at work or silent for a moment.

Change: a stalled stream is only marked. Each dispatch looks for another route for it, with the room that it holds counted as free, and closes the old stream when it opens the new one. Without one it stays until it goes on or its engines end it. Its first engine counts as an attempt meanwhile, the engine that it waited for as failed once the engines end it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -218,7 +218,7 @@
 	}
 }
 
-// checkStalls moves requests off stalled engines.
+// checkStalls finds the streams that wait for stalled engines. dispatch moves them.
 func (c *Core) checkStalls(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	if c.stall == nil {
 		return
@@ -233,13 +233,13 @@
 		c.ejectEngine(now, id, false, "a request was declined because of it, and its streams are quiet", out)
 	}
 	for _, s := range waiting {
-		c.recov.FailStream(now, s.Request, s.Server, c.tables, out)
+		c.recov.StallStream(now, s.Request, s.Server, c.tables, out)
 	}
 }
 
-// ejectEngine moves the quiet streams off a stalled engine and keeps new work from it, for
+// ejectEngine marks the quiet streams over a stalled engine and keeps new work from it, for
 // stall.DeadCooldown if it is suspected to be dead, or for stall.UnresponsiveCooldown if it only did not
-// answer an Ask. Streams that still deliver tokens stay; later sweeps move them once they
+// answer an Ask. Streams that still deliver tokens stay; later sweeps mark them once they
 // are quiet.
 func (c *Core) ejectEngine(now time.Time, id model.ServerID, silent bool, detail string, out *msgs.Outbox) {
 	out.Notify(msgs.Notice{Kind: msgs.ServerStalled, Server: id, Detail: detail})
@@ -251,7 +251,7 @@
 	c.recov.Avoid(now, id, avoidFor, c.tables, out)
 	for _, user := range slices.Sorted(maps.Keys(c.servers.Get(id).Users)) {
 		if r := c.requests.Get(user); r != nil && stall.Quiet(now, r) {
-			c.recov.FailStream(now, user, id, c.tables, out)
+			c.recov.StallStream(now, user, id, c.tables, out)
 		}
 	}
 }
@@ -273,6 +273,7 @@
 			}
 		}
 	}
+	c.moveStalled(now, out)
 	for _, name := range c.admit.Backlog() {
 		c.dispatchQueue(now, c.admit.Queues[name], c.models[name], out)
 	}
@@ -379,9 +380,13 @@
 	if r.MaxAttempts == 0 {
 		return nil
 	}
+	servers := r.FirstServers
+	if r.Phase == table.Running && !slices.Contains(servers, r.Route.Hops[0].Server) {
+		servers = append(slices.Clone(servers), r.Route.Hops[0].Server)
+	}
 	var counted []model.ServerID
-	for _, id := range r.FirstServers {
-		if c.listed(id) || !slices.Contains(r.Failed, id) {
+	for _, id := range servers {
+		if c.listed(id) || !r.Avoids(id) {
 			counted = append(counted, id)
 		}
 	}
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -68,6 +68,7 @@
 	}
 	r.Verdict = verdt.Ran
 	recordToken(now, r)
+	t.Requests.SetStalled(r, "")
 	if tok.End {
 		if tok.Head != nil {
 			// An answer without any event still has a head to send.
@@ -162,6 +163,9 @@
 		}
 		r.Failed = append(r.Failed, failed)
 	}
+	if r.StalledOn != "" {
+		r.Failed = append(r.Failed, r.StalledOn)
+	}
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	st.detach(now, r, t)
 	if !e.Declined {
@@ -186,16 +190,32 @@
 	}
 }
 
-// FailStream ends the stream of a request because a server of its route is stalled.
-func (st *State) FailStream(now time.Time, id model.RequestID, failed model.ServerID, t Tables, out *msgs.Outbox) {
+// StallStream records that a request's stream waits for a stalled server. The stream stays open, as the
+// server may go on, until SwitchRoute moves the request or the engines end the stream.
+func (st *State) StallStream(now time.Time, id model.RequestID, server model.ServerID, t Tables, out *msgs.Outbox) {
 	r := t.Requests.Get(id)
-	if r == nil || r.Phase != table.Running {
+	if r == nil || r.Phase != table.Running || r.StalledOn != "" {
 		return
 	}
-	out.Notify(msgs.Notice{Kind: msgs.StreamStalled, Request: id, Server: failed, Detail: fmt.Sprintf("epoch %d at token %d", r.Epoch, r.Next)})
-	st.HandleStreamEnd(now, msgs.StreamEnd{Request: id, Epoch: r.Epoch, Failure: verdt.New(
-		verdt.MayHaveRun, verdt.StageFailed, "a backend server keeps the request waiting", verdt.Server(string(failed)),
-	)}, t, out)
+	if s := t.Servers.Get(server); s != nil {
+		avoid(now, s, avoidBase<<min(s.Failures, 6), t, out)
+	}
+	t.Requests.SetStalled(r, server)
+	r.TryAt = now
+	out.Notify(msgs.Notice{Kind: msgs.StreamStalled, Request: id, Server: server, Detail: fmt.Sprintf("epoch %d at token %d", r.Epoch, r.Next)})
+}
+
+// MaySwitch reports whether a request with an open stream may be sent to another route.
+func MaySwitch(r *table.Request) bool { return !r.AtMostOnce && r.Recoveries < r.MaxRecoveries }
+
+// SwitchRoute moves a request whose stream is stalled to another route.
+func (st *State) SwitchRoute(now time.Time, r *table.Request, chain model.Route, t Tables, out *msgs.Outbox) {
+	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
+	r.Failed = append(r.Failed, r.StalledOn)
+	st.detach(now, r, t)
+	recordFirstServer(r, r.PreviousRoute)
+	r.Verdict = r.Verdict.Merge(verdt.MayHaveRun)
+	st.Start(now, r, chain, t, out)
 }
 
 // Avoid keeps new work from a server for a while.
@@ -221,6 +241,7 @@
 // detach releases a request's route and makes the request wait for another one.
 func (st *State) detach(now time.Time, r *table.Request, t Tables) {
 	t.Servers.Release(r, r.Route)
+	t.Requests.SetStalled(r, "")
 	r.TryAt = now
 	r.PreviousRoute, r.Route, r.Trail = r.Route, model.Route{}, 0
 	r.Phase = table.Rerouting
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -84,6 +84,16 @@
 // two has more over the fleet, so each counts their mean: summed over daemons whose
 // requests come at different times, the mean does not exceed the larger one.
 func (b *Budget) TryTake(now time.Time, service string, share float64) bool {
+	if !b.HasRoom(now, service, share) {
+		return false
+	}
+	w := b.windowAt(now, service)
+	w.retries[w.slot(0)]++
+	return true
+}
+
+// HasRoom reports whether TryTake would return true.
+func (b *Budget) HasRoom(now time.Time, service string, share float64) bool {
 	w := b.windowAt(now, service)
 	burst := b.Burst / float64(max(1, b.daemons))
 	retries := 0.0
@@ -94,7 +104,6 @@
 			return false
 		}
 	}
-	w.retries[w.slot(0)]++
 	return true
 }
 
--- a/internal/core/stall/stall.go
+++ b/internal/core/stall/stall.go
@@ -92,7 +92,7 @@
 		}
 	}
 	for r := range requests.All() {
-		if r.Phase != table.Running || now.Sub(r.LastActivityAt) < pauseLimit(r) {
+		if r.Phase != table.Running || r.StalledOn != "" || now.Sub(r.LastActivityAt) < pauseLimit(r) {
 			continue
 		}
 		firstHop := r.Route.Hops[0]
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"iter"
 	"maps"
+	"slices"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
@@ -44,6 +45,9 @@
 	FirstServers []model.ServerID
 	// Failed lists the servers that failed during this request.
 	Failed []model.ServerID
+	// StalledOn is the server that the running stream waits for. The stream stays open until
+	// another route is found. Empty unless the request is in Requests.Stalled.
+	StalledOn model.ServerID
 	// PreviousRoute is the previous route, whose servers may still hold the request's cache;
 	// empty on the first route.
 	PreviousRoute model.Route
@@ -90,6 +94,12 @@
 	return r.Verdict
 }
 
+// Avoids reports whether the request must not be sent to a server again because the server
+// failed it or keeps it waiting.
+func (r *Request) Avoids(id model.ServerID) bool {
+	return slices.Contains(r.Failed, id) || r.StalledOn == id
+}
+
 // Tokens returns the number of tokens that the request's cache holds after a typical answer,
 // or after the tokens sent so far if they are more.
 func (r *Request) Tokens(typicalAnswer int) int {
@@ -112,6 +122,8 @@
 	deadlines *Heap[deadline]
 	// Rerouting holds the requests in the phase Rerouting.
 	Rerouting map[model.RequestID]struct{}
+	// Stalled holds the running requests whose stream waits for a stalled server.
+	Stalled map[model.RequestID]struct{}
 }
 
 // NewRequests returns an empty table.
@@ -120,6 +132,7 @@
 		rows:      map[model.RequestID]*Request{},
 		deadlines: NewHeap(func(a, b deadline) bool { return a.at.Before(b.at) }),
 		Rerouting: map[model.RequestID]struct{}{},
+		Stalled:   map[model.RequestID]struct{}{},
 	}
 }
 
@@ -142,6 +155,18 @@
 func (t *Requests) Remove(id model.RequestID) {
 	delete(t.rows, id)
 	delete(t.Rerouting, id)
+	delete(t.Stalled, id)
+}
+
+// SetStalled records the server that a request's running stream waits for; empty if it waits
+// for none.
+func (t *Requests) SetStalled(r *Request, on model.ServerID) {
+	r.StalledOn = on
+	if on == "" {
+		delete(t.Stalled, r.ID)
+		return
+	}
+	t.Stalled[r.ID] = struct{}{}
 }
 
 // Due returns a request that has reached its deadline or, if it is still queued, its
@@ -185,6 +210,9 @@
 		if rerouting != (r.Phase == Rerouting) {
 			return fmt.Errorf("request %d is %s, but its presence in the rerouting set is %t", id, r.Phase, rerouting)
 		}
+		if _, stalled := t.Stalled[id]; stalled != (r.StalledOn != "") || stalled && r.Phase != Running {
+			return fmt.Errorf("request %d is %s and waits for server %q, but its presence in the stalled set is %t", id, r.Phase, r.StalledOn, stalled)
+		}
 		if (r.Phase == Running) != (len(r.Route.Hops) > 0) {
 			return fmt.Errorf("request %d is %s, but its route has %d hops", id, r.Phase, len(r.Route.Hops))
 		}
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -230,17 +230,31 @@
 	r.Reserved = r.Tokens(typicalAnswerTokens)
 	for _, h := range route.Hops {
 		s := t.GetOrAdd(h.Server)
-		if _, counted := s.Users[r.ID]; !counted {
-			s.Users[r.ID] = struct{}{}
-			s.Tokens += r.Reserved
-			if r.Recoveries > 0 {
-				s.RecentRetries[0].Tokens += r.Reserved
-				s.RecentRetries[0].Streams++
-			}
+		if s.addUser(r) && r.Recoveries > 0 {
+			s.RecentRetries[0].Tokens += r.Reserved
+			s.RecentRetries[0].Streams++
 		}
 	}
 }
 
+// Restore undoes a Release of a request that stays on its route.
+func (t *Servers) Restore(r *Request, route model.Route) {
+	for _, h := range route.Hops {
+		t.GetOrAdd(h.Server).addUser(r)
+	}
+}
+
+// addUser counts a request's reserved tokens on the server, and reports whether they were not
+// counted yet.
+func (s *Server) addUser(r *Request) bool {
+	if _, counted := s.Users[r.ID]; counted {
+		return false
+	}
+	s.Users[r.ID] = struct{}{}
+	s.Tokens += r.Reserved
+	return true
+}
+
 // Release frees a request's room on all servers of a route.
 func (t *Servers) Release(r *Request, route model.Route) {
 	for _, h := range route.Hops {
