Keep the stream over a server that stops until another route is found

Found by looking for the same cause as in the streams cut by a stall: once a leaving server's grace period had ended, its streams were cancelled first and another route was looked for afterwards. Callers were cut after 5 s without one, though the server still served them. Change: the requests are marked, and dispatch moves them like stalled ones; the move still does not count as a recovery, and caches are imported.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,7 +101,7 @@
 	c.applyStreams(now, in, out)
 	c.applyArrivals(now, in, out)
 	c.expire(now, out)
-	c.moveFromLeaving(now, out)
+	c.moveFromLeaving(now)
 	c.checkStalls(now, in, out)
 	c.dispatch(now, out)
 	out.Wake = c.nextWake(now)
@@ -209,11 +209,12 @@
 	}
 }
 
-// moveFromLeaving moves requests off leaving servers whose grace period has ended.
-func (c *Core) moveFromLeaving(now time.Time, out *msgs.Outbox) {
+// moveFromLeaving finds the requests on leaving servers whose grace period has ended. dispatch moves
+// them.
+func (c *Core) moveFromLeaving(now time.Time) {
 	for _, s := range c.drain.Due(now, c.servers) {
 		for _, id := range slices.Sorted(maps.Keys(s.Users)) {
-			c.recov.MoveRequest(now, id, c.tables, out)
+			c.recov.MoveRequest(now, id, c.tables)
 		}
 	}
 }
@@ -273,7 +274,7 @@
 			}
 		}
 	}
-	c.moveStalled(now, out)
+	c.switchRoutes(now, out)
 	for _, name := range c.admit.Backlog() {
 		c.dispatchQueue(now, c.admit.Queues[name], c.models[name], out)
 	}
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -206,12 +206,19 @@
 }
 
 // MaySwitch reports whether a request with an open stream may be sent to another route.
-func MaySwitch(r *table.Request) bool { return !r.AtMostOnce && r.Recoveries < r.MaxRecoveries }
+func MaySwitch(r *table.Request) bool {
+	return r.StalledOn == "" || !r.AtMostOnce && r.Recoveries < r.MaxRecoveries
+}
 
-// SwitchRoute moves a request whose stream is stalled to another route.
+// SwitchRoute moves a request with an open stream to another route. Where no server failed, this doesn't
+// count as a recovery, and the servers' caches can be imported.
 func (st *State) SwitchRoute(now time.Time, r *table.Request, chain model.Route, t Tables, out *msgs.Outbox) {
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
-	r.Failed = append(r.Failed, r.StalledOn)
+	if r.StalledOn != "" {
+		r.Failed = append(r.Failed, r.StalledOn)
+	} else {
+		r.Recoveries--
+	}
 	st.detach(now, r, t)
 	recordFirstServer(r, r.PreviousRoute)
 	r.Verdict = r.Verdict.Merge(verdt.MayHaveRun)
@@ -242,6 +249,7 @@
 func (st *State) detach(now time.Time, r *table.Request, t Tables) {
 	t.Servers.Release(r, r.Route)
 	t.Requests.SetStalled(r, "")
+	delete(t.Requests.Displaced, r.ID)
 	r.TryAt = now
 	r.PreviousRoute, r.Route, r.Trail = r.Route, model.Route{}, 0
 	r.Phase = table.Rerouting
@@ -249,18 +257,13 @@
 	t.Requests.Rerouting[r.ID] = struct{}{}
 }
 
-// MoveRequest takes a request off its route because one of the route's servers is leaving. This is
-// no failure, so it doesn't count as a recovery, and the servers' caches can be imported.
-func (st *State) MoveRequest(now time.Time, id model.RequestID, t Tables, out *msgs.Outbox) {
-	r := t.Requests.Get(id)
-	if r == nil || r.Phase != table.Running {
-		return
+// MoveRequest marks a request that is to leave its route because one of the route's servers stops. The
+// stream stays open until SwitchRoute moves the request or the engines end the stream.
+func (st *State) MoveRequest(now time.Time, id model.RequestID, t Tables) {
+	if r := t.Requests.Get(id); r != nil && r.Phase == table.Running {
+		t.Requests.Displaced[id] = struct{}{}
+		r.TryAt = now
 	}
-	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
-	st.detach(now, r, t)
-	recordFirstServer(r, r.PreviousRoute)
-	r.Verdict = r.Verdict.Merge(verdt.MayHaveRun)
-	r.Recoveries--
 }
 
 // FailRequest fails a request immediately and cancels its stream.
--- a/internal/core/stalled.go
+++ b/internal/core/switch.go
@@ -11,15 +11,17 @@
 	"bulrushpond.example/bulrushpond/internal/core/table"
 )
 
-// moveStalled moves the requests whose streams are stalled to other routes, as far as there are
-// routes and room in the retry budget. The others keep their streams.
-func (c *Core) moveStalled(now time.Time, out *msgs.Outbox) {
-	if len(c.requests.Stalled) == 0 {
+// switchRoutes moves the requests whose streams are stalled, or use a server that stops, to other
+// routes, as far as there are routes and room in the retry budget. The others keep their streams.
+func (c *Core) switchRoutes(now time.Time, out *msgs.Outbox) {
+	if len(c.requests.Stalled)+len(c.requests.Displaced) == 0 {
 		return
 	}
 	// full holds the models for which no route was found in this tick.
 	full := map[string]bool{}
-	for _, id := range slices.Sorted(maps.Keys(c.requests.Stalled)) {
+	affected := slices.AppendSeq(slices.Collect(maps.Keys(c.requests.Stalled)), maps.Keys(c.requests.Displaced))
+	slices.Sort(affected)
+	for _, id := range slices.Compact(affected) {
 		r := c.requests.Get(id)
 		if !recov.MaySwitch(r) {
 			continue
@@ -30,7 +32,7 @@
 	}
 }
 
-// switchRoute moves a stalled request to another route and reports whether it did.
+// switchRoute moves a request with an open stream to another route and reports whether it did.
 func (c *Core) switchRoute(now time.Time, r *table.Request, full map[string]bool, out *msgs.Outbox) bool {
 	r.TryAt, r.TriedVersion = now.Add(dispatchRetryInterval), c.servers.Version
 	if c.budget != nil && !c.budget.HasRoom(now, r.Model, budgetShare(r)) {
--- a/internal/core/stalled_test.go
+++ b/internal/core/switch_test.go
@@ -10,6 +10,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/setts"
 )
 
 // unlist removes servers from the membership list.
@@ -88,3 +89,29 @@
 		})
 	}
 }
+
+// TestLeavingServerKeepsStreamWithoutAnotherRoute guards against streams that are cut because a
+// server of their route leaves and no other can take its place yet. They stay until one can.
+func TestLeavingServerKeepsStreamWithoutAnotherRoute(t *testing.T) {
+	w := newChainHarness(t, 1)
+	o := w.startStream(msgs.Arrival{ID: 1})
+	root := setts.Defaults()
+	root.Models["m"], root.DrainGrace, root.DrainServers = 2, time.Second, []string{"e10"}
+	w.in.Settings = setts.EffectiveSettingsOf(2, root, nil)
+	w.tick()
+	for range 8 {
+		w.now = w.now.Add(time.Second)
+		w.tick()
+		assert.Equal(t, len(w.out.Cancels)+len(w.out.Finishes), 0)
+	}
+	w.deliverTokens(1, []msgs.Open{o})
+	w.tick()
+	assert.Equal(t, len(w.out.Sends), 1)
+	w.list = append(w.list, model.Member{ID: "e11", Address: "e11:1", Zone: "a", Role: model.Engine, Span: model.Span{From: 1, To: 2}})
+	w.sendListAndReports()
+	w.tick()
+	assert.Equal(t, len(w.out.Cancels), 1)
+	assert.Equal(t, len(w.out.Opens), 1)
+	assert.Equal(t, w.out.Opens[0].From, 2)
+	assert.Assert(t, w.out.Opens[0].Route.Uses("e11"))
+}
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -124,6 +124,9 @@
 	Rerouting map[model.RequestID]struct{}
 	// Stalled holds the running requests whose stream waits for a stalled server.
 	Stalled map[model.RequestID]struct{}
+	// Displaced holds the running requests that are to leave a server which stops. Their stream
+	// stays open until another route is found.
+	Displaced map[model.RequestID]struct{}
 }
 
 // NewRequests returns an empty table.
@@ -133,6 +136,7 @@
 		deadlines: NewHeap(func(a, b deadline) bool { return a.at.Before(b.at) }),
 		Rerouting: map[model.RequestID]struct{}{},
 		Stalled:   map[model.RequestID]struct{}{},
+		Displaced: map[model.RequestID]struct{}{},
 	}
 }
 
@@ -156,6 +160,7 @@
 	delete(t.rows, id)
 	delete(t.Rerouting, id)
 	delete(t.Stalled, id)
+	delete(t.Displaced, id)
 }
 
 // SetStalled records the server that a request's running stream waits for; empty if it waits
@@ -213,6 +218,9 @@
 		if _, stalled := t.Stalled[id]; stalled != (r.StalledOn != "") || stalled && r.Phase != Running {
 			return fmt.Errorf("request %d is %s and waits for server %q, but its presence in the stalled set is %t", id, r.Phase, r.StalledOn, stalled)
 		}
+		if _, displaced := t.Displaced[id]; displaced && r.Phase != Running {
+			return fmt.Errorf("request %d is %s, but in the displaced set", id, r.Phase)
+		}
 		if (r.Phase == Running) != (len(r.Route.Hops) > 0) {
 			return fmt.Errorf("request %d is %s, but its route has %d hops", id, r.Phase, len(r.Route.Hops))
 		}
