Do not run a non-repeatable request again because a server of its route stops

Cause: a move off a leaving server checked neither the request's repeatability nor what had run, so a stream that must run at most once was opened at other servers once the grace period had ended. Change: only repeatable requests are switched to another route while their stream is open.

--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -207,7 +207,7 @@
 
 // MaySwitch reports whether a request with an open stream may be sent to another route.
 func MaySwitch(r *table.Request) bool {
-	return r.StalledOn == "" || !r.AtMostOnce && r.Recoveries < r.MaxRecoveries
+	return !r.AtMostOnce && (r.StalledOn == "" || r.Recoveries < r.MaxRecoveries)
 }
 
 // SwitchRoute moves a request with an open stream to another route. Where no server failed, this doesn't
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -115,3 +115,19 @@
 	assert.Equal(t, w.out.Opens[0].From, 2)
 	assert.Assert(t, w.out.Opens[0].Route.Uses("e11"))
 }
+
+// TestDisplacedRequestRunsOnce guards against a second run of a request that must not be repeated,
+// because a server of its route stops.
+func TestDisplacedRequestRunsOnce(t *testing.T) {
+	w := newChainHarness(t, 2)
+	o := w.startStream(msgs.Arrival{ID: 1, AtMostOnce: true})
+	root := setts.Defaults()
+	root.Models["m"], root.DrainGrace, root.DrainServers = 2, time.Second, []string{string(o.Route.Hops[1].Server)}
+	w.in.Settings = setts.EffectiveSettingsOf(2, root, nil)
+	w.tick()
+	for range 8 {
+		w.now = w.now.Add(time.Second)
+		w.tick()
+		assert.Equal(t, len(w.out.Opens)+len(w.out.Cancels)+len(w.out.Finishes), 0)
+	}
+}
