Give up a slow server only when the request can be sent to another one

Found by looking for the same cause as in the streams cut by a stall: a repeatable request to a plain service was cancelled after twice its target latency, and only then the daemon asked whether another server and the retry budget could take it. Without them the caller got 502, though the server was at work.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/retry"
@@ -133,6 +134,15 @@
 	return Attempt{Server: best.member, Began: now, InProgress: best.inFlight - 1}, nil
 }
 
+// CanRetry reports whether a request in progress can be sent to a server that it has not been sent to.
+func (st *State) CanRetry(now time.Time, r *Request) bool {
+	if r.Attempts >= r.MaxAttempts || !st.budget.HasRoom(now, r.Service, 1) {
+		return false
+	}
+	s := st.chooseServer(now, r)
+	return s != nil && !slices.Contains(r.Tried, s.member.ID)
+}
+
 // RetryAt returns when a caller may retry a request to a service that did not run: when the first
 // of its live servers takes requests again.
 func (st *State) RetryAt(now time.Time, service string) time.Time {
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -366,30 +366,6 @@
 	}
 }
 
-// attemptTargetFactor bounds an attempt that can be retried at another server, as a
-// multiple of the time to the first byte that the route's callers expect.
-const attemptTargetFactor = 2
-
-// sendAttempt sends a request to one server. If a retry is possible, the attempt is
-// bounded by attemptTargetFactor.
-func (e *Edge) sendAttempt(ctx context.Context, req *requestState, rule *setts.RouteRule, relayReq *relay.Request, attempt relay.Attempt) (*engine.Answer, *verdt.Error) {
-	deadline := req.deadline
-	if limit := attempt.Began.Add(attemptTargetFactor * rule.TargetLatency); relayReq.Repeatable && relayReq.Attempts < relayReq.MaxAttempts && limit.Before(deadline) {
-		deadline = limit
-	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	answer, err := e.relaySender.Send(ctx, attempt.Server, req.in.Origin, req.deadline)
-	if err == nil {
-		return &answer, nil
-	}
-	failure := verdt.AsError(err, verdt.MayHaveRun)
-	if failure.Reason == verdt.DeadlinePassed && deadline.Before(req.deadline) {
-		failure = verdt.New(verdt.MayHaveRun, verdt.StageFailed, "the server took too long", verdt.Server(attempt.Server.ID))
-	}
-	return nil, failure
-}
-
 // finishRelayed ends a relayed request with the last answer of a server, or with the
 // failure if there was none.
 func (e *Edge) finishRelayed(req *requestState, lastAnswer *engine.Answer, failure *verdt.Error, out AnswerWriter) {
