Let the fake sender of the slow server test tell a deadline from a cancellation

The fake reported each end of its context as a caller that left, so on the code before the mend the test also failed with another server, for that reason.

--- a/internal/drive/attempt_test.go
+++ b/internal/drive/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -34,7 +35,11 @@
 		return engine.Answer{Status: http.StatusOK, Body: []byte(to.ID)}, nil
 	case <-ctx.Done():
 		s.ended++
-		return engine.Answer{}, &engine.AnswerError{Failure: verdt.New(verdt.MayHaveRun, verdt.CallerGone, "cancelled")}
+		reason := verdt.CallerGone
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			reason = verdt.DeadlinePassed
+		}
+		return engine.Answer{}, &engine.AnswerError{Failure: verdt.New(verdt.MayHaveRun, reason, "cancelled")}
 	}
 }
 
