Let engines fall silent for a second in the soak, and check that no answer is cut

A sound engine may be silent for about a second and go on, beside planned operations too. Change: the fake engines can be silent, and the soak does so as a planned fault; a new check, also without -soak.timed, finds answers that are cut before the caller's deadline with no disruption near.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -70,7 +70,7 @@
 	for i := range h.Requests {
 		r := &h.Requests[i]
 		sent[r.ID] = true
-		for _, check := range []func(*request) string{h.checkResponse, h.checkRefusal, h.checkRuns, h.checkConfig, h.checkDeadline, h.checkServed} {
+		for _, check := range []func(*request) string{h.checkResponse, h.checkRefusal, h.checkRuns, h.checkConfig, h.checkDeadline, h.checkServed, h.checkNotCut} {
 			if violation := check(r); violation != "" {
 				all = append(all, fmt.Sprintf("%s (%s to d%d/%d at %s, %d after %s, key %d, error %v): %s", r.ID, r.Kind, r.Daemon, r.Process,
 					r.SentAt.Format(clockFormat), r.Code, r.EndedAt.Sub(r.SentAt).Round(time.Millisecond), r.KeyNumber, r.Err, violation))
@@ -216,6 +216,18 @@
 	return "not served, but no disruption was near"
 }
 
+// checkNotCut checks that no answer that has begun is broken off before the caller's deadline
+// outside of disruptions, during planned operations too.
+func (h *history) checkNotCut(r *request) string {
+	if r.Code != http.StatusOK || r.Complete || r.EndedAt.Sub(r.SentAt) >= deadline {
+		return ""
+	}
+	if slices.ContainsFunc(h.FaultWindows, func(w faultWindow) bool { return !w.Planned && w.overlaps(r) }) {
+		return ""
+	}
+	return "cut before its deadline, but no disruption was near"
+}
+
 // configRegressions returns the cases in which a process served a request with an older
 // configuration than one before.
 func (h *history) configRegressions() []string {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -142,6 +142,15 @@
 			}
 		})
 	}},
+	{"engine silent", func(tb *testbed, rnd *rand.Rand) {
+		tb.runFault("engine silent", allDaemons, true, func() {
+			tb.withRandomServer(rnd, true, func(s *fakes.Server) {
+				silence := time.Duration(500+rnd.IntN(800)) * time.Millisecond
+				s.Silence(silence)
+				time.Sleep(silence)
+			})
+		})
+	}},
 	{"engine link", func(tb *testbed, rnd *rand.Rand) {
 		tb.runFault("engine link", allDaemons, false, func() { tb.withRandomServer(rnd, true, func(s *fakes.Server) { tb.disturbLink(rnd, tb.link(s.ID)) }) })
 	}},
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -69,6 +69,10 @@
 			r.Complete = false
 			h.FaultWindows = append(h.FaultWindows, faultWindow{Name: "term", Planned: true, From: r.SentAt, To: r.EndedAt})
 		}, stream, "no disruption"},
+		{"stream cut during a planned operation", func(r *request, h *history) {
+			r.Complete, h.CheckTimes = false, false
+			h.FaultWindows = append(h.FaultWindows, faultWindow{Name: "drain", Planned: true, From: r.SentAt, To: r.EndedAt})
+		}, stream, "cut before its deadline"},
 		{"return to an older configuration", func(r *request, h *history) {
 			later := *r
 			r.KeyNumber, later.ID = 3, "q2"
