--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -131,3 +131,30 @@
 		assert.Equal(t, len(w.out.Opens)+len(w.out.Cancels)+len(w.out.Finishes), 0)
 	}
 }
+
+// TestStreamThatGoesOnIsNotSwitched guards against a second run of a stream whose engine was only
+// silent for a moment, once another route is found.
+func TestStreamThatGoesOnIsNotSwitched(t *testing.T) {
+	w := newChainHarness(t, 1, WithStallCheck())
+	o := w.startStream(msgs.Arrival{ID: 1})
+	w.reportStall(o)
+	w.deliverTokens(1, []msgs.Open{o})
+	w.tick()
+	w.addPair(1)
+	assert.Equal(t, len(w.out.Cancels)+len(w.out.Opens), 0)
+}
+
+// TestStalledStreamUsesItsOwnRoom guards against streams that stay at a stalled engine because they hold
+// the last room on another engine of their route themselves.
+func TestStalledStreamUsesItsOwnRoom(t *testing.T) {
+	w := newChainHarness(t, 2, WithStallCheck())
+	w.unlist("e01")
+	w.in.Reports = append(w.in.Reports, model.Report{Server: "e00", Model: "m", Span: model.Span{From: 0, To: 1}, Slots: 1, TokensPerSecond: 1, ReportedAt: w.now})
+	w.tick()
+	o := w.startStream(msgs.Arrival{ID: 1})
+	w.reportStall(o)
+	assert.Equal(t, len(w.out.Opens), 1)
+	next := w.out.Opens[0].Route
+	assert.Equal(t, next.Hops[0].Server, o.Route.Hops[0].Server)
+	assert.Assert(t, next.Hops[1].Server != o.Route.Hops[1].Server)
+}
