Blame the stalled server, not the first one, for a stream that ended in a stall

Cause: a first engine that has waited too long for another one closes the stream, and the error of the connection names the first engine. It was avoided and excluded beside the stalled one, so that callers with two attempts were cut after 5 s although the chain only needed another engine for the later layers. Change: the end of a stream that is marked as stalled blames the server that it waited for. Measured: TestEndOfStalledStreamBlamesStalledServer fails before (not reopened with 0 and 2 attempts, after 500 ms with 1) and passes; the core's tests pass.

--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -153,19 +153,7 @@
 	if f == nil {
 		f = verdt.New(verdt.MayHaveRun, verdt.StageFailed, "the stream ended without its last token")
 	}
-	failed := model.ServerID(f.Server)
-	if s := t.Servers.Get(failed); s != nil && r.Route.Uses(failed) {
-		if e.Declined && f.Reason == verdt.Overloaded {
-			// A full server is healthy and must not be avoided as a failed one.
-			s.FullUntil, s.DeclinedAt = now.Add(fullDuration), now
-		} else {
-			avoid(now, s, avoidBase<<min(s.Failures, 6), t, out)
-		}
-		r.Failed = append(r.Failed, failed)
-	}
-	if r.StalledOn != "" {
-		r.Failed = append(r.Failed, r.StalledOn)
-	}
+	st.blameServer(now, r, f, e.Declined, t, out)
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	st.detach(now, r, t)
 	if !e.Declined {
@@ -183,6 +171,28 @@
 	}
 }
 
+// blameServer records which server ended a request's stream and keeps new work from it for a while. An
+// error of the connection names the first server, which ends the streams that waited too long for
+// another one; the other one is to blame then.
+func (st *State) blameServer(now time.Time, r *table.Request, f *verdt.Error, declined bool, t Tables, out *msgs.Outbox) {
+	if r.StalledOn != "" && !declined {
+		r.Failed = append(r.Failed, r.StalledOn)
+		return
+	}
+	failed := model.ServerID(f.Server)
+	s := t.Servers.Get(failed)
+	if s == nil || !r.Route.Uses(failed) {
+		return
+	}
+	if declined && f.Reason == verdt.Overloaded {
+		// A full server is healthy and must not be avoided as a failed one.
+		s.FullUntil, s.DeclinedAt = now.Add(fullDuration), now
+	} else {
+		avoid(now, s, avoidBase<<min(s.Failures, 6), t, out)
+	}
+	r.Failed = append(r.Failed, failed)
+}
+
 // recordFirstServer adds the first server of a route to the request's FirstServers.
 func recordFirstServer(r *table.Request, route model.Route) {
 	if head := route.Hops[0].Server; !slices.Contains(r.FirstServers, head) {
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -158,3 +158,20 @@
 	assert.Equal(t, next.Hops[0].Server, o.Route.Hops[0].Server)
 	assert.Assert(t, next.Hops[1].Server != o.Route.Hops[1].Server)
 }
+
+// TestEndOfStalledStreamBlamesStalledServer guards against a sound first engine that is avoided because it
+// ended a stream that had waited for another engine. The stream is opened again at once.
+func TestEndOfStalledStreamBlamesStalledServer(t *testing.T) {
+	for _, attempts := range []int{0, 1, 2} {
+		w := newChainHarness(t, 1, WithStallCheck())
+		o := w.startStream(msgs.Arrival{ID: 1, MaxAttempts: attempts})
+		w.reportStall(o)
+		w.now = w.now.Add(1800 * time.Millisecond)
+		w.endStream(o, resetError("e00"), false)
+		w.list = append(w.list, model.Member{ID: "e11", Address: "e11:1", Zone: "a", Role: model.Engine, Span: model.Span{From: 1, To: 2}})
+		w.sendListAndReports()
+		w.tick()
+		assert.Equal(t, len(w.out.Opens), 1, "with %d attempts", attempts)
+		assert.Assert(t, w.out.Opens[0].Route.Uses("e00") && w.out.Opens[0].Route.Uses("e11"))
+	}
+}
