Do not take a full engine for dead because of streams that wait for another one

Cause: streams that stay open while they wait for a stalled engine are quiet at every engine of their chains; with one declined request more, a sound and full engine counted as crashed, was told to all daemons and had its layers placed elsewhere. Change: such streams count for the engine that they wait for only.

--- a/internal/core/stall/stall.go
+++ b/internal/core/stall/stall.go
@@ -119,12 +119,13 @@
 }
 
 // allQuiet reports whether all streams over a server that have given a token are quiet,
-// and there are at least minQuietStreams of them.
+// and there are at least minQuietStreams of them. Streams that wait for another server say
+// nothing about this one.
 func allQuiet(now time.Time, s *table.Server, requests *table.Requests) bool {
 	quiet := 0
 	for id := range s.Users {
 		r := requests.Get(id)
-		if r == nil || r.Next == r.OpenedFrom {
+		if r == nil || r.Next == r.OpenedFrom || (r.StalledOn != "" && r.StalledOn != s.ID) {
 			continue
 		}
 		if !Quiet(now, r) {
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -11,6 +11,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
 
 // unlist removes servers from the membership list.
@@ -175,3 +176,27 @@
 		assert.Assert(t, w.out.Opens[0].Route.Uses("e00") && w.out.Opens[0].Route.Uses("e11"))
 	}
 }
+
+// TestFullServerOfStalledStreamsIsNotDead guards against a sound engine that counts as dead because it
+// declines a request while streams over it wait for another engine.
+func TestFullServerOfStalledStreamsIsNotDead(t *testing.T) {
+	w := newChainHarness(t, 1, WithStallCheck())
+	var opens []msgs.Open
+	for id := range 3 {
+		opens = append(opens, w.submit(msgs.Arrival{ID: model.RequestID(id + 1), AtMostOnce: true}))
+	}
+	w.deliverTokens(0, opens)
+	w.tick()
+	w.reportStall(opens[0])
+	w.list = append(w.list, model.Member{ID: "e11", Address: "e11:1", Zone: "a", Role: model.Engine, Span: model.Span{From: 1, To: 2}})
+	w.sendListAndReports()
+	w.tick()
+	o := w.submit(msgs.Arrival{ID: 4})
+	assert.Equal(t, o.Route.Hops[0].Server, model.ServerID("e00"))
+	w.endStream(o, verdt.New(verdt.NotRun, verdt.Overloaded, "declined", verdt.Server("e00")), true)
+	for range 4 {
+		w.now = w.now.Add(25 * time.Millisecond)
+		w.tick()
+		assert.DeepEqual(t, w.core.Suspects(w.now), []model.ServerID{"e10"})
+	}
+}
