Search routes for stalled streams in turn, a few in each interval

Change: at most four searches without a result in 10 ms, the stream whose last search is longest ago first.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,6 +56,8 @@
 	budget *retry.Budget
 	// daemons is the number of daemons that currently send work to the servers.
 	daemons int
+	// nextSwitchAt is the earliest time at which routes are searched again for stalled streams.
+	nextSwitchAt time.Time
 	// blocked is true if the last dispatch left requests for which no route was found.
 	blocked bool
 }
--- a/internal/core/switch.go
+++ b/internal/core/switch.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,29 +11,54 @@
 	"bulrushpond.example/bulrushpond/internal/core/table"
 )
 
+const (
+	// maxFailedSearches bounds the searches without a result for streams that wait for another
+	// route, in one switchInterval. Those whose last search is longest ago come first in the next.
+	maxFailedSearches = 4
+	// switchInterval is the time between two series of searches that reach maxFailedSearches.
+	switchInterval = 10 * time.Millisecond
+)
+
 // switchRoutes moves the requests whose streams are stalled, or use a server that stops, to other
 // routes, as far as there are routes and room in the retry budget. The others keep their streams.
 func (c *Core) switchRoutes(now time.Time, out *msgs.Outbox) {
 	if len(c.requests.Stalled)+len(c.requests.Displaced) == 0 {
 		return
 	}
-	// full holds the models for which no route was found in this tick.
-	full := map[string]bool{}
-	affected := slices.AppendSeq(slices.Collect(maps.Keys(c.requests.Stalled)), maps.Keys(c.requests.Displaced))
-	slices.Sort(affected)
-	for _, id := range slices.Compact(affected) {
-		r := c.requests.Get(id)
+	if now.Before(c.nextSwitchAt) {
+		c.blocked = true
+		return
+	}
+	var waiting []*table.Request
+	for id := range c.requests.Stalled {
+		waiting = append(waiting, c.requests.Get(id))
+	}
+	for id := range c.requests.Displaced {
+		if r := c.requests.Get(id); r.StalledOn == "" {
+			waiting = append(waiting, r)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *table.Request) int {
+		return cmp.Or(a.TryAt.Compare(b.TryAt), cmp.Compare(a.ID, b.ID))
+	})
+	failedSearches := 0
+	for _, r := range waiting {
 		if !recov.MaySwitch(r) {
 			continue
 		}
-		if now.Before(r.TryAt) && r.TriedVersion == c.servers.Version || full[r.Model] || !c.switchRoute(now, r, full, out) {
+		if failedSearches == maxFailedSearches || now.Before(r.TryAt) && r.TriedVersion == c.servers.Version {
 			c.blocked = true
+		} else if !c.switchRoute(now, r, out) {
+			c.blocked = true
+			if failedSearches++; failedSearches == maxFailedSearches {
+				c.nextSwitchAt = now.Add(switchInterval)
+			}
 		}
 	}
 }
 
 // switchRoute moves a request with an open stream to another route and reports whether it did.
-func (c *Core) switchRoute(now time.Time, r *table.Request, full map[string]bool, out *msgs.Outbox) bool {
+func (c *Core) switchRoute(now time.Time, r *table.Request, out *msgs.Outbox) bool {
 	r.TryAt, r.TriedVersion = now.Add(dispatchRetryInterval), c.servers.Version
 	if c.budget != nil && !c.budget.HasRoom(now, r.Model, budgetShare(r)) {
 		return false
@@ -44,9 +69,6 @@
 	chain, result := c.picker.Pick(now, c.servers, query)
 	c.servers.Restore(r, r.Route)
 	if result != route.Found {
-		if len(query.FirstServers) == 0 {
-			full[r.Model] = true
-		}
 		return false
 	}
 	if c.budget != nil {
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -200,3 +200,33 @@
 		assert.DeepEqual(t, w.core.Suspects(w.now), []model.ServerID{"e10"})
 	}
 }
+
+// TestStalledStreamsDoNotStarveOthers guards against a stalled stream that is not moved because others,
+// which have no route, are always tried before it.
+func TestStalledStreamsDoNotStarveOthers(t *testing.T) {
+	const withoutRoute = 2 * maxFailedSearches
+	w := newChainHarness(t, 1, WithStallCheck())
+	for _, id := range []model.ServerID{"e00", "e10"} {
+		w.in.Reports = append(w.in.Reports, model.Report{Server: id, Model: "m", Span: w.core.servers.Get(id).Report.Span, TokensPerSecond: 1, ReportedAt: w.now})
+	}
+	w.tick()
+	var opens []msgs.Open
+	for id := range withoutRoute + 1 {
+		opens = append(opens, w.submit(msgs.Arrival{ID: model.RequestID(id + 1)}))
+	}
+	w.deliverTokens(0, opens)
+	w.tick()
+	for id := range withoutRoute {
+		w.core.requests.Get(model.RequestID(id + 1)).Failed = []model.ServerID{"e01", "e11"}
+	}
+	w.reportStall(opens[0])
+	assert.Equal(t, len(w.core.requests.Stalled), withoutRoute+1)
+	w.addPair(1)
+	moved := len(w.out.Opens)
+	for range 40 {
+		w.now = w.now.Add(25 * time.Millisecond)
+		w.tick()
+		moved += len(w.out.Opens)
+	}
+	assert.Equal(t, moved, 1)
+}
