Ask again about the server that a stalled stream waits for

Cause: only a token cleared the mark of a stalled stream, and marked streams were not asked about, so that a stream whose first engine died while it waited for another one stayed there for good. Change: a mark lasts for a second, then the first engine is asked again.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -231,6 +231,11 @@
 			c.ejectEngine(now, id, d.Unresponsive, "detected by a query to "+string(d.Server), out)
 		}
 	}
+	for id := range c.requests.Stalled {
+		if r := c.requests.Get(id); !now.Before(r.StalledUntil) {
+			c.requests.SetStalled(r, "")
+		}
+	}
 	crashed, waiting := c.stall.Sweep(now, c.requests, c.servers, c.daemons, out)
 	for _, id := range crashed {
 		c.ejectEngine(now, id, false, "a request was declined because of it, and its streams are quiet", out)
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -25,6 +25,8 @@
 	// work. It doubles with each consecutive failure, up to maxAvoidDuration.
 	avoidBase        = 500 * time.Millisecond
 	maxAvoidDuration = 30 * time.Second
+	// stallMarkTimeout is how long a stream counts as waiting for a server without a new diagnosis.
+	stallMarkTimeout = time.Second
 	// fullDuration is how long a server that declined a request counts as full.
 	fullDuration = 100 * time.Millisecond
 	// tokensPerObservation is the number of tokens over which one observation of a route's
@@ -211,7 +213,7 @@
 		avoid(now, s, avoidBase<<min(s.Failures, 6), t, out)
 	}
 	t.Requests.SetStalled(r, server)
-	r.TryAt = now
+	r.TryAt, r.StalledUntil = now, now.Add(stallMarkTimeout)
 	out.Notify(msgs.Notice{Kind: msgs.StreamStalled, Request: id, Server: server, Detail: fmt.Sprintf("epoch %d at token %d", r.Epoch, r.Next)})
 }
 
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -230,3 +230,30 @@
 	}
 	assert.Equal(t, moved, 1)
 }
+
+// TestStalledServerIsDiagnosedAgain guards against a stream that stays at a stalled engine because it is
+// marked as waiting for another one, which has gone on since.
+func TestStalledServerIsDiagnosedAgain(t *testing.T) {
+	w := newChainHarness(t, 1, WithStallCheck())
+	o := w.startStream(msgs.Arrival{ID: 1})
+	w.reportStall(o)
+	w.list = append(w.list, model.Member{ID: "e01", Address: "e01:1", Zone: "a", Role: model.Engine, Span: model.Span{From: 0, To: 1}})
+	w.sendListAndReports()
+	w.tick()
+	assert.Equal(t, len(w.out.Opens), 0, "e10, which the stream waits for, has no replacement")
+	for range 20 {
+		w.now = w.now.Add(25 * time.Millisecond)
+		w.tick()
+	}
+	w.out.Asks = []msgs.Ask{w.awaitAsk()}
+	moved := 0
+	for range 240 {
+		for _, ask := range w.out.Asks {
+			w.in.Diagnoses = append(w.in.Diagnoses, msgs.Diagnosis{Server: ask.Server, AskedAt: ask.At, Unresponsive: true})
+		}
+		w.now = w.now.Add(25 * time.Millisecond)
+		w.tick()
+		moved += len(w.out.Opens)
+	}
+	assert.Equal(t, moved, 1)
+}
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -48,6 +48,9 @@
 	// StalledOn is the server that the running stream waits for. The stream stays open until
 	// another route is found. Empty unless the request is in Requests.Stalled.
 	StalledOn model.ServerID
+	// StalledUntil is the time at which StalledOn is no longer trusted, and the first engine is
+	// asked again.
+	StalledUntil time.Time
 	// PreviousRoute is the previous route, whose servers may still hold the request's cache;
 	// empty on the first route.
 	PreviousRoute model.Route
