Keep streams on a server that no longer leaves

Cause: a request that was to leave a stopping server kept that mark when the server was back, and was cancelled and opened again on the same route. Change: the mark ends when no server of the route leaves. Measured: TestReturnedServerKeepsStream fails without the check and passes; the core's tests pass.

--- a/internal/core/switch.go
+++ b/internal/core/switch.go
@@ -9,6 +9,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/recov"
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/core/table"
+	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
 const (
@@ -34,7 +35,10 @@
 		waiting = append(waiting, c.requests.Get(id))
 	}
 	for id := range c.requests.Displaced {
-		if r := c.requests.Get(id); r.StalledOn == "" {
+		r := c.requests.Get(id)
+		if !c.usesLeavingServer(r) {
+			delete(c.requests.Displaced, id)
+		} else if r.StalledOn == "" {
 			waiting = append(waiting, r)
 		}
 	}
@@ -57,6 +61,11 @@
 	}
 }
 
+// usesLeavingServer reports whether a server of a request's route is leaving or no longer listed.
+func (c *Core) usesLeavingServer(r *table.Request) bool {
+	return slices.ContainsFunc(r.Route.Hops, func(h model.Hop) bool { return !c.mayServeAgain(h.Server) })
+}
+
 // switchRoute moves a request with an open stream to another route and reports whether it did.
 func (c *Core) switchRoute(now time.Time, r *table.Request, out *msgs.Outbox) bool {
 	r.TryAt, r.TriedVersion = now.Add(dispatchRetryInterval), c.servers.Version
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -257,3 +257,23 @@
 	}
 	assert.Equal(t, moved, 1)
 }
+
+// TestReturnedServerKeepsStream guards against a stream that is moved off a server which no longer leaves.
+func TestReturnedServerKeepsStream(t *testing.T) {
+	w := newChainHarness(t, 1)
+	w.startStream(msgs.Arrival{ID: 1})
+	for revision, drained := range [][]string{{"e10"}, nil} {
+		root := setts.Defaults()
+		root.Models["m"], root.DrainGrace, root.DrainServers = 2, time.Second, drained
+		w.in.Settings = setts.EffectiveSettingsOf(model.Revision(revision+2), root, nil)
+		w.tick()
+		w.now = w.now.Add(12 * time.Second)
+		w.tick()
+	}
+	w.addPair(1)
+	for range 3 {
+		assert.Equal(t, len(w.out.Cancels)+len(w.out.Opens), 0)
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.tick()
+	}
+}
