--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -25,10 +25,9 @@
 // Placer assigns layers to engines. Errors are *verdt.Error; the reason Fenced means
 // that the engine has seen a higher fencing token.
 type Placer interface {
-	// Place tells an engine which layers to hold. If preempt is set, work in progress on
-	// layers that the engine gives up is aborted; otherwise the new layers are loaded
-	// after that work has ended.
-	Place(ctx context.Context, to model.Member, span model.Span, preempt bool, fencingToken uint64) error
+	// Place tells an engine which layers to hold. They are loaded after the work in progress on
+	// layers that the engine gives up has ended.
+	Place(ctx context.Context, to model.Member, span model.Span, fencingToken uint64) error
 }
 
 // DutyView provides the state on which Duty acts.
@@ -179,7 +178,7 @@
 func (d *Duty) sendOrder(ctx context.Context, to model.Member, o place.Order, fence uint64) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := d.placer.Place(ctx, to, o.Span, o.MissingLayers > 0, fence)
+	err := d.placer.Place(ctx, to, o.Span, fence)
 	fields := []any{"server", to.ID, "zone", to.Zone, "kind", to.Kind, "from", o.Span.From, "to", o.Span.To, "missing", o.MissingLayers, "fence", fence}
 	if err == nil {
 		d.log.Info(evlog.OrderGiven, fields...)
