Keep a stream that the daemon moved alive when the new route declines it

Cause: when a stalled stream was moved and the new first engine declined it, the bounds on streams that engines ended applied: the caller was cut after 0.5 s without room in the retry budget, at once when the first servers left or all asked for a pause, after 5 s without a route. Change: a begun stream that the daemon ended itself waits for a route until its deadline. Measured: TestDeclinedSwitchCutsNoStream fails in four of four scenarios before and passes; the core's tests pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -342,6 +342,11 @@
 func (c *Core) startRequest(now time.Time, r *table.Request, layers int, out *msgs.Outbox) route.Result {
 	heads := c.allowedFirstServers(r)
 	if len(heads) > 0 && !slices.ContainsFunc(heads, c.mayServeAgain) {
+		if r.Switched {
+			c.blocked = true
+			r.TryAt, r.TriedVersion = now.Add(dispatchRetryInterval), c.servers.Version
+			return route.NoChain
+		}
 		c.recov.FailRequest(now, r, verdt.NoRoute, "the servers at which the request may begin have gone", c.tables, out)
 		return route.NoChain
 	}
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -71,6 +71,7 @@
 	r.Verdict = verdt.Ran
 	recordToken(now, r)
 	t.Requests.SetStalled(r, "")
+	r.Switched = false
 	if tok.End {
 		if tok.Head != nil {
 			// An answer without any event still has a head to send.
@@ -156,6 +157,7 @@
 		f = verdt.New(verdt.MayHaveRun, verdt.StageFailed, "the stream ended without its last token")
 	}
 	st.blameServer(now, r, f, e.Declined, t, out)
+	r.Switched = r.Switched && e.Declined
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	st.detach(now, r, t)
 	if !e.Declined {
@@ -231,6 +233,7 @@
 	} else {
 		r.Recoveries--
 	}
+	r.Switched = r.Next > r.From
 	st.detach(now, r, t)
 	recordFirstServer(r, r.PreviousRoute)
 	r.Verdict = r.Verdict.Merge(verdt.MayHaveRun)
@@ -266,6 +269,10 @@
 	r.PreviousRoute, r.Route, r.Trail = r.Route, model.Route{}, 0
 	r.Phase = table.Rerouting
 	r.RerouteUntil, r.BudgetUntil = now.Add(rerouteTimeout), now.Add(budgetTimeout)
+	if r.Switched {
+		// The engines would have gone on, so the caller is not cut before its deadline.
+		r.RerouteUntil, r.BudgetUntil = r.Deadline, r.Deadline
+	}
 	t.Requests.Rerouting[r.ID] = struct{}{}
 }
 
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -277,3 +277,55 @@
 		w.tick()
 	}
 }
+
+// TestDeclinedSwitchCutsNoStream guards against streams that are cut because the new route declines them after
+// the daemon ended the old stream. Its engines would have gone on, so the caller is not cut.
+func TestDeclinedSwitchCutsNoStream(t *testing.T) {
+	type scenario struct {
+		name    string
+		budget  *retry.Budget
+		arrival msgs.Arrival
+		// beforeDecline runs after the move to the other route.
+		beforeDecline func(w *chainHarness, first msgs.Open)
+	}
+	for _, tc := range []scenario{
+		{name: "retry budget used up by the move", budget: retry.New(0, 8, 10*time.Second), arrival: msgs.Arrival{MaxAttempts: 2}},
+		{name: "the only first server leaves", arrival: msgs.Arrival{MaxAttempts: 1}, beforeDecline: func(w *chainHarness, first msgs.Open) {
+			for i := range w.list {
+				if w.list[i].ID == string(first.Route.Hops[0].Server) {
+					w.list[i].State = model.Leaving
+				}
+			}
+			w.in.List = w.list
+		}},
+		{name: "the others ask for a pause", arrival: msgs.Arrival{MaxAttempts: 2}, beforeDecline: func(w *chainHarness, _ msgs.Open) {
+			w.pause(w.now.Add(8*time.Second), "e00", "e01", "e10", "e11")
+		}},
+		{name: "no other route", arrival: msgs.Arrival{MaxAttempts: 2}, beforeDecline: func(w *chainHarness, _ msgs.Open) {
+			w.unlist("e01", "e10", "e11")
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			opts := []Option{WithStallCheck()}
+			if tc.budget != nil {
+				opts = append(opts, WithBudget(tc.budget))
+			}
+			w := newChainHarness(t, 2, opts...)
+			tc.arrival.ID = 1
+			first := w.startStream(tc.arrival)
+			w.reportStall(first)
+			assert.Equal(t, len(w.out.Opens), 1)
+			second := w.out.Opens[0]
+			if tc.beforeDecline != nil {
+				tc.beforeDecline(w, first)
+			}
+			server := string(second.Route.Hops[0].Server)
+			w.endStream(second, verdt.New(verdt.NotRun, verdt.Overloaded, "declined", verdt.Server(server)), true)
+			for range 240 {
+				assert.Equal(t, len(w.out.Finishes), 0, "cut: %v", w.out.Finishes)
+				w.now = w.now.Add(25 * time.Millisecond)
+				w.tick()
+			}
+		})
+	}
+}
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -56,6 +56,10 @@
 	PreviousRoute model.Route
 	// Verdict covers the streams that have ended; see FailureVerdict for the open one.
 	Verdict verdt.Verdict
+	// Switched is set while this daemon, and not an engine, ended the last stream that sent output:
+	// from a move to another route on until the new stream sends output or is ended after it may
+	// have run.
+	Switched bool
 	// RerouteUntil is the time at which a request without a route fails.
 	RerouteUntil time.Time
 	// BudgetUntil is the time until which a request without a route that has sent output waits
