Send tokens to callers before streams are resumed from them

Callers would lose a whole daemon: when a token and the end of its stream came in one tick, the stream was opened again from a token that was not recorded yet, and the process panicked (requests that have only a prompt, on the product's own interface). Cause: the commands of a tick opened streams before they sent tokens. Change: tokens come first. Measured: TestTokenAndEndInOneTick panics before (slice bounds out of range) and passes; drive, core, front and boot pass.

--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -176,10 +176,11 @@
 // Outbox holds the commands that result from a tick. They are to be executed in the
 // order of the fields.
 type Outbox struct {
-	Cancels  []Cancel
+	Cancels []Cancel
+	// Sends come before Opens: a stream is resumed after the tokens that were sent before.
+	Sends    []model.Token
 	Opens    []Open
 	Asks     []Ask
-	Sends    []model.Token
 	Finishes []Finish
 	Notices  []Notice
 	// Wake is the latest time for the next tick; zero means that none is needed.
@@ -189,7 +190,7 @@
 // Reset empties the outbox and keeps the slices' capacity.
 func (out *Outbox) Reset() {
 	*out = Outbox{
-		Cancels: out.Cancels[:0], Opens: out.Opens[:0], Asks: out.Asks[:0], Sends: out.Sends[:0],
+		Cancels: out.Cancels[:0], Sends: out.Sends[:0], Opens: out.Opens[:0], Asks: out.Asks[:0],
 		Finishes: out.Finishes[:0], Notices: out.Notices[:0],
 	}
 }
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -198,9 +198,6 @@
 	for _, c := range s.outbox.Cancels {
 		s.cancelRoute(c)
 	}
-	for _, o := range s.outbox.Opens {
-		s.openStream(o)
-	}
 	for _, tok := range s.outbox.Sends {
 		if pending := s.pending[tok.Request]; pending != nil {
 			if pending.origin == nil {
@@ -209,6 +206,9 @@
 			pending.reply.push(tok)
 		}
 	}
+	for _, o := range s.outbox.Opens {
+		s.openStream(o)
+	}
 	for _, f := range s.outbox.Finishes {
 		if pending := s.pending[f.Request]; pending != nil {
 			if pending.cancel != nil {
--- a/internal/drive/streams_test.go
+++ b/internal/drive/streams_test.go
@@ -261,3 +261,20 @@
 	}
 	assert.Assert(t, !slices.Equal(chooseServers(t, 1), chooseServers(t, 2)))
 }
+
+// TestTokenAndEndInOneTick guards against a panic of the daemon when a token and the end of its stream are
+// handled in the same tick, and the request is opened again from the token on.
+func TestTokenAndEndInOneTick(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newTestStreams(t)
+		id, _ := s.Start(newAsk("Draft a roster", time.Minute))
+		synctest.Wait()
+		s.loop.post(func(in *msgs.Inbox) {
+			in.Tokens = append(in.Tokens, model.Token{Request: id, Epoch: 1, Position: 0, Text: "a"})
+			in.Ends = append(in.Ends, msgs.StreamEnd{Request: id, Epoch: 1, Failure: verdt.New(verdt.MayHaveRun, verdt.StageFailed, "reset")})
+		})
+		synctest.Wait()
+		s.CallerGone(id)
+		synctest.Wait()
+	})
+}
