Count a first engine that left the list and is silent for a moment as an attempt

Cause: an engine whose entry was removed while it still serves did not count as an attempt as soon as it missed one query, so a request could run at more servers than its route allows; a sound engine may be silent for about a second. Change: it counts until the stream has had no token for two seconds, or the engine has ended the stream.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -340,7 +340,7 @@
 // startRequest picks a route for a request and starts it there. A request fails if all
 // servers on which it may start are gone or if the retry budget is used up.
 func (c *Core) startRequest(now time.Time, r *table.Request, layers int, out *msgs.Outbox) route.Result {
-	heads := c.allowedFirstServers(r)
+	heads := c.allowedFirstServers(now, r)
 	if len(heads) > 0 && !slices.ContainsFunc(heads, c.mayServeAgain) {
 		if r.Switched {
 			c.blocked = true
@@ -389,7 +389,7 @@
 // it may only be sent to those again. A server that is no longer listed still counts as an
 // attempt unless it failed during the request, since an engine that is being emptied
 // leaves the list while it still runs.
-func (c *Core) allowedFirstServers(r *table.Request) []model.ServerID {
+func (c *Core) allowedFirstServers(now time.Time, r *table.Request) []model.ServerID {
 	if r.MaxAttempts == 0 {
 		return nil
 	}
@@ -399,7 +399,7 @@
 	}
 	var counted []model.ServerID
 	for _, id := range servers {
-		if c.listed(id) || !r.Avoids(id) {
+		if c.listed(id) || !hasEnded(now, r, id) {
 			counted = append(counted, id)
 		}
 	}
@@ -409,6 +409,16 @@
 	return counted
 }
 
+// silentServerTimeout is how long an open stream must be without a token until its first server, which
+// is no longer listed, counts as lost. A sound server may be silent for about a second.
+const silentServerTimeout = 2 * time.Second
+
+// hasEnded reports whether a first server that is no longer listed has stopped running a request: the
+// server failed the request, or the request's stream has waited too long for it.
+func hasEnded(now time.Time, r *table.Request, id model.ServerID) bool {
+	return slices.Contains(r.Failed, id) || r.StalledOn == id && now.Sub(r.LastActivityAt) >= silentServerTimeout
+}
+
 // listed reports whether a server is in the latest accepted membership list.
 func (c *Core) listed(id model.ServerID) bool {
 	s := c.servers.Get(id)
--- a/internal/core/switch.go
+++ b/internal/core/switch.go
@@ -72,7 +72,7 @@
 	if c.budget != nil && !c.budget.HasRoom(now, r.Model, budgetShare(r)) {
 		return false
 	}
-	query := route.Query{Request: r, Layers: c.models[r.Model], Daemons: c.daemons, FirstServers: c.allowedFirstServers(r)}
+	query := route.Query{Request: r, Layers: c.models[r.Model], Daemons: c.daemons, FirstServers: c.allowedFirstServers(now, r)}
 	// The room that the request holds on its route is free for the next one.
 	c.servers.Release(r, r.Route)
 	chain, result := c.picker.Pick(now, c.servers, query)
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -329,3 +329,25 @@
 		})
 	}
 }
+
+// TestSilentUnlistedFirstServerIsAnAttempt guards against requests that run at more servers than allowed: a
+// first engine that left the list and is silent for a moment may still run the request. Only after
+// silentServerTimeout another one may.
+func TestSilentUnlistedFirstServerIsAnAttempt(t *testing.T) {
+	w := newChainHarness(t, 2, WithStallCheck())
+	o := w.startStream(msgs.Arrival{ID: 1, MaxAttempts: 1})
+	silentSince := w.now
+	w.unlist(o.Route.Hops[0].Server)
+	var movedAfter time.Duration
+	for range 120 {
+		for _, ask := range w.out.Asks {
+			w.in.Diagnoses = append(w.in.Diagnoses, msgs.Diagnosis{Server: ask.Server, AskedAt: ask.At, Unresponsive: true})
+		}
+		w.now = w.now.Add(25 * time.Millisecond)
+		w.tick()
+		if len(w.out.Opens) > 0 && movedAfter == 0 {
+			movedAfter = w.now.Sub(silentSince)
+		}
+	}
+	assert.Assert(t, movedAfter >= silentServerTimeout, "moved after %s", movedAfter)
+}
