Reserve the next attempt before a slow server is given up

Cause: a slow attempt was cancelled when another server and the retry budget seemed free, and both were taken only afterwards, so that several slow requests gave up their servers for the same room and all but one got 502. Change: the next attempt is started under the same lock as the check, and taken back if the slow server answers at that moment.

--- a/internal/core/edge_test.go
+++ b/internal/core/edge_test.go
@@ -53,8 +53,8 @@
 }
 
 // addPair adds two engines with a half of the layers each after the first requests were sent.
-func (w *chainHarness) addPair(i int) {
-	w.listPair(i)
+func (w *chainHarness) addPair() {
+	w.listPair(1)
 	w.sendListAndReports()
 	w.tick()
 }
@@ -276,7 +276,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			w := newChainHarness(t, 1, WithStallCheck())
 			opens := []msgs.Open{w.submit(msgs.Arrival{ID: 1, MaxAttempts: 2}), w.submit(msgs.Arrival{ID: 2, MaxAttempts: 2})}
-			w.addPair(1)
+			w.addPair()
 			w.deliverTokens(0, opens)
 			w.tick()
 			var active []msgs.Open
@@ -300,7 +300,7 @@
 func TestActiveStreamsStayOnFaultyEngine(t *testing.T) {
 	w := newChainHarness(t, 1, WithStallCheck())
 	opens := []msgs.Open{w.submit(msgs.Arrival{ID: 1, MaxAttempts: 2}), w.submit(msgs.Arrival{ID: 2, MaxAttempts: 2})}
-	w.addPair(1)
+	w.addPair()
 	w.deliverTokens(0, opens)
 	w.tick()
 	w.awaitAsk(opens[1])
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -143,6 +143,15 @@
 	return s != nil && !slices.Contains(r.Tried, s.member.ID)
 }
 
+// Withdraw takes back an attempt that was not sent. Its part of the retry budget stays used.
+func (st *State) Withdraw(r *Request, attempt Attempt) {
+	r.Attempts--
+	r.Tried = r.Tried[:len(r.Tried)-1]
+	if s := st.servers[attempt.Server.ID]; s != nil {
+		s.inFlight = max(0, s.inFlight-1)
+	}
+}
+
 // RetryAt returns when a caller may retry a request to a service that did not run: when the first
 // of its live servers takes requests again.
 func (st *State) RetryAt(now time.Time, service string) time.Time {
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -141,7 +141,7 @@
 	w.reportStall(o)
 	w.deliverTokens(1, []msgs.Open{o})
 	w.tick()
-	w.addPair(1)
+	w.addPair()
 	assert.Equal(t, len(w.out.Cancels)+len(w.out.Opens), 0)
 }
 
@@ -221,7 +221,7 @@
 	}
 	w.reportStall(opens[0])
 	assert.Equal(t, len(w.core.requests.Stalled), withoutRoute+1)
-	w.addPair(1)
+	w.addPair()
 	moved := len(w.out.Opens)
 	for range 40 {
 		w.now = w.now.Add(25 * time.Millisecond)
@@ -270,7 +270,7 @@
 		w.now = w.now.Add(12 * time.Second)
 		w.tick()
 	}
-	w.addPair(1)
+	w.addPair()
 	for range 3 {
 		assert.Equal(t, len(w.out.Cancels)+len(w.out.Opens), 0)
 		w.now = w.now.Add(100 * time.Millisecond)
--- a/internal/drive/attempt.go
+++ b/internal/drive/attempt.go
@@ -23,49 +23,106 @@
 // the request.
 var errSlowAttempt = errors.New("the server took too long")
 
+// startAttempt returns next, or starts the next attempt of a request if next is nil.
+func (e *Edge) startAttempt(relayReq *relay.Request, next *relay.Attempt) (relay.Attempt, *verdt.Error) {
+	if next != nil {
+		return *next, nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.relayState.Next(time.Now(), relayReq)
+}
+
+// recordAttempt records the outcome of an attempt and reports whether the request may be sent again. It
+// completes the failure of a request that may not.
+func (e *Edge) recordAttempt(relayReq *relay.Request, attempt relay.Attempt, outcome relay.Outcome) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.relayState.RecordOutcome(time.Now(), relayReq, attempt, outcome) {
+		return true
+	}
+	if f := outcome.Failure; f != nil {
+		f.Verdict = relayReq.Verdict
+		if f.Verdict == verdt.NotRun {
+			f.RetryAt = e.relayState.RetryAt(time.Now(), relayReq.Service)
+		}
+	}
+	return false
+}
+
+// withdrawAttempt takes back an attempt that was not sent; nil for none.
+func (e *Edge) withdrawAttempt(relayReq *relay.Request, next *relay.Attempt) {
+	if next == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.relayState.Withdraw(relayReq, *next)
+}
+
 // sendAttempt sends a request to one server. A slow attempt ends early if the request can be sent to
-// another server; otherwise the server's answer is awaited.
-func (e *Edge) sendAttempt(ctx context.Context, req *requestState, rule *setts.RouteRule, relayReq *relay.Request, attempt relay.Attempt) (*engine.Answer, *verdt.Error) {
+// another server; next is the attempt there then, which is already counted. Otherwise the server's answer
+// is awaited.
+func (e *Edge) sendAttempt(ctx context.Context, req *requestState, rule *setts.RouteRule, relayReq *relay.Request, attempt relay.Attempt) (answer *engine.Answer, failure *verdt.Error, next *relay.Attempt) {
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	ctx, cancelSlow := context.WithCancelCause(ctx)
+	replacement := make(chan *relay.Attempt, 1)
 	if relayReq.Repeatable && relayReq.Attempts < relayReq.MaxAttempts {
-		watched := make(chan struct{})
 		go func() {
-			defer close(watched)
-			e.cancelSlowAttempt(ctx, cancelSlow, relayReq, attempt.Began.Add(attemptTargetFactor*rule.TargetLatency))
+			replacement <- e.replaceSlowAttempt(ctx, cancelSlow, relayReq, attempt.Began.Add(attemptTargetFactor*rule.TargetLatency))
 		}()
-		defer func() { <-watched }()
-	}
-	defer cancelSlow(nil)
-	answer, err := e.relaySender.Send(ctx, attempt.Server, req.in.Origin, req.deadline)
-	if err == nil {
-		return &answer, nil
+	} else {
+		replacement <- nil
 	}
-	if errors.Is(context.Cause(ctx), errSlowAttempt) {
-		return nil, verdt.New(verdt.MayHaveRun, verdt.StageFailed, errSlowAttempt.Error(), verdt.Server(attempt.Server.ID))
+	received, err := e.relaySender.Send(ctx, attempt.Server, req.in.Origin, req.deadline)
+	cancelSlow(nil)
+	next = <-replacement
+	switch {
+	case err == nil && next != nil:
+		// The answer came while the attempt was replaced.
+		e.withdrawAttempt(relayReq, next)
+		return &received, nil, nil
+	case err == nil:
+		return &received, nil, nil
+	case next != nil:
+		return nil, verdt.New(verdt.MayHaveRun, verdt.StageFailed, errSlowAttempt.Error(), verdt.Server(attempt.Server.ID)), next
 	}
-	return nil, verdt.AsError(err, verdt.MayHaveRun)
+	return nil, verdt.AsError(err, verdt.MayHaveRun), nil
 }
 
-// cancelSlowAttempt cancels an attempt at the given time, or later as soon as the request can be
-// sent to another server. It returns when the attempt has ended.
-func (e *Edge) cancelSlowAttempt(ctx context.Context, cancel context.CancelCauseFunc, relayReq *relay.Request, at time.Time) {
+// replaceSlowAttempt starts the next attempt of a request at the given time, or later as soon as there is
+// another server and room in the retry budget, and cancels the slow one then. It returns nil if the
+// slow attempt ends before.
+func (e *Edge) replaceSlowAttempt(ctx context.Context, cancel context.CancelCauseFunc, relayReq *relay.Request, at time.Time) *relay.Attempt {
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-timer.C:
 		}
-		e.mu.Lock()
-		canRetry := e.relayState.CanRetry(time.Now(), relayReq)
-		e.mu.Unlock()
-		if canRetry {
+		if next := e.replacement(relayReq); next != nil {
 			cancel(errSlowAttempt)
-			return
+			return next
 		}
 		timer.Reset(slowAttemptInterval)
 	}
 }
+
+// replacement starts the next attempt of a request at a server that it was not sent to, or returns nil if
+// that is not possible.
+func (e *Edge) replacement(relayReq *relay.Request) *relay.Attempt {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if !e.relayState.CanRetry(now, relayReq) {
+		return nil
+	}
+	next, failure := e.relayState.Next(now, relayReq)
+	if failure != nil {
+		return nil
+	}
+	return &next
+}
--- a/internal/drive/attempt_test.go
+++ b/internal/drive/attempt_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,18 +24,23 @@
 // slowSender answers each request after a delay, unless its context ends before.
 type slowSender struct {
 	delay time.Duration
+	mu    sync.Mutex
 	sends []string
 	ended int
 }
 
 // Send implements engine.Relay.
 func (s *slowSender) Send(ctx context.Context, to model.Member, _ engine.Origin, _ time.Time) (engine.Answer, error) {
+	s.mu.Lock()
 	s.sends = append(s.sends, to.ID)
+	s.mu.Unlock()
 	select {
 	case <-time.After(s.delay):
 		return engine.Answer{Status: http.StatusOK, Body: []byte(to.ID)}, nil
 	case <-ctx.Done():
+		s.mu.Lock()
 		s.ended++
+		s.mu.Unlock()
 		reason := verdt.CallerGone
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			reason = verdt.DeadlinePassed
@@ -64,6 +70,21 @@
 func (quietObserver) Gap(model.Team, time.Duration)         {}
 func (quietObserver) RequestEnded(model.Team, *verdt.Error) {}
 
+// newRelayEdge returns an Edge with a route for repeatable requests to the plain service "app".
+func newRelayEdge(sender engine.Relay, state *relay.State) *Edge {
+	edge := NewEdge(evlog.New(logr.Discard()), nil, sender, state, 1, quietObserver{})
+	edge.SetRouting(&setts.Routing{Revision: 1, Services: map[string]setts.ServiceRule{"app": {Name: "app"}}, Routes: []setts.RouteRule{{
+		Name: "r", Host: "h", Prefix: "/", Repetition: setts.Idempotent, Timeout: 2 * time.Second, TargetLatency: 100 * time.Millisecond,
+		Shares: []setts.ServiceShare{{Service: "app", Weight: 1}}, MaxAttempts: 2, Public: true,
+	}}})
+	return edge
+}
+
+// newLookup returns a request for the route of newRelayEdge.
+func newLookup() *InboundRequest {
+	return &InboundRequest{Origin: engine.Origin{ID: "1", Method: http.MethodGet, Host: "h", Target: "/"}}
+}
+
 // TestSlowServerKeepsRequestWithoutAnother guards against requests to a plain service that fail because
 // the daemon gave up a slow server before it knew whether the request may be sent to another one.
 func TestSlowServerKeepsRequestWithoutAnother(t *testing.T) {
@@ -86,13 +107,9 @@
 					state.UpsertServer(model.Member{ID: id, Service: "app", Zone: "a"})
 				}
 				sender := &slowSender{delay: 400 * time.Millisecond}
-				edge := NewEdge(evlog.New(logr.Discard()), nil, sender, state, 1, quietObserver{})
-				edge.SetRouting(&setts.Routing{Revision: 1, Services: map[string]setts.ServiceRule{"app": {Name: "app"}}, Routes: []setts.RouteRule{{
-					Name: "r", Host: "h", Prefix: "/", Repetition: setts.Idempotent, Timeout: 2 * time.Second, TargetLatency: 100 * time.Millisecond,
-					Shares: []setts.ServiceShare{{Service: "app", Weight: 1}}, MaxAttempts: 2, Public: true,
-				}}})
+				edge := newRelayEdge(sender, state)
 				var out answerRecorder
-				edge.Serve(t.Context(), &InboundRequest{Origin: engine.Origin{ID: "1", Method: http.MethodGet, Host: "h", Target: "/"}}, &out)
+				edge.Serve(t.Context(), newLookup(), &out)
 				assert.Assert(t, out.failure == nil, "the request failed: %v", out.failure)
 				assert.Equal(t, sender.ended, tc.ended)
 				assert.Equal(t, len(sender.sends), tc.ended+1)
@@ -101,3 +118,30 @@
 		})
 	}
 }
+
+// TestSlowServersShareRetryBudget guards against requests that give up their slow servers because of the same
+// room in the retry budget, and fail because only one of them gets it.
+func TestSlowServersShareRetryBudget(t *testing.T) {
+	const burstOfEight = 8
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			// Eight daemons are assumed, so that this one has room for one retry.
+			state := relay.New("a", retry.New(0, burstOfEight, 10*time.Second), 1)
+			for _, id := range []string{"s1", "s2"} {
+				state.UpsertServer(model.Member{ID: id, Service: "app", Zone: "a"})
+			}
+			sender := &slowSender{delay: 400 * time.Millisecond}
+			edge := newRelayEdge(sender, state)
+			out := make([]answerRecorder, 5)
+			var requests sync.WaitGroup
+			for i := range out {
+				requests.Go(func() { edge.Serve(t.Context(), newLookup(), &out[i]) })
+			}
+			requests.Wait()
+			for i := range out {
+				assert.Assert(t, out[i].failure == nil, "a request failed: %v", out[i].failure)
+			}
+			assert.Equal(t, sender.ended, 1)
+		})
+	}
+}
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -327,10 +327,9 @@
 	e.relayState.CountRequest(req.arrived, relayReq)
 	e.mu.Unlock()
 	var lastAnswer *engine.Answer
+	var next *relay.Attempt
 	for {
-		e.mu.Lock()
-		attempt, failure := e.relayState.Next(time.Now(), relayReq)
-		e.mu.Unlock()
+		attempt, failure := e.startAttempt(relayReq, next)
 		if failure != nil {
 			e.finishRelayed(req, lastAnswer, failure, out)
 			return
@@ -338,27 +337,19 @@
 		req.attempts, req.server = relayReq.Attempts, attempt.Server.ID
 		e.log.Info(evlog.RequestSent, "request", req.in.ID, "attempt", relayReq.Attempts, "server", attempt.Server.ID, "zone", attempt.Server.Zone,
 			"in_progress", attempt.InProgress, "left_ms", time.Until(req.deadline).Milliseconds())
-		answer, failure := e.sendAttempt(ctx, req, rule, relayReq, attempt)
+		var answer *engine.Answer
+		answer, failure, next = e.sendAttempt(ctx, req, rule, relayReq, attempt)
 		if answer != nil {
 			lastAnswer = answer
 		}
 		outcome := relay.Outcome{Failure: failure, Faulty: answer != nil && answer.Status >= 500}
-		e.mu.Lock()
-		retry := e.relayState.RecordOutcome(time.Now(), relayReq, attempt, outcome)
-		e.mu.Unlock()
+		retry := e.recordAttempt(relayReq, attempt, outcome) || next != nil
 		if ctx.Err() != nil {
+			e.withdrawAttempt(relayReq, next)
 			e.failCallerGone(req, out, false)
 			return
 		}
 		if !retry {
-			if failure != nil {
-				failure.Verdict = relayReq.Verdict
-				if failure.Verdict == verdt.NotRun {
-					e.mu.Lock()
-					failure.RetryAt = e.relayState.RetryAt(time.Now(), relayReq.Service)
-					e.mu.Unlock()
-				}
-			}
 			e.finishRelayed(req, lastAnswer, failure, out)
 			return
 		}
