--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -68,7 +68,7 @@
 
 func newCoreHarness(t *rapid.T) *coreHarness {
 	w := &coreHarness{
-		t: t, now: time.Unix(1_000_000, 0), core: New(), requests: map[model.RequestID]*oracleRequest{},
+		t: t, now: time.Unix(1_000_000, 0), core: New(WithStallCheck()), requests: map[model.RequestID]*oracleRequest{},
 		list: map[string]model.Member{}, reports: map[model.ServerID]model.Report{}, leaving: map[model.ServerID]bool{},
 		listedStates: map[string]model.MemberState{},
 	}
@@ -385,6 +385,13 @@
 					w.in.CallerGone = append(w.in.CallerGone, model.RequestID(rapid.IntRange(1, int(w.lastID)).Draw(t, "request")))
 				}
 			},
+			"stall": func(t *rapid.T) {
+				d := msgs.Diagnosis{Server: rapid.SampledFrom(w.serverIDs()).Draw(t, "server"), AskedAt: w.now, Unresponsive: rapid.Bool().Draw(t, "unresponsive")}
+				if !d.Unresponsive {
+					d.Faulty = []string{string(rapid.SampledFrom(w.serverIDs()).Draw(t, "faulty server")) + ":1"}
+				}
+				w.in.Diagnoses = append(w.in.Diagnoses, d)
+			},
 			"flap":       func(*rapid.T) { w.toggleMemberState() },
 			"empty list": func(*rapid.T) { w.in.List = []model.Member{} },
 			"report leaving": func(t *rapid.T) {
--- a/internal/core/route/chains_test.go
+++ b/internal/core/route/chains_test.go
@@ -268,3 +268,17 @@
 	plain := ReportOf(now, model.Member{ID: "e", Service: "m"}, &setts.EngineProfile{})
 	assert.Equal(t, plain.Span, model.Span{From: 0, To: 1})
 }
+
+// TestStalledFirstServerIsNotChosenAgain guards against a stalled stream that is opened again at the first
+// server which it waits for, because its attempts are used up there.
+func TestStalledFirstServerIsNotChosenAgain(t *testing.T) {
+	servers := table.NewServers()
+	addEngine(servers, "s0", "a", 0, chainLayers, 1000)
+	r := newRequest()
+	query := Query{Request: r, Layers: chainLayers, Daemons: 1, FirstServers: []model.ServerID{"s0"}}
+	_, result := NewChains("a", 1).Pick(time.Unix(1_000_000, 0), servers, query)
+	assert.Equal(t, result, Found)
+	r.StalledOn = "s0"
+	_, result = NewChains("a", 1).Pick(time.Unix(1_000_000, 0), servers, query)
+	assert.Equal(t, result, NoChain)
+}
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -74,12 +74,18 @@
 				tc.prepare(w, o)
 			}
 			w.reportStall(o)
-			for range 60 {
+			asks := 0
+			for range 240 {
 				assert.Equal(t, len(w.out.Cancels), 0, "the stream was cancelled")
 				assert.Equal(t, len(w.out.Finishes), 0, "the request was ended: %v", w.out.Finishes)
+				for _, ask := range w.out.Asks {
+					asks++
+					w.in.Diagnoses = append(w.in.Diagnoses, msgs.Diagnosis{Server: ask.Server, AskedAt: ask.At, Faulty: []string{o.Route.Hops[1].Address}})
+				}
 				w.now = w.now.Add(25 * time.Millisecond)
 				w.tick()
 			}
+			assert.Assert(t, asks <= 6, "asked %d times in 6 s", asks)
 			w.deliverTokens(1, []msgs.Open{o})
 			w.tick()
 			assert.Equal(t, len(w.out.Sends), 1)
@@ -351,3 +357,39 @@
 	}
 	assert.Assert(t, movedAfter >= silentServerTimeout, "moved after %s", movedAfter)
 }
+
+// TestSwitchDrawsOnRetryBudget guards against moves of stalled streams that exceed the retry budget.
+func TestSwitchDrawsOnRetryBudget(t *testing.T) {
+	const burstOfEight = 8
+	// Eight daemons are assumed, so that this one has room for one retry.
+	w := newChainHarness(t, 1, WithStallCheck(), WithBudget(retry.New(0, burstOfEight, 10*time.Second)))
+	w.core.budget.SetDaemons(w.now, burstOfEight)
+	opens := []msgs.Open{w.submit(msgs.Arrival{ID: 1}), w.submit(msgs.Arrival{ID: 2})}
+	w.addPair()
+	w.deliverTokens(0, opens)
+	w.tick()
+	w.reportStall(opens[0])
+	moved := len(w.out.Opens)
+	for range 20 {
+		w.now = w.now.Add(25 * time.Millisecond)
+		w.tick()
+		moved += len(w.out.Opens)
+	}
+	assert.Equal(t, moved, 1)
+}
+
+// TestSwitchedFirstServerIsAnAttempt guards against requests that run at more servers than allowed because
+// the first server of a stalled stream is forgotten.
+func TestSwitchedFirstServerIsAnAttempt(t *testing.T) {
+	w := newChainHarness(t, 3, WithStallCheck())
+	first := w.startStream(msgs.Arrival{ID: 1, MaxAttempts: 2})
+	ask := w.awaitAsk()
+	w.in.Diagnoses = append(w.in.Diagnoses, msgs.Diagnosis{Server: ask.Server, AskedAt: ask.At, Unresponsive: true})
+	w.tick()
+	assert.Equal(t, len(w.out.Opens), 1)
+	second := w.out.Opens[0]
+	w.endStream(second, resetError(second.Route.Hops[1].Server), false)
+	heads := []model.ServerID{first.Route.Hops[0].Server, second.Route.Hops[0].Server}
+	assert.Equal(t, len(w.out.Opens), 1)
+	assert.Assert(t, slices.Contains(heads, w.out.Opens[0].Route.Hops[0].Server), "%v, then %v", heads, w.out.Opens[0].Route)
+}
