Log the prompt parts of failed streams

The logs could not tell whether requests under which engines ended had anything in common.

TestParsePromptParts passes, with the tests of platform, evlog, drive and core.

--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -28,6 +28,8 @@
 	PromptTokens, MaxTokens int
 	// From is the position of the first event to send; the caller has all before it.
 	From int
+	// Parts are the IDs of the prompt parts that the request shares with others, in order.
+	Parts []uint64
 }
 
 // AnswerWriter writes the answer to one request. Exactly one of Answer, Fail, Complete and Abort
@@ -222,7 +224,7 @@
 func (e *Edge) serveStream(ctx context.Context, req *requestState, rule *setts.RouteRule, out AnswerWriter) {
 	id, reply := e.streams.Start(ModelRequest{
 		Team: req.in.Team, Model: req.service, MaxTokens: req.in.MaxTokens, PromptTokens: req.in.PromptTokens,
-		Origin: &req.in.Origin, Deadline: req.deadline, From: req.in.From,
+		Origin: &req.in.Origin, Deadline: req.deadline, From: req.in.From, Parts: req.in.Parts,
 		AtMostOnce:  rule.Repetition == setts.Once || (rule.Repetition == setts.Streaming && !rule.Resumable),
 		MaxAttempts: rule.MaxAttempts, FirstTokenDeadline: req.arrived.Add(rule.TargetLatency),
 	})
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -10,6 +10,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/engine"
@@ -37,6 +38,8 @@
 	// request that has only a prompt.
 	origin   *engine.Origin
 	deadline time.Time
+	// parts are the IDs of the prompt parts that the request shares with others.
+	parts []uint64
 	// answer is what an engine answered instead of the stream in the latest failed
 	// attempt, or nil.
 	answer *engine.Answer
@@ -112,6 +115,8 @@
 	AtMostOnce         bool
 	MaxAttempts        int
 	FirstTokenDeadline time.Time
+	// Parts are the IDs of the prompt parts that the request shares with others, in order.
+	Parts []uint64
 }
 
 // bytesPerToken is a typical token's length, used to estimate a prompt's size.
@@ -119,7 +124,7 @@
 
 // Start submits a request to the core. The answer or the refusal arrives in the Reply.
 func (s *StreamExecutor) Start(a ModelRequest) (model.RequestID, *Reply) {
-	pending := &pendingRequest{reply: newReply(), model: a.Model, prompt: a.Prompt, maxTokens: a.MaxTokens, origin: a.Origin, deadline: a.Deadline}
+	pending := &pendingRequest{reply: newReply(), model: a.Model, prompt: a.Prompt, maxTokens: a.MaxTokens, origin: a.Origin, deadline: a.Deadline, parts: a.Parts}
 	if a.PromptTokens == 0 {
 		a.PromptTokens = len(a.Prompt) / bytesPerToken
 	}
@@ -335,12 +340,22 @@
 		}
 		if stream.Origin != nil && ctx.Err() == nil {
 			s.log.Info(evlog.StreamFailed, "request", stream.Origin.ID, "epoch", stream.Epoch, "reason", end.Failure.Reason.String(),
-				"verdict", end.Failure.Verdict.String(), "server", end.Failure.Server, "declined", end.Declined, "message", end.Failure.Message)
+				"verdict", end.Failure.Verdict.String(), "server", end.Failure.Server, "declined", end.Declined, "message", end.Failure.Message, "parts", s.formatParts(stream.Request))
 		}
 	}
 	s.loop.post(func(in *msgs.Inbox) { in.Ends = append(in.Ends, end) })
 }
 
+// formatParts returns the shared prompt parts of a request as they are logged.
+func (s *StreamExecutor) formatParts(id model.RequestID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pending := s.pending[id]; pending != nil {
+		return crash.FormatParts(pending.parts)
+	}
+	return ""
+}
+
 // keepAnswer stores what an engine answered instead of a stream. The caller gets it if
 // no other engine serves the request.
 func (s *StreamExecutor) keepAnswer(id model.RequestID, a *engine.Answer) {
