--- a/internal/boot/edge_test.go
+++ b/internal/boot/edge_test.go
@@ -109,17 +109,23 @@
 // call sends one request to a daemon, with a Tenant header that daemons must replace.
 func (env *testEnvironment) call(daemon int, method, path, key, body string) response {
 	env.requests++
-	id := fmt.Sprintf("q%d", env.requests)
-	req, err := fakes.Call{ID: id, Method: method, Path: path, Body: body, Key: key, Timeout: 5 * time.Second}.Request(env.t.Context(), env.daemons[daemon].CallersAddress())
-	assert.NilError(env.t, err)
+	return env.send(daemon, fakes.Call{ID: fmt.Sprintf("q%d", env.requests), Method: method, Path: path, Body: body, Key: key, Timeout: 5 * time.Second})
+}
+
+// send sends a request to a daemon. It may be called concurrently.
+func (env *testEnvironment) send(daemon int, c fakes.Call) response {
+	req, err := c.Request(env.t.Context(), env.daemons[daemon].CallersAddress())
+	if err != nil {
+		return response{requestID: c.ID, status: err.Error()}
+	}
 	req.Header.Set("Tenant", "forged")
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
-		return response{requestID: id, status: err.Error()}
+		return response{requestID: c.ID, status: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
-	return response{requestID: id, code: resp.StatusCode, status: resp.Status, header: resp.Header, body: string(raw), complete: err == nil && resp.StatusCode == http.StatusOK}
+	return response{requestID: c.ID, code: resp.StatusCode, status: resp.Status, header: resp.Header, body: string(raw), complete: err == nil && resp.StatusCode == http.StatusOK}
 }
 
 // stream sends one stream request with a valid key.
