Decide which prompt parts crash engines

Engines that end at one time count as one crash, so that a loss of power blocks nothing. A part explains the ends of engines under it, so that parts which were only beside it are not blocked. Nothing calls the package yet.

The property test found that a part became suspect again in the same check that blocked it, before this was committed.

--- /dev/null
+++ b/internal/core/crash/decide.go
@@ -0,0 +1,211 @@
+package crash
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+//go:generate enumer -type=ChangeKind -transform=snake -text -output=changekind_enumer.go
+
+// ChangeKind is the kind of a Change.
+type ChangeKind uint8
+
+const (
+	// Suspected means that engines ended under requests with a part that none has answered.
+	Suspected ChangeKind = iota
+	// Blocked means that requests with a part are refused from now on.
+	Blocked
+	// Unblocked means that requests with a part are accepted again.
+	Unblocked
+)
+
+// Change is a new decision on a part.
+type Change struct {
+	Kind ChangeKind
+	Part uint64
+	// Servers are the engines that ended, sorted; empty for Unblocked and for a block that
+	// another daemon decided.
+	Servers []model.ServerID
+	// Until is when a block ends; zero unless the part is blocked.
+	Until time.Time
+}
+
+// engineEnd is the end of one engine under requests with some parts.
+type engineEnd struct {
+	server model.ServerID
+	at     time.Time
+	// parts are those that no daemon knows as sound.
+	parts []uint64
+}
+
+// Check evaluates the evidence and returns the decisions that changed, in a fixed order.
+func (st *State) Check(now time.Time) []Change {
+	if len(st.evidence)+len(st.blocks) == 0 || !st.changed && now.Before(st.nextCheck) {
+		return nil
+	}
+	st.changed, st.nextCheck = false, now.Add(checkInterval)
+	st.expire(now)
+	changes := st.unblock(now)
+	ends := st.ends(now)
+	for {
+		changes = append(changes, st.suspect(now, ends)...)
+		blocked := st.block(now, ends)
+		if len(blocked) == 0 {
+			return changes
+		}
+		changes = append(changes, blocked...)
+		ends = st.unexplained(ends)
+	}
+}
+
+// expire removes evidence and reports of soundness that no longer count.
+func (st *State) expire(now time.Time) {
+	maps.DeleteFunc(st.own, func(_ Evidence, at time.Time) bool { return now.Sub(at) >= evidenceTTL })
+	maps.DeleteFunc(st.evidence, func(_ Evidence, s sighting) bool { return !now.Before(s.expiresAt) })
+	maps.DeleteFunc(st.soundElsewhere, func(_ uint64, until time.Time) bool { return !now.Before(until) })
+}
+
+// unblock removes the blocks that have ended and those of parts that turned out to be sound.
+func (st *State) unblock(now time.Time) []Change {
+	var changes []Change
+	for _, part := range slices.Sorted(maps.Keys(st.blocks)) {
+		if !now.Before(st.blocks[part]) || st.knownSound(now, part) {
+			delete(st.blocks, part)
+			changes = append(changes, Change{Kind: Unblocked, Part: part})
+		}
+	}
+	return changes
+}
+
+// ends returns the ends of engines in the order in which this daemon learned of them. Those that a
+// blocked part explains are left out.
+func (st *State) ends(now time.Time) []engineEnd {
+	byServer := map[model.ServerID]*engineEnd{}
+	for e, s := range st.evidence {
+		end := byServer[e.Server]
+		if end == nil {
+			end = &engineEnd{server: e.Server, at: s.firstAt}
+			byServer[e.Server] = end
+		}
+		if s.firstAt.Before(end.at) {
+			end.at = s.firstAt
+		}
+		if !st.knownSound(now, e.Part) {
+			end.parts = append(end.parts, e.Part)
+		}
+	}
+	var ends []engineEnd
+	for _, end := range byServer {
+		ends = append(ends, *end)
+	}
+	slices.SortFunc(ends, func(a, b engineEnd) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.server, b.server))
+	})
+	return st.unexplained(ends)
+}
+
+// unexplained removes the ends of engines under requests with a blocked part, and extends the block
+// to BlockDuration after the last of them.
+func (st *State) unexplained(ends []engineEnd) []engineEnd {
+	return slices.DeleteFunc(ends, func(end engineEnd) bool {
+		explained := false
+		for _, part := range end.parts {
+			until, blocked := st.blocks[part]
+			if !blocked {
+				continue
+			}
+			explained = true
+			if extended := end.at.Add(BlockDuration).Round(0); extended.After(until) {
+				st.blocks[part] = extended
+			}
+		}
+		return explained
+	})
+}
+
+// crashes is how often engines ended under requests with one part.
+type crashes struct {
+	// count leaves out ends that are not at least crashDistance after the one counted before.
+	count     int
+	countedAt time.Time
+	servers   []model.ServerID
+}
+
+// countCrashes returns the crashes of each part.
+func countCrashes(ends []engineEnd) map[uint64]crashes {
+	counts := map[uint64]crashes{}
+	for _, end := range ends {
+		for _, part := range end.parts {
+			c := counts[part]
+			c.servers = append(c.servers, end.server)
+			if c.count == 0 || end.at.Sub(c.countedAt) >= crashDistance {
+				c.count++
+				c.countedAt = end.at
+			}
+			counts[part] = c
+		}
+	}
+	return counts
+}
+
+// suspect updates the suspects.
+func (st *State) suspect(now time.Time, ends []engineEnd) []Change {
+	counts := countCrashes(ends)
+	maps.DeleteFunc(st.suspects, func(part uint64, _ time.Time) bool { return counts[part].count < suspectCrashes })
+	var changes []Change
+	for _, part := range slices.Sorted(maps.Keys(counts)) {
+		if _, known := st.suspects[part]; known || counts[part].count < suspectCrashes {
+			continue
+		}
+		st.suspects[part] = now
+		changes = append(changes, Change{Kind: Suspected, Part: part, Servers: sortedServers(counts[part].servers)})
+	}
+	return changes
+}
+
+// block blocks the suspect that explains the most crashes. Suspects that explain equally many wait
+// for more evidence, up to tiedBlockCrashes.
+func (st *State) block(now time.Time, ends []engineEnd) []Change {
+	counts := countCrashes(ends)
+	most := blockCrashes
+	var parts []uint64
+	for _, part := range slices.Sorted(maps.Keys(st.suspects)) {
+		switch n := counts[part].count; {
+		case n < most:
+		case n > most:
+			most, parts = n, []uint64{part}
+		default:
+			parts = append(parts, part)
+		}
+	}
+	if len(parts) > 1 && most < tiedBlockCrashes {
+		return nil
+	}
+	var changes []Change
+	for _, part := range parts {
+		if now.Sub(st.suspects[part]) < soundReportTime || len(st.blocks) >= maxBlocks {
+			continue
+		}
+		delete(st.suspects, part)
+		st.blocks[part] = counts[part].countedAt.Add(BlockDuration).Round(0)
+		changes = append(changes, Change{Kind: Blocked, Part: part, Servers: sortedServers(counts[part].servers), Until: st.blocks[part]})
+	}
+	return changes
+}
+
+func sortedServers(servers []model.ServerID) []model.ServerID {
+	slices.Sort(servers)
+	return slices.Compact(servers)
+}
+
+func compareEvidence(a, b Evidence) int {
+	return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Server, b.Server))
+}
+
+func compareBlocks(a, b Block) int {
+	return cmp.Or(cmp.Compare(a.Part, b.Part), a.Until.Compare(b.Until))
+}
--- a/internal/core/crash/format.go
+++ b/internal/core/crash/format.go
@@ -1,5 +1,3 @@
-// Package crash finds the prompt parts that crash engines: each engine that begins an answer to a
-// request with such a part ends, whatever else the request holds.
 package crash
 
 import (
