Exchange what daemons know about prompt parts

The hub forms the unions of the daemons' evidence, sound parts and blocks, and decides nothing. The keys are new, so that daemons without them mix with those that have them.

TestPromptPartsAreUnion passes, with the tests of board, crash and peer.

--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -63,6 +64,15 @@
 	Full []model.ServerID `cbor:"5,keyasint,omitempty"`
 	// Leaving are the servers whose answers said that they will stop.
 	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
+	PromptParts
+}
+
+// PromptParts is what one or more daemons know about prompt parts that crash engines; see
+// crash.Report.
+type PromptParts struct {
+	CrashEvidence []crash.Evidence `cbor:"16,keyasint,omitempty"`
+	SoundParts    []uint64         `cbor:"17,keyasint,omitempty"`
+	BlockedParts  []crash.Block    `cbor:"18,keyasint,omitempty"`
 }
 
 // View is the summary of the other daemons' reports that a daemon gets.
@@ -78,6 +88,8 @@
 	Full []model.ServerID `cbor:"5,keyasint,omitempty"`
 	// Leaving are the servers that told any daemon that they will stop.
 	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
+	// PromptParts is the union over all daemons.
+	PromptParts
 }
 
 // daemonReport is a daemon's last report and when it expires.
@@ -96,6 +108,10 @@
 	suspects map[model.ServerID]int
 	full     map[model.ServerID]int
 	leaving  map[model.ServerID]int
+	// crashEvidence, soundParts and blockedParts count the daemons that report each entry.
+	crashEvidence map[crash.Evidence]int
+	soundParts    map[uint64]int
+	blockedParts  map[crash.Block]int
 	// daemons holds the keys of reports, sorted.
 	daemons   []model.DaemonID
 	nextSweep time.Time
@@ -107,6 +123,7 @@
 func New() *State {
 	return &State{
 		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{}, leaving: map[model.ServerID]int{},
+		crashEvidence: map[crash.Evidence]int{}, soundParts: map[uint64]int{}, blockedParts: map[crash.Block]int{},
 	}
 }
 
@@ -140,10 +157,13 @@
 	addToCounts(st.suspects, status.Suspects, sign)
 	addToCounts(st.full, status.Full, sign)
 	addToCounts(st.leaving, status.Leaving, sign)
+	addToCounts(st.crashEvidence, status.CrashEvidence, sign)
+	addToCounts(st.soundParts, status.SoundParts, sign)
+	addToCounts(st.blockedParts, status.BlockedParts, sign)
 }
 
 // addToCounts adds sign to the count of each ID and removes counts that become 0.
-func addToCounts(counts map[model.ServerID]int, ids []model.ServerID, sign int) {
+func addToCounts[K comparable](counts map[K]int, ids []K, sign int) {
 	for _, id := range ids {
 		if counts[id] += sign; counts[id] == 0 {
 			delete(counts, id)
@@ -197,8 +217,8 @@
 	return slices.Compact(peers)
 }
 
-// Others returns the sums over all daemons but one, sorted. Suspects, Full and Leaving include
-// that daemon's own.
+// Others returns the sums over all daemons but one, sorted. Suspects, Full, Leaving and
+// PromptParts include that daemon's own.
 func (st *State) Others(now time.Time, except model.DaemonID) View {
 	st.sweep(now)
 	own := st.reports[except]
@@ -210,7 +230,13 @@
 	for _, p := range own.Pipes {
 		ownPipes[p.Pipe] = p.Tokens
 	}
-	v := View{Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving))}
+	v := View{
+		Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving)),
+		PromptParts: PromptParts{
+			CrashEvidence: slices.SortedFunc(maps.Keys(st.crashEvidence), crash.Evidence.Compare), SoundParts: slices.Sorted(maps.Keys(st.soundParts)),
+			BlockedParts: slices.SortedFunc(maps.Keys(st.blockedParts), crash.Block.Compare),
+		},
+	}
 	for id, sum := range st.loads {
 		ownLoad := ownLoads[id]
 		if remaining := (Load{Server: id, Tokens: sum.Tokens - ownLoad.Tokens, Streams: sum.Streams - ownLoad.Streams}); remaining.Tokens != 0 || remaining.Streams != 0 {
--- a/internal/core/board/board_test.go
+++ b/internal/core/board/board_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/proof"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
@@ -86,3 +87,23 @@
 		})
 	})
 }
+
+// TestPromptPartsAreUnion checks that each daemon gets the union of what all daemons know about
+// prompt parts, its own included, and that nothing is left after the reports.
+func TestPromptPartsAreUnion(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	until := now.Add(time.Minute)
+	st := New()
+	st.Put(now, "a", DaemonStatus{PromptParts: PromptParts{CrashEvidence: []crash.Evidence{{Server: "e", Part: 2}}, SoundParts: []uint64{1}}})
+	st.Put(now, "b", DaemonStatus{PromptParts: PromptParts{
+		CrashEvidence: []crash.Evidence{{Server: "e", Part: 2}, {Server: "f", Part: 2}}, SoundParts: []uint64{1, 3}, BlockedParts: []crash.Block{{Part: 2, Until: until}},
+	}})
+	want := PromptParts{
+		CrashEvidence: []crash.Evidence{{Server: "e", Part: 2}, {Server: "f", Part: 2}}, SoundParts: []uint64{1, 3}, BlockedParts: []crash.Block{{Part: 2, Until: until}},
+	}
+	assert.DeepEqual(t, st.Others(now, "a").PromptParts, want)
+	assert.DeepEqual(t, st.Others(now, "b").PromptParts, want)
+	st.Put(now, "b", DaemonStatus{})
+	assert.DeepEqual(t, st.Others(now, "b").PromptParts, PromptParts{CrashEvidence: []crash.Evidence{{Server: "e", Part: 2}}, SoundParts: []uint64{1}})
+	assert.DeepEqual(t, st.Others(now.Add(StatusTTL), "b"), View{})
+}
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -5,6 +5,7 @@
 package crash
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -56,6 +57,11 @@
 	Part   uint64         `cbor:"2,keyasint"`
 }
 
+// Compare orders evidence by part and engine.
+func (e Evidence) Compare(other Evidence) int {
+	return cmp.Or(cmp.Compare(e.Part, other.Part), cmp.Compare(e.Server, other.Server))
+}
+
 // Block says that requests with a prompt part are refused.
 type Block struct {
 	Part uint64 `cbor:"1,keyasint"`
@@ -63,6 +69,11 @@
 	Until time.Time `cbor:"2,keyasint"`
 }
 
+// Compare orders blocks by part and end.
+func (b Block) Compare(other Block) int {
+	return cmp.Or(cmp.Compare(b.Part, other.Part), b.Until.Compare(other.Until))
+}
+
 // Report is what one daemon tells the others, or the union of such reports. Its slices are sorted.
 type Report struct {
 	Evidence []Evidence
@@ -131,7 +142,7 @@
 		if c := times[a].Compare(times[b]); c != 0 {
 			return c
 		}
-		return compareEvidence(a, b)
+		return a.Compare(b)
 	})
 }
 
@@ -199,7 +210,7 @@
 			r.Evidence = append(r.Evidence, e)
 		}
 	}
-	slices.SortFunc(r.Evidence, compareEvidence)
+	slices.SortFunc(r.Evidence, Evidence.Compare)
 	for e := range st.evidence {
 		if st.sound.has(now, e.Part) {
 			r.Sound = append(r.Sound, e.Part)
@@ -214,7 +225,7 @@
 	}
 	slices.Sort(r.Sound)
 	r.Sound = slices.Compact(r.Sound)
-	slices.SortFunc(r.Blocks, compareBlocks)
+	slices.SortFunc(r.Blocks, Block.Compare)
 	return r
 }
 
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -201,11 +201,3 @@
 	slices.Sort(servers)
 	return slices.Compact(servers)
 }
-
-func compareEvidence(a, b Evidence) int {
-	return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Server, b.Server))
-}
-
-func compareBlocks(a, b Block) int {
-	return cmp.Or(cmp.Compare(a.Part, b.Part), a.Until.Compare(b.Until))
-}
