Refuse requests with a prompt part that crashes engines

Callers saw engine after engine end, and with them up to 120 streams at a time; most requests were not served while such requests came. Each request under which an engine ended was sent again, to end the next one, and no daemon linked the ends to what the requests had in common.

The core now records engines that end their connections when they begin an answer, and the parts of prompts that were answered. It refuses new requests with a blocked part as not run, fails those that wait or have no output yet, and does not send a request again that lost its engine if one of its parts is suspect, or that lost two engines and has a part not known as sound.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core/admit"
 	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/drain"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/recov"
@@ -51,6 +52,7 @@
 	// tables holds the tables that recov works on.
 	tables recov.Tables
 	stall  *stall.State
+	crash  *crash.State
 	// budget bounds the retries of all requests; nil means that only each request's
 	// own limit applies.
 	budget *retry.Budget
@@ -83,6 +85,7 @@
 		admit:    admit.New(),
 		drain:    drain.New(),
 		recov:    &recov.State{},
+		crash:    crash.New(),
 		daemons:  1,
 	}
 	for _, opt := range opts {
@@ -93,12 +96,13 @@
 }
 
 // Tick processes the events in the inbox and replaces the contents of out by the resulting
-// commands. The order is: settings and servers, streams, new requests, deadlines, leaving
-// servers, stalled engines, and then the dispatch of requests that wait for a route.
+// commands. The order is: settings and servers, streams, prompt parts that crash engines, new
+// requests, deadlines, leaving servers, stalled engines, and then the dispatch of requests that wait for a route.
 func (c *Core) Tick(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	out.Reset()
 	c.applyState(now, in, out)
 	c.applyStreams(now, in, out)
+	c.checkCrashes(now, out)
 	c.applyArrivals(now, in, out)
 	c.expire(now, out)
 	c.moveFromLeaving(now, out)
@@ -137,6 +141,7 @@
 		c.servers.SetOthers(in.OthersUntil, in.Others)
 		c.servers.Avoid(now.Add(layerChangeHold), in.Others.ReplacingLayers)
 		c.servers.MarkFull(now.Add(sharedFullDuration), in.Others.Full)
+		c.crash.Apply(now, crash.Report{Evidence: in.Others.CrashEvidence, Sound: in.Others.SoundParts, Blocks: in.Others.BlockedParts})
 		for _, id := range in.Others.Suspects {
 			c.recov.Avoid(now, id, in.OthersUntil.Sub(now), c.tables, out)
 			if s := c.servers.Get(id); s != nil {
@@ -153,10 +158,15 @@
 func (c *Core) applyStreams(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	t := c.tables
 	for _, tok := range in.Tokens {
+		c.recordOutput(now, tok)
 		c.recov.HandleToken(now, tok, t, out)
 	}
 	for _, e := range in.Ends {
+		crashed := c.recordCrash(now, e)
 		c.recov.HandleStreamEnd(now, e, t, out)
+		if crashed {
+			c.failIfMayCrash(now, e.Request, out)
+		}
 	}
 	for _, id := range in.CallerGone {
 		if r := c.requests.Get(id); r != nil {
@@ -171,6 +181,10 @@
 		if c.budget != nil {
 			c.budget.CountRequest(now, a.Model)
 		}
+		if f := c.refuseBlocked(now, a); f != nil {
+			out.Finishes = append(out.Finishes, msgs.Finish{Request: a.ID, Failure: f})
+			continue
+		}
 		if f := c.admit.Admit(now, a, c.settings, c.requests); f != nil {
 			out.Finishes = append(out.Finishes, msgs.Finish{Request: a.ID, Failure: f})
 		}
@@ -405,7 +419,7 @@
 
 // nextWake returns the latest time for the next tick, or zero if none is needed.
 func (c *Core) nextWake(now time.Time) time.Time {
-	next := earliest(c.requests.NextDeadline(), c.drain.NextMove())
+	next := earliest(earliest(c.requests.NextDeadline(), c.drain.NextMove()), c.crash.NextCheck())
 	if c.blocked {
 		next = earliest(next, now.Add(dispatchRetryInterval))
 	}
@@ -430,7 +444,7 @@
 func (c *Core) DaemonStatus(now time.Time) board.DaemonStatus {
 	return board.DaemonStatus{
 		Loads: c.servers.Loads(), Suspects: c.servers.Suspects(now), Pipes: c.servers.Pipes.Sent(now),
-		Full: c.servers.Declined(now.Add(-sharedFullDuration)),
+		Full: c.servers.Declined(now.Add(-sharedFullDuration)), PromptParts: c.promptParts(now),
 	}
 }
 
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -98,6 +98,8 @@
 	suspects map[uint64]time.Time
 	// blocks holds the blocked parts. None of them is known as sound.
 	blocks map[uint64]time.Time
+	// learned holds the parts blocked by other daemons since the last Check.
+	learned []uint64
 	// changed is set if Check has something to evaluate, and nextCheck is when it has otherwise.
 	changed   bool
 	nextCheck time.Time
@@ -194,7 +196,9 @@
 		}
 		if current, blocked := st.blocks[b.Part]; !blocked || until.After(current) {
 			st.blocks[b.Part] = until.Round(0)
-			st.changed = st.changed || !blocked
+			if !blocked {
+				st.learned, st.changed = append(st.learned, b.Part), true
+			}
 		}
 	}
 }
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -44,12 +44,13 @@
 
 // Check evaluates the evidence and returns the decisions that changed, in a fixed order.
 func (st *State) Check(now time.Time) []Change {
-	if len(st.evidence)+len(st.blocks) == 0 || !st.changed && now.Before(st.nextCheck) {
+	if len(st.evidence)+len(st.blocks)+len(st.suspects) == 0 || !st.changed && now.Before(st.nextCheck) {
 		return nil
 	}
 	st.changed, st.nextCheck = false, now.Add(checkInterval)
 	st.expire(now)
-	changes := st.unblock(now)
+	changes := st.takeLearned()
+	changes = append(changes, st.unblock(now)...)
 	ends := st.ends(now)
 	for {
 		changes = append(changes, st.suspect(now, ends)...)
@@ -62,6 +63,16 @@
 	}
 }
 
+// takeLearned returns the blocks that other daemons decided since the last call.
+func (st *State) takeLearned() []Change {
+	var changes []Change
+	for _, part := range st.learned {
+		changes = append(changes, Change{Kind: Blocked, Part: part, Until: st.blocks[part]})
+	}
+	st.learned = nil
+	return changes
+}
+
 // expire removes evidence and reports of soundness that no longer count.
 func (st *State) expire(now time.Time) {
 	maps.DeleteFunc(st.own, func(_ Evidence, at time.Time) bool { return now.Sub(at) >= evidenceTTL })
--- a/internal/core/crash/format.go
+++ b/internal/core/crash/format.go
@@ -5,6 +5,9 @@
 	"strings"
 )
 
+// FormatPart returns a part ID in the hexadecimal notation of callers.
+func FormatPart(part uint64) string { return strconv.FormatUint(part, 16) }
+
 // FormatParts returns part IDs in the hexadecimal notation of callers, separated by commas.
 func FormatParts(parts []uint64) string {
 	var b strings.Builder
@@ -12,7 +15,7 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		b.WriteString(strconv.FormatUint(part, 16))
+		b.WriteString(FormatPart(part))
 	}
 	return b.String()
 }
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -33,6 +33,8 @@
 	MaxAttempts int
 	// FirstTokenDeadline is the deadline for the first token; zero means the team's policy.
 	FirstTokenDeadline time.Time
+	// Parts are the IDs of the prompt parts that the request shares with others.
+	Parts []uint64
 }
 
 // StreamEnd reports that the stream of one epoch has ended.
@@ -44,6 +46,8 @@
 	// Declined is true if the engines guarantee that no stage has run the request or
 	// will run it. The verdict of one stage alone doesn't cover the others.
 	Declined bool
+	// ConnectionLost is true if the first server ended the connection within the answer.
+	ConnectionLost bool
 }
 
 // Pause reports that a server declined a request and wants none from this daemon until a time.
@@ -144,7 +148,9 @@
 	Server model.ServerID
 	// Request is 0 if the notice concerns no single request.
 	Request model.RequestID
-	Detail  string
+	// Part is the prompt part that the notice concerns; 0 if it concerns none.
+	Part   uint64
+	Detail string
 }
 
 //go:generate enumer -type=NoticeKind -transform=snake -text -output=noticekind_enumer.go
@@ -169,6 +175,12 @@
 	ServerStalled
 	// ServerPaused means that a backend server asked for a pause and gets no requests.
 	ServerPaused
+	// PartSuspected means that engines ended under requests with a prompt part.
+	PartSuspected
+	// PartBlocked means that requests with a prompt part are refused.
+	PartBlocked
+	// PartUnblocked means that requests with a prompt part are accepted again.
+	PartUnblocked
 )
 
 // Outbox holds the commands that result from a tick. They are to be executed in the
--- a/internal/core/msgs/noticekind_enumer.go
+++ b/internal/core/msgs/noticekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_paused"
+const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedpart_suspectedpart_blockedpart_unblocked"
 
-var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101}
+var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115, 127, 141}
 
-const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_paused"
+const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedpart_suspectedpart_blockedpart_unblocked"
 
 func (i NoticeKind) String() string {
 	if i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -32,27 +32,36 @@
 	_ = x[ListEmpty-(5)]
 	_ = x[ServerStalled-(6)]
 	_ = x[ServerPaused-(7)]
+	_ = x[PartSuspected-(8)]
+	_ = x[PartBlocked-(9)]
+	_ = x[PartUnblocked-(10)]
 }
 
-var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused}
+var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, PartSuspected, PartBlocked, PartUnblocked}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
-	_NoticeKindName[0:14]:        ServerLeaving,
-	_NoticeKindLowerName[0:14]:   ServerLeaving,
-	_NoticeKindName[14:25]:       ServerBack,
-	_NoticeKindLowerName[14:25]:  ServerBack,
-	_NoticeKindName[25:39]:       ServerAvoided,
-	_NoticeKindLowerName[25:39]:  ServerAvoided,
-	_NoticeKindName[39:51]:       StreamMoved,
-	_NoticeKindLowerName[39:51]:  StreamMoved,
-	_NoticeKindName[51:64]:       TokenDropped,
-	_NoticeKindLowerName[51:64]:  TokenDropped,
-	_NoticeKindName[64:74]:       ListEmpty,
-	_NoticeKindLowerName[64:74]:  ListEmpty,
-	_NoticeKindName[74:88]:       ServerStalled,
-	_NoticeKindLowerName[74:88]:  ServerStalled,
-	_NoticeKindName[88:101]:      ServerPaused,
-	_NoticeKindLowerName[88:101]: ServerPaused,
+	_NoticeKindName[0:14]:         ServerLeaving,
+	_NoticeKindLowerName[0:14]:    ServerLeaving,
+	_NoticeKindName[14:25]:        ServerBack,
+	_NoticeKindLowerName[14:25]:   ServerBack,
+	_NoticeKindName[25:39]:        ServerAvoided,
+	_NoticeKindLowerName[25:39]:   ServerAvoided,
+	_NoticeKindName[39:51]:        StreamMoved,
+	_NoticeKindLowerName[39:51]:   StreamMoved,
+	_NoticeKindName[51:64]:        TokenDropped,
+	_NoticeKindLowerName[51:64]:   TokenDropped,
+	_NoticeKindName[64:74]:        ListEmpty,
+	_NoticeKindLowerName[64:74]:   ListEmpty,
+	_NoticeKindName[74:88]:        ServerStalled,
+	_NoticeKindLowerName[74:88]:   ServerStalled,
+	_NoticeKindName[88:101]:       ServerPaused,
+	_NoticeKindLowerName[88:101]:  ServerPaused,
+	_NoticeKindName[101:115]:      PartSuspected,
+	_NoticeKindLowerName[101:115]: PartSuspected,
+	_NoticeKindName[115:127]:      PartBlocked,
+	_NoticeKindLowerName[115:127]: PartBlocked,
+	_NoticeKindName[127:141]:      PartUnblocked,
+	_NoticeKindLowerName[127:141]: PartUnblocked,
 }
 
 var _NoticeKindNames = []string{
@@ -64,6 +73,9 @@
 	_NoticeKindName[64:74],
 	_NoticeKindName[74:88],
 	_NoticeKindName[88:101],
+	_NoticeKindName[101:115],
+	_NoticeKindName[115:127],
+	_NoticeKindName[127:141],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -77,6 +77,11 @@
 	// QueueUntil is the time at which a request that is still queued fails, since its
 	// first token would be late. It is not after Deadline.
 	QueueUntil time.Time
+	// OutputEpoch is the newest epoch that sent a token, and OutputSince the time of its first.
+	OutputEpoch model.Epoch
+	OutputSince time.Time
+	// Crashes counts the engines that ended when they began the request's answer.
+	Crashes int
 	// Priority and MaxRecoveries are the team's policy as of the request's arrival.
 	Priority      int
 	MaxRecoveries int
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -137,7 +137,7 @@
 		in.Arrivals = append(in.Arrivals, msgs.Arrival{
 			ID: id, Team: a.Team, Model: a.Model, Prefix: a.Prefix,
 			PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Deadline: a.Deadline,
-			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline,
+			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline, Parts: a.Parts,
 		})
 	})
 	return id, pending.reply
@@ -335,7 +335,7 @@
 		end.Failure = verdt.AsError(err, verdt.MayHaveRun)
 		var answerErr *engine.AnswerError
 		if errors.As(err, &answerErr) {
-			end.Declined = answerErr.Declined
+			end.Declined, end.ConnectionLost = answerErr.Declined, answerErr.ConnectionLost
 			s.keepAnswer(stream.Request, answerErr.Answer)
 		}
 		if stream.Origin != nil && ctx.Err() == nil {
@@ -383,6 +383,12 @@
 		s.log.Info(evlog.ServerStalled, "server", n.Server, "detail", n.Detail)
 	case msgs.ServerPaused:
 		s.log.Info(evlog.ServerPaused, "server", n.Server, "detail", n.Detail)
+	case msgs.PartSuspected:
+		s.log.Info(evlog.PartSuspected, "part", crash.FormatPart(n.Part), "detail", n.Detail)
+	case msgs.PartBlocked:
+		s.log.Info(evlog.PartBlocked, "part", crash.FormatPart(n.Part), "detail", n.Detail)
+	case msgs.PartUnblocked:
+		s.log.Info(evlog.PartUnblocked, "part", crash.FormatPart(n.Part), "detail", n.Detail)
 	case msgs.ListEmpty:
 		s.log.Error(errors.New("the membership list names no engine"), evlog.ListEmptied)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,8 @@
 	// Declined means that the server guarantees that the request has not run at any
 	// stage of its chain, and will not run.
 	Declined bool
+	// ConnectionLost means that the server ended the connection within its answer.
+	ConnectionLost bool
 }
 
 // Error implements error.
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -74,6 +74,13 @@
 	// ServerEntryHeld means that an entry from an older copy of the key-value service
 	// contradicts what is known, and does not count yet.
 	ServerEntryHeld Event = 313
+	// PartSuspected means that engines ended under requests with a prompt part, and that no
+	// engine has answered one.
+	PartSuspected Event = 314
+	// PartBlocked means that requests with a prompt part are refused, since engines crash on it.
+	PartBlocked Event = 315
+	// PartUnblocked means that requests with a prompt part are accepted again.
+	PartUnblocked Event = 316
 	// ShardOwned means that this daemon became the owner of a journal shard.
 	ShardOwned Event = 400
 	// ShardLost means that this daemon lost the ownership of a shard.
--- a/pkg/verdt/failure.go
+++ b/pkg/verdt/failure.go
@@ -70,6 +70,8 @@
 	Fenced
 	// HeadersTooLarge means that the request headers are over the configured limit.
 	HeadersTooLarge
+	// PromptBlocked means that backend servers crash on a part of the prompt.
+	PromptBlocked
 )
 
 // Error is the router's error type. It always says whether the request may have
