Block no prompt part while out of touch with the other daemons

A daemon that the exchange does not reach would block a part that others know as sound, and refuse sound requests. It now blocks one only after the others' reports have come for a second.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -33,6 +33,8 @@
 	// soundReportTime is how long a part must have been suspect before it is blocked. By then, all
 	// daemons in touch have reported whether they know it as sound.
 	soundReportTime = time.Second
+	// maxExchangeGap is the time without reports of the others after which a daemon is out of touch.
+	maxExchangeGap = time.Second
 	// BlockDuration is how long a part is blocked after the last crash.
 	BlockDuration = 10 * time.Minute
 	// evidenceTTL is how long an engine's end counts.
@@ -98,6 +100,9 @@
 	suspects map[uint64]time.Time
 	// blocks holds the blocked parts. None of them is known as sound.
 	blocks map[uint64]time.Time
+	// exchangedAt is when the reports of the others last came, and inTouchSince since when they
+	// come without a gap above maxExchangeGap.
+	exchangedAt, inTouchSince time.Time
 	// learned holds the parts blocked by other daemons since the last Check.
 	learned []uint64
 	// changed is set if Check has something to evaluate, and nextCheck is when it has otherwise.
@@ -177,6 +182,10 @@
 
 // Apply adds the reports of the other daemons. They may include this daemon's own.
 func (st *State) Apply(now time.Time, r Report) {
+	if now.Sub(st.exchangedAt) > maxExchangeGap {
+		st.inTouchSince = now
+	}
+	st.exchangedAt = now
 	for _, e := range r.Evidence {
 		if _, own := st.own[e]; !own {
 			st.see(now, e, now.Add(learnedEvidenceTTL))
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -179,8 +179,12 @@
 }
 
 // block blocks the suspect that explains the most crashes. Suspects that explain equally many wait
-// for more evidence, up to tiedBlockCrashes.
+// for more evidence, up to tiedBlockCrashes. A daemon that is out of touch blocks none, since
+// others may know the part as sound.
 func (st *State) block(now time.Time, ends []engineEnd) []Change {
+	if now.Sub(st.exchangedAt) > maxExchangeGap {
+		return nil
+	}
 	counts := countCrashes(ends)
 	most := blockCrashes
 	var parts []uint64
@@ -198,7 +202,7 @@
 	}
 	var changes []Change
 	for _, part := range parts {
-		if now.Sub(st.suspects[part]) < soundReportTime || len(st.blocks) >= maxBlocks {
+		if now.Sub(later(st.suspects[part], st.inTouchSince)) < soundReportTime || len(st.blocks) >= maxBlocks {
 			continue
 		}
 		delete(st.suspects, part)
@@ -208,6 +212,13 @@
 	return changes
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func sortedServers(servers []model.ServerID) []model.ServerID {
 	slices.Sort(servers)
 	return slices.Compact(servers)
