Show blocked prompt parts in explain and in the metrics

request_served of a request that was refused because of a part names its parts, and explain shows the decisions of its daemon on these parts from ten minutes before. Counters for engine crashes, blocks and refused requests are on the metrics address.

--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -71,6 +71,13 @@
 	// ServersSaidLeaving the servers that said that they will stop.
 	ServerPauses       uint64 `json:"server_pauses"`
 	ServersSaidLeaving uint64 `json:"servers_said_leaving"`
+	// EngineCrashes counts the streams whose engine ended when it began the answer.
+	// PartsBlocked counts the prompt parts that were blocked, PartsBlockedNow those that are, and
+	// RequestsBlocked the requests that were refused or failed because of one.
+	EngineCrashes   uint64 `json:"engine_crashes"`
+	PartsBlocked    uint64 `json:"parts_blocked"`
+	PartsBlockedNow int    `json:"parts_blocked_now"`
+	RequestsBlocked uint64 `json:"requests_blocked"`
 }
 
 // publishEdgeMetrics publishes the metrics of a daemon at /debug/vars. It may be called
@@ -86,6 +93,8 @@
 			vars.SettingsRevision = uint64(routing.Revision)
 		}
 		d.streams.View(func(c *core.Core) {
+			m := c.CrashMetrics()
+			vars.EngineCrashes, vars.PartsBlocked, vars.PartsBlockedNow, vars.RequestsBlocked = m.EngineCrashes, m.PartsBlocked, m.PartsBlockedNow, m.RequestsBlocked
 			vars.StreamsRecovered, vars.TokensDropped, vars.EnginesKnown = c.RecoveredStreams(), c.DroppedTokens(), c.ServerCount()
 		})
 		d.mu.Lock()
--- a/internal/boot/explain.go
+++ b/internal/boot/explain.go
@@ -15,6 +15,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 )
 
@@ -103,6 +104,8 @@
 	// unusableWindow is how long before a request the events are included that say which
 	// servers the daemon could not use, whether the request used them or not.
 	unusableWindow = time.Minute
+	// blockWindow is how long before a request the decisions on its prompt parts are included.
+	blockWindow = crash.BlockDuration
 )
 
 // tellsUnusable reports whether an event says that a server asked not to be used.
@@ -110,22 +113,61 @@
 	return e.name == evlog.ServerPaused.String() || e.name == evlog.ServerSaidLeaving.String()
 }
 
+// parts returns the prompt parts of the request that an event is about.
+func (e logEvent) parts() []string {
+	text, _ := e.fields["parts"].(string)
+	return strings.Split(text, ",")
+}
+
+// requestLog is what the events of one request name.
+type requestLog struct {
+	servers, parts, hosts map[string]bool
+	from, to              time.Time
+}
+
+// newRequestLog collects what the events of a request name, which are ordered by time.
+func newRequestLog(events []logEvent) requestLog {
+	l := requestLog{servers: map[string]bool{}, parts: map[string]bool{}, hosts: map[string]bool{}}
+	l.from, l.to = events[0].at, events[len(events)-1].at
+	for _, event := range events {
+		l.hosts[event.file+"|"+event.host()] = true
+		for _, name := range event.servers() {
+			l.servers[name] = true
+		}
+		for _, part := range event.parts() {
+			l.parts[part] = true
+		}
+	}
+	return l
+}
+
+// concerns reports whether an event that names no request tells something about this one.
+func (l requestLog) concerns(event logEvent) bool {
+	if !l.hosts[event.file+"|"+event.host()] || event.at.After(l.to.Add(contextWindow)) {
+		return false
+	}
+	if part, ok := event.fields["part"].(string); ok {
+		return l.parts[part] && event.at.After(l.from.Add(-blockWindow))
+	}
+	if event.tellsUnusable() {
+		return event.at.After(l.from.Add(-unusableWindow))
+	}
+	if event.at.Before(l.from.Add(-contextWindow)) {
+		return false
+	}
+	server, namesServer := event.fields["server"].(string)
+	return !namesServer || l.servers[server]
+}
+
 // requestTimeline returns the events that name a request, and those that the same daemons
 // logged within contextWindow of it, except events of other requests and of servers that
-// the request didn't use, and the unusable servers of unusableWindow before. The events are
-// ordered by time.
+// the request didn't use, the unusable servers of unusableWindow before, and the blocks of its
+// prompt parts of blockWindow before. The events are ordered by time.
 func requestTimeline(id string, events []logEvent) []logEvent {
 	var timeline []logEvent
-	requestServers := map[string]bool{}
-	hosts := map[string]bool{}
 	for _, event := range events {
-		if event.fields["request"] != id {
-			continue
-		}
-		timeline = append(timeline, event)
-		hosts[event.file+"|"+event.host()] = true
-		for _, name := range event.servers() {
-			requestServers[name] = true
+		if event.fields["request"] == id {
+			timeline = append(timeline, event)
 		}
 	}
 	if len(timeline) == 0 {
@@ -133,23 +175,12 @@
 	}
 	byTime := func(a, b logEvent) int { return a.at.Compare(b.at) }
 	slices.SortStableFunc(timeline, byTime)
-	var unusable []logEvent
-	from, to := timeline[0].at.Add(-contextWindow), timeline[len(timeline)-1].at.Add(contextWindow)
+	request := newRequestLog(timeline)
 	for _, event := range events {
-		_, namesRequest := event.fields["request"]
-		if event.tellsUnusable() && event.at.Before(from) && event.at.After(timeline[0].at.Add(-unusableWindow)) && hosts[event.file+"|"+event.host()] {
-			unusable = append(unusable, event)
-			continue
-		}
-		if namesRequest || event.at.Before(from) || event.at.After(to) || !hosts[event.file+"|"+event.host()] {
-			continue
-		}
-		server, namesServer := event.fields["server"].(string)
-		if !namesServer || requestServers[server] || event.tellsUnusable() {
+		if _, namesRequest := event.fields["request"]; !namesRequest && request.concerns(event) {
 			timeline = append(timeline, event)
 		}
 	}
-	timeline = append(timeline, unusable...)
 	slices.SortStableFunc(timeline, byTime)
 	return timeline
 }
--- a/internal/boot/explain_test.go
+++ b/internal/boot/explain_test.go
@@ -39,3 +39,23 @@
 	assert.DeepEqual(t, eventNames, []string{"server_paused", "server_said_leaving", "server_avoided", "stream_opened", "stream_failed", "request_served"})
 	assert.ErrorContains(t, (&ExplainCmd{ID: "q9", Files: []string{path}}).Run(Dependencies{Out: &output}), "q9")
 }
+
+const blockedPartLog = `vm-a {"time":"2026-05-05T06:55:00Z","level":"INFO","msg":"part_blocked","event":315,"part":"bad","detail":"e1 e2 e3 until 2026-05-05T07:05:00Z"}
+vm-a {"time":"2026-05-05T06:40:00Z","level":"INFO","msg":"part_unblocked","event":316,"part":"bad"}
+vm-a {"time":"2026-05-05T07:00:00Z","level":"INFO","msg":"part_blocked","event":315,"part":"be"}
+vm-b {"time":"2026-05-05T06:55:00Z","level":"INFO","msg":"part_blocked","event":315,"part":"bad"}
+vm-a {"time":"2026-05-05T07:00:00Z","level":"INFO","msg":"request_served","event":601,"request":"q1","outcome":"failed","reason":"prompt_blocked","parts":"ca,bad"}
+`
+
+// TestExplainShowsBlockedPart checks that a request that was refused because of a prompt part is
+// shown with the decision of its daemon on that part, which may be minutes older.
+func TestExplainShowsBlockedPart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	assert.NilError(t, os.WriteFile(path, []byte(blockedPartLog), 0o600))
+	var output bytes.Buffer
+	assert.NilError(t, (&ExplainCmd{ID: "q1", Files: []string{path}}).Run(Dependencies{Out: &output}))
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	assert.Equal(t, len(lines), 2)
+	assert.Assert(t, strings.Contains(lines[0], "part_blocked") && strings.Contains(lines[0], "part=bad") && strings.Contains(lines[0], "e1 e2 e3"), lines[0])
+	assert.Assert(t, strings.Contains(lines[1], "request_served"), lines[1])
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,6 +53,8 @@
 	tables recov.Tables
 	stall  *stall.State
 	crash  *crash.State
+	// crashMetrics.PartsBlockedNow is not kept here.
+	crashMetrics CrashMetrics
 	// budget bounds the retries of all requests; nil means that only each request's
 	// own limit applies.
 	budget *retry.Budget
--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -56,6 +56,7 @@
 		return false
 	}
 	r.Crashes++
+	c.crashMetrics.EngineCrashes++
 	c.crash.RecordCrash(now, server, r.Parts)
 	return true
 }
@@ -74,6 +75,7 @@
 		out.Notify(msgs.Notice{Kind: noticeKindOf(change.Kind), Part: change.Part, Detail: changeDetail(change)})
 		switch change.Kind {
 		case crash.Blocked:
+			c.crashMetrics.PartsBlocked++
 			c.failAll(change.Until, out, func(r *table.Request) bool { return slices.Contains(r.Parts, change.Part) })
 		case crash.Suspected:
 			c.failAll(now.Add(suspectRetryAfter), out, func(r *table.Request) bool {
@@ -99,6 +101,7 @@
 		if r.Phase == table.Queued {
 			c.admit.Withdraw(r)
 		}
+		c.crashMetrics.RequestsBlocked++
 		c.recov.FailRequestUntil(r, verdt.PromptBlocked, blockedMessage, retryAt, c.tables, out)
 	}
 }
@@ -136,6 +139,7 @@
 	if !blocked {
 		return nil
 	}
+	c.crashMetrics.RequestsBlocked++
 	return verdt.New(verdt.NotRun, verdt.PromptBlocked, blockedMessage, verdt.RetryAt(until))
 }
 
@@ -145,5 +149,21 @@
 	return board.PromptParts{CrashEvidence: r.Evidence, SoundParts: r.Sound, BlockedParts: r.Blocks}
 }
 
-// BlockedParts returns the number of prompt parts with which requests are refused.
-func (c *Core) BlockedParts() int { return c.crash.BlockedParts() }
+// CrashMetrics are counters of engines that end when they begin an answer.
+type CrashMetrics struct {
+	// EngineCrashes counts the streams whose engine ended when it began the answer.
+	EngineCrashes uint64
+	// PartsBlocked counts the blocks of prompt parts, those learned from others included.
+	// PartsBlockedNow is the number in force.
+	PartsBlocked    uint64
+	PartsBlockedNow int
+	// RequestsBlocked counts the requests that were refused or failed because of a part.
+	RequestsBlocked uint64
+}
+
+// CrashMetrics returns the counters.
+func (c *Core) CrashMetrics() CrashMetrics {
+	m := c.crashMetrics
+	m.PartsBlockedNow = c.crash.BlockedParts()
+	return m
+}
--- a/internal/core/crashes_test.go
+++ b/internal/core/crashes_test.go
@@ -86,7 +86,7 @@
 	assert.Assert(t, f.Failure.RetryAt.Equal(w.now.Add(crash.BlockDuration)), "%s", f.Failure.RetryAt)
 	assert.Equal(t, len(w.out.Opens), 0)
 	w.submit(msgs.Arrival{ID: 5, Parts: []uint64{callerPart}})
-	assert.Equal(t, w.core.BlockedParts(), 1)
+	assert.Equal(t, w.core.CrashMetrics(), CrashMetrics{PartsBlocked: 1, PartsBlockedNow: 1, RequestsBlocked: 2})
 }
 
 // TestQueuedRequestWithBlockedPartIsRefused checks that a request that waits for a server fails as
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/match"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/relay"
@@ -437,6 +438,9 @@
 	}
 	if f != nil {
 		fields = append(fields, "reason", f.Reason.String(), "verdict", f.Verdict.String(), "message", f.Message, "failed_server", f.Server)
+		if f.Reason == verdt.PromptBlocked {
+			fields = append(fields, "parts", crash.FormatParts(req.in.Parts))
+		}
 	}
 	e.log.Info(evlog.RequestServed, fields...)
 }
