Test that prompt parts cross the exchange between daemons

Daemons of earlier versions must still read the messages, and be read, since a fleet is updated one daemon at a time.

TestPromptPartsInHubMessages passes.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/fleet"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/rings"
@@ -221,3 +223,34 @@
 		state.Live(time.Now())
 	})
 }
+
+// TestPromptPartsInHubMessages checks that what daemons tell the hub about prompt parts arrives, and
+// that a daemon of an earlier version, which knows nothing of it, reads the rest.
+func TestPromptPartsInHubMessages(t *testing.T) {
+	codec, err := sharedCodec()
+	assert.NilError(t, err)
+	until := time.Unix(1_000_000, 5).UTC()
+	status := board.DaemonStatus{Address: "10.0.0.1:1", Leaving: []model.ServerID{"s"}, PromptParts: board.PromptParts{
+		CrashEvidence: []crash.Evidence{{Server: "e", Part: 1 << 63}}, SoundParts: []uint64{3}, BlockedParts: []crash.Block{{Part: 4, Until: until}},
+	}}
+	raw, err := codec.enc.Marshal(Request{Hub: &HubRequest{From: "a", Status: status}})
+	assert.NilError(t, err)
+	got, err := DecodeRequest(raw)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Hub.Status, status)
+
+	type earlierStatus struct {
+		Address string           `cbor:"1,keyasint"`
+		Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
+	}
+	raw, err = codec.enc.Marshal(status)
+	assert.NilError(t, err)
+	var earlier earlierStatus
+	assert.NilError(t, codec.dec.Unmarshal(raw, &earlier))
+	assert.DeepEqual(t, earlier, earlierStatus{Address: status.Address, Leaving: status.Leaving})
+	raw, err = codec.enc.Marshal(earlier)
+	assert.NilError(t, err)
+	var fromEarlier board.DaemonStatus
+	assert.NilError(t, codec.dec.Unmarshal(raw, &fromEarlier))
+	assert.DeepEqual(t, fromEarlier, board.DaemonStatus{Address: status.Address, Leaving: status.Leaving})
+}
