Test that a loss of power blocks no common prompt part

All engines end at once, five times, under requests that share their parts, beside a daemon that has just started and knows no part. A false block would refuse sound requests for minutes.

--- a/internal/boot/edge_crash_test.go
+++ b/internal/boot/edge_crash_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/platform/fakes"
 )
 
@@ -124,3 +125,39 @@
 	assert.Assert(t, late <= maxLateArrivals, "%d requests with the part reached engines later than %s after the fifth crash", late, learnBound)
 	assert.Assert(t, 2*load.soundComplete.Load() >= load.soundSent.Load(), "%d of %d sound requests", load.soundComplete.Load(), load.soundSent.Load())
 }
+
+// TestEdgeLossOfPowerBlocksNoPart guards against a block of common prompt parts because many engines
+// end under requests with them, also at a daemon that has just started. All engines lose their power
+// several times under load.
+func TestEdgeLossOfPowerBlocksNoPart(t *testing.T) {
+	env := newTestEnvironment(t, 2)
+	env.start([]string{env.daemons[0].PeersAddress()})
+	env.waitUntil("the new daemon completes a stream", func() bool { return env.stream(2, "/draft/x").complete })
+	load := &promptLoad{env: env, stop: make(chan struct{})}
+	end := sync.OnceFunc(func() {
+		close(load.stop)
+		load.wg.Wait()
+	})
+	defer end()
+	load.run("sound", soundInterval, false)
+	const losses, lossInterval = 5, 2 * time.Second
+	for range losses {
+		time.Sleep(lossInterval)
+		env.platform.CrashEngines(lossInterval / 4)
+	}
+	time.Sleep(2 * lossInterval)
+	load.measuring.Store(true)
+	time.Sleep(lossInterval)
+	end()
+	var metrics core.CrashMetrics
+	for _, d := range env.daemons {
+		d.streams.View(func(c *core.Core) {
+			m := c.CrashMetrics()
+			metrics.EngineCrashes, metrics.PartsBlocked = metrics.EngineCrashes+m.EngineCrashes, metrics.PartsBlocked+m.PartsBlocked
+		})
+	}
+	t.Logf("%+v, %d of %d requests complete", metrics, load.soundComplete.Load(), load.soundSent.Load())
+	assert.Assert(t, metrics.EngineCrashes > 0)
+	assert.Equal(t, metrics.PartsBlocked, uint64(0))
+	assert.Assert(t, load.soundComplete.Load() > 0)
+}
