Tell the others that a part which they block is sound, also late

A daemon that learned that a blocked part is sound ended its own block, and told the others only while somebody still had evidence against the part. After that the others kept the block to its end, and refused sound requests for up to five minutes more.

The scenario "a blocked part is answered when the evidence has expired" fails on the code before (run on a scratch copy) and passes now; the mutation of the line is caught. A first form of the scenario passed on the old code as well, since the daemon reported before it checked.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -100,6 +100,9 @@
 	suspects map[uint64]time.Time
 	// blocks holds the blocked parts. None of them is known as sound.
 	blocks map[uint64]time.Time
+	// disputed holds the parts that others block and this daemon knows as sound, and until when it
+	// tells them.
+	disputed map[uint64]time.Time
 	// exchangedAt is when the reports of the others last came, and inTouchSince since when they
 	// come without a gap above maxExchangeGap.
 	exchangedAt, inTouchSince time.Time
@@ -115,6 +118,7 @@
 	return &State{
 		own: map[Evidence]time.Time{}, evidence: map[Evidence]sighting{}, sound: newSoundParts(maxSoundParts),
 		soundElsewhere: map[uint64]time.Time{}, suspects: map[uint64]time.Time{}, blocks: map[uint64]time.Time{},
+		disputed: map[uint64]time.Time{},
 	}
 }
 
@@ -196,6 +200,9 @@
 		st.changed = true
 	}
 	for _, b := range r.Blocks {
+		if st.sound.has(now, b.Part) {
+			st.disputed[b.Part] = now.Add(learnedEvidenceTTL)
+		}
 		until := b.Until
 		if limit := now.Add(BlockDuration); limit.Before(until) {
 			until = limit
@@ -214,7 +221,7 @@
 
 // Report returns what this daemon tells the others.
 func (st *State) Report(now time.Time) Report {
-	if len(st.evidence)+len(st.blocks) == 0 {
+	if len(st.evidence)+len(st.blocks)+len(st.disputed) == 0 {
 		return Report{}
 	}
 	var r Report
@@ -236,6 +243,11 @@
 		}
 		r.Blocks = append(r.Blocks, Block{Part: part, Until: until})
 	}
+	for part, until := range st.disputed {
+		if now.Before(until) && st.sound.has(now, part) {
+			r.Sound = append(r.Sound, part)
+		}
+	}
 	slices.Sort(r.Sound)
 	r.Sound = slices.Compact(r.Sound)
 	slices.SortFunc(r.Blocks, Block.Compare)
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -184,6 +184,15 @@
 			crashes(f, 3, time.Second, badRequest)
 			f.pass(BlockDuration)
 		}, nil},
+		{"a blocked part is answered when the evidence has expired", func(f *testFleet) {
+			f.daemons[1].RecordSound(f.now, soundRequest)
+			crashes(f, 3, time.Second, badRequest)
+			f.pass(evidenceTTL + learnedEvidenceTTL)
+			f.daemons[1].RecordSound(f.now, []uint64{bad})
+			// The daemon ends its own block before it reports again.
+			f.daemons[1].Check(f.now)
+			f.pass(2 * time.Second)
+		}, nil},
 		{"a blocked part is answered after all", func(f *testFleet) {
 			f.daemons[1].RecordSound(f.now, soundRequest)
 			crashes(f, 3, time.Second, badRequest)
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -44,7 +44,7 @@
 
 // Check evaluates the evidence and returns the decisions that changed, in a fixed order.
 func (st *State) Check(now time.Time) []Change {
-	if len(st.evidence)+len(st.blocks)+len(st.suspects) == 0 || !st.changed && now.Before(st.nextCheck) {
+	if len(st.evidence)+len(st.blocks)+len(st.suspects)+len(st.disputed) == 0 || !st.changed && now.Before(st.nextCheck) {
 		return nil
 	}
 	st.changed, st.nextCheck = false, now.Add(checkInterval)
@@ -78,6 +78,7 @@
 	maps.DeleteFunc(st.own, func(_ Evidence, at time.Time) bool { return now.Sub(at) >= evidenceTTL })
 	maps.DeleteFunc(st.evidence, func(_ Evidence, s sighting) bool { return !now.Before(s.expiresAt) })
 	maps.DeleteFunc(st.soundElsewhere, func(_ uint64, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(st.disputed, func(_ uint64, until time.Time) bool { return !now.Before(until) })
 }
 
 // unblock removes the blocks that have ended and those of parts that turned out to be sound.
