Keep blocked prompt parts when all daemons start again

When all daemons ended at one time, for a loss of power, they forgot the blocked parts and would have let engines crash again. The owner of the placement now stores the blocks in the key-value service, and each daemon adopts them with its copy of it. Writes are rare: a new block, a part that is sound after all, or a block that lasts over a minute longer than stored.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -240,6 +240,7 @@
 	supervisor.Add(periodicTask{name: "hub", interval: drive.HubInterval, run: d.feed.AskHub})
 	supervisor.Add(d.duty)
 	supervisor.Add(periodicTask{name: "board", interval: ownLoadInterval, run: d.recordOwnLoad})
+	supervisor.Add(periodicTask{name: "blocks", interval: blocksInterval, run: d.storeBlocks})
 	supervisor.Add(d.server)
 	supervisor.Add(httpService{name: "callers", server: callerServer, listener: d.callerListener})
 	supervisor.Add(httpService{name: "readiness", server: platform.NewReadinessServer(d.ready), listener: d.readinessListener})
--- a/internal/boot/edge_crash_test.go
+++ b/internal/boot/edge_crash_test.go
@@ -161,3 +161,44 @@
 	assert.Equal(t, metrics.PartsBlocked, uint64(0))
 	assert.Assert(t, load.soundComplete.Load() > 0)
 }
+
+// TestEdgeBlockedPartOutlivesRestartOfAllDaemons guards against a loss of power that ends all daemons
+// at one time, after which they would let engines crash again to learn a blocked part.
+func TestEdgeBlockedPartOutlivesRestartOfAllDaemons(t *testing.T) {
+	env := newTestEnvironment(t, 2)
+	env.platform.CrashOn(fakes.CrashingPart{Part: crashingPart, RestartDelay: time.Second})
+	load := &promptLoad{env: env, stop: make(chan struct{})}
+	end := sync.OnceFunc(func() {
+		close(load.stop)
+		load.wg.Wait()
+	})
+	defer end()
+	load.run("sound", soundInterval, false)
+	time.Sleep(time.Second)
+	load.run("crashing", crashingInterval, true)
+	blockedAt := func(daemon int) bool {
+		blocked := false
+		env.daemons[daemon].streams.View(func(c *core.Core) { blocked = c.CrashMetrics().PartsBlockedNow == 1 })
+		return blocked
+	}
+	for i := range env.daemons {
+		env.waitUntil("the part is blocked", func() bool { return blockedAt(i) })
+	}
+	// The block is stored within a second or two.
+	time.Sleep(3 * time.Second)
+	end()
+	for _, stop := range env.stops {
+		assert.NilError(t, stop())
+	}
+	before, _ := env.platform.CrashingArrivals()
+	env.daemons = nil
+	env.start(nil)
+	env.start(nil)
+	for i := range env.daemons {
+		env.waitUntil("a new daemon completes a stream", func() bool { return env.stream(i, "/draft/x").complete })
+		resp := env.send(i, fakes.Call{ID: fmt.Sprintf("again%d", i), Method: http.MethodPost, Path: "/draft/x", Key: "key-n", Timeout: 4 * time.Second, Parts: load.parts(i, true)})
+		assert.Equal(t, resp.code, http.StatusServiceUnavailable)
+	}
+	after, _ := env.platform.CrashingArrivals()
+	assert.Equal(t, len(after), len(before))
+}
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -26,6 +26,8 @@
 			if d.applyRouting(item) {
 				serversChanged = true
 			}
+		case item.Key == blocksKey:
+			d.applyStoredBlocks(item)
 		case strings.HasPrefix(item.Key, platform.ServerKeyPrefix):
 			if d.applyServer(now, item, changes.Restored) {
 				serversChanged = true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -151,6 +151,7 @@
 			}
 		}
 	}
+	c.crash.ApplyStored(now, in.StoredBlocks)
 	if in.Stop {
 		c.admit.Stopping = true
 	}
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -199,7 +199,12 @@
 		st.soundElsewhere[part] = now.Add(evidenceTTL)
 		st.changed = true
 	}
-	for _, b := range r.Blocks {
+	st.adopt(now, r.Blocks)
+}
+
+// adopt blocks the parts that others block, except those known as sound.
+func (st *State) adopt(now time.Time, blocks []Block) {
+	for _, b := range blocks {
 		if st.sound.has(now, b.Part) {
 			st.disputed[b.Part] = now.Add(learnedEvidenceTTL)
 		}
--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -149,6 +149,12 @@
 	return board.PromptParts{CrashEvidence: r.Evidence, SoundParts: r.Sound, BlockedParts: r.Blocks}
 }
 
+// StoredBlocks returns the blocked prompt parts to store, given those that are stored now; false if
+// these need no change.
+func (c *Core) StoredBlocks(now time.Time, stored []crash.Block) ([]crash.Block, bool) {
+	return c.crash.Stored(now, stored)
+}
+
 // CrashMetrics are counters of engines that end when they begin an answer.
 type CrashMetrics struct {
 	// EngineCrashes counts the streams whose engine ended when it began the answer.
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -69,9 +70,11 @@
 	// valid until OthersUntil; a zero OthersUntil means unchanged.
 	Others      board.View
 	OthersUntil time.Time
-	Arrivals    []Arrival
-	Tokens      []model.Token
-	Ends        []StreamEnd
+	// StoredBlocks are the blocked prompt parts in the key-value service; nil means unchanged.
+	StoredBlocks []crash.Block
+	Arrivals     []Arrival
+	Tokens       []model.Token
+	Ends         []StreamEnd
 	// Pauses lists servers that want no requests from this daemon for a while.
 	Pauses []Pause
 	// Diagnoses are the answers to Asks.
@@ -93,7 +96,7 @@
 
 // Empty reports whether the inbox holds no event.
 func (in *Inbox) Empty() bool {
-	return in.List == nil && in.Settings == nil && in.Daemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
+	return in.List == nil && in.StoredBlocks == nil && in.Settings == nil && in.Daemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
 		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses) == 0
 }
 
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -178,6 +178,11 @@
 	s.loop.post(func(in *msgs.Inbox) { in.Others, in.OthersUntil = others, until })
 }
 
+// SetStoredBlocks sets the blocked prompt parts that are stored in the key-value service.
+func (s *StreamExecutor) SetStoredBlocks(blocks []crash.Block) {
+	s.loop.post(func(in *msgs.Inbox) { in.StoredBlocks = blocks })
+}
+
 // Stop makes the core refuse new requests.
 func (s *StreamExecutor) Stop() { s.loop.post(func(in *msgs.Inbox) { in.Stop = true }) }
 
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -81,6 +81,8 @@
 	PartBlocked Event = 315
 	// PartUnblocked means that requests with a prompt part are accepted again.
 	PartUnblocked Event = 316
+	// BlocksUnreadable means that the stored blocks of prompt parts cannot be used.
+	BlocksUnreadable Event = 317
 	// ShardOwned means that this daemon became the owner of a journal shard.
 	ShardOwned Event = 400
 	// ShardLost means that this daemon lost the ownership of a shard.
