Time an engine's end for each part of its own

An engine that breaks off answers over some seconds gave all its evidence the time of the first one. Two engines that ended together under a common part then counted as two crashes, and the part became suspect: its requests were not sent again.

The scenario "engines that broke off answers before they lose their power together" failed before (two suspects) and passes now; the mutations of the decision are caught.

--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -22,14 +22,15 @@
 
 // testFleet is a number of daemons that exchange reports.
 type testFleet struct {
+	t   assert.TestingT
 	now     time.Time
 	daemons []*State
 	// changes are those of the first daemon.
 	changes []Change
 }
 
-func newTestFleet(daemons int) *testFleet {
-	f := &testFleet{now: time.Unix(1_000_000, 0)}
+func newTestFleet(t assert.TestingT, daemons int) *testFleet {
+	f := &testFleet{t: t, now: time.Unix(1_000_000, 0)}
 	for range daemons {
 		f.daemons = append(f.daemons, New())
 	}
@@ -137,6 +138,17 @@
 			}
 			f.pass(5 * time.Second)
 		}, nil},
+		{"engines that broke off answers before they lose their power together", func(f *testFleet) {
+			for i := range 3 {
+				f.crash(strconv.Itoa(i), []uint64{other + uint64(i) + 1})
+				f.pass(time.Second)
+			}
+			for i := range 3 {
+				f.crash(strconv.Itoa(i), soundRequest)
+			}
+			f.pass(5 * time.Second)
+			assert.Equal(f.t, len(f.changes), 0)
+		}, nil},
 		{"engines that lose their power in groups under common parts", func(f *testFleet) {
 			f.daemons[2].RecordSound(f.now, soundRequest)
 			crashes(f, 10, 2*time.Second, soundRequest, soundRequest, soundRequest)
@@ -201,7 +213,7 @@
 		}, nil},
 	} {
 		t.Run(s.name, func(t *testing.T) {
-			f := newTestFleet(3)
+			f := newTestFleet(t, 3)
 			s.run(f)
 			for i := range f.daemons {
 				assert.DeepEqual(t, f.blocked(i), s.want)
@@ -239,7 +251,7 @@
 		}},
 	} {
 		t.Run(s.name, func(t *testing.T) {
-			f := newTestFleet(3)
+			f := newTestFleet(t, 3)
 			f.pass(time.Second)
 			s.run(f)
 			for _, change := range f.changes {
@@ -252,7 +264,7 @@
 // TestBlockOutlivesRestart checks that a daemon learns a block from the others when it starts, with
 // the same end.
 func TestBlockOutlivesRestart(t *testing.T) {
-	f := newTestFleet(2)
+	f := newTestFleet(t, 2)
 	f.daemons[1].RecordSound(f.now, []uint64{caller})
 	for i := range 3 {
 		f.crash(strconv.Itoa(i), []uint64{caller, bad})
@@ -268,7 +280,7 @@
 
 // TestMayCrash checks which requests must not be sent again after engines ended under them.
 func TestMayCrash(t *testing.T) {
-	f := newTestFleet(1)
+	f := newTestFleet(t, 1)
 	st := f.daemons[0]
 	st.RecordSound(f.now, []uint64{caller})
 	f.crash("a", []uint64{caller, bad})
@@ -301,7 +313,7 @@
 // blocked, whatever else happens, and that all stays bounded.
 func TestSoundPartIsNeverBlocked(t *testing.T) {
 	proof.Check(t, func(t *rapid.T) {
-		f := newTestFleet(3)
+		f := newTestFleet(t, 3)
 		f.daemons[2].RecordSound(f.now, []uint64{caller})
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			parts := []uint64{caller, rapid.SampledFrom([]uint64{bad, subject, other}).Draw(t, "part")}
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -37,9 +37,15 @@
 // engineEnd is the end of one engine under requests with some parts.
 type engineEnd struct {
 	server model.ServerID
-	at     time.Time
-	// parts are those that no daemon knows as sound.
-	parts []uint64
+	// parts are those that no daemon knows as sound, sorted by part.
+	parts []partEnd
+}
+
+// partEnd is when this daemon learned of an engine's end under a request with a part. An engine that
+// only broke off an answer at first may end under another part later.
+type partEnd struct {
+	part uint64
+	at   time.Time
 }
 
 // Check evaluates the evidence and returns the decisions that changed, in a fixed order.
@@ -93,30 +99,23 @@
 	return changes
 }
 
-// ends returns the ends of engines in the order in which this daemon learned of them. Those that a
-// blocked part explains are left out.
+// ends returns the ends of engines, sorted by engine. Those that a blocked part explains are left
+// out.
 func (st *State) ends(now time.Time) []engineEnd {
-	byServer := map[model.ServerID]*engineEnd{}
-	for e, s := range st.evidence {
-		end := byServer[e.Server]
-		if end == nil {
-			end = &engineEnd{server: e.Server, at: s.firstAt}
-			byServer[e.Server] = end
-		}
-		if s.firstAt.Before(end.at) {
-			end.at = s.firstAt
+	var ends []engineEnd
+	pairs := slices.SortedFunc(maps.Keys(st.evidence), func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Part, b.Part))
+	})
+	for _, e := range pairs {
+		if st.knownSound(now, e.Part) {
+			continue
 		}
-		if !st.knownSound(now, e.Part) {
-			end.parts = append(end.parts, e.Part)
+		if len(ends) == 0 || ends[len(ends)-1].server != e.Server {
+			ends = append(ends, engineEnd{server: e.Server})
 		}
+		last := &ends[len(ends)-1]
+		last.parts = append(last.parts, partEnd{part: e.Part, at: st.evidence[e].firstAt})
 	}
-	var ends []engineEnd
-	for _, end := range byServer {
-		ends = append(ends, *end)
-	}
-	slices.SortFunc(ends, func(a, b engineEnd) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.server, b.server))
-	})
 	return st.unexplained(ends)
 }
 
@@ -125,14 +124,14 @@
 func (st *State) unexplained(ends []engineEnd) []engineEnd {
 	return slices.DeleteFunc(ends, func(end engineEnd) bool {
 		explained := false
-		for _, part := range end.parts {
-			until, blocked := st.blocks[part]
+		for _, p := range end.parts {
+			until, blocked := st.blocks[p.part]
 			if !blocked {
 				continue
 			}
 			explained = true
-			if extended := end.at.Add(BlockDuration).Round(0); extended.After(until) {
-				st.blocks[part] = extended
+			if extended := p.at.Add(BlockDuration).Round(0); extended.After(until) {
+				st.blocks[p.part] = extended
 			}
 		}
 		return explained
@@ -149,17 +148,25 @@
 
 // countCrashes returns the crashes of each part.
 func countCrashes(ends []engineEnd) map[uint64]crashes {
+	times := map[uint64][]time.Time{}
 	counts := map[uint64]crashes{}
 	for _, end := range ends {
-		for _, part := range end.parts {
-			c := counts[part]
+		for _, p := range end.parts {
+			c := counts[p.part]
 			c.servers = append(c.servers, end.server)
-			if c.count == 0 || end.at.Sub(c.countedAt) >= crashDistance {
+			counts[p.part] = c
+			times[p.part] = append(times[p.part], p.at)
+		}
+	}
+	for part, c := range counts {
+		slices.SortFunc(times[part], time.Time.Compare)
+		for _, at := range times[part] {
+			if c.count == 0 || at.Sub(c.countedAt) >= crashDistance {
 				c.count++
-				c.countedAt = end.at
+				c.countedAt = at
 			}
-			counts[part] = c
 		}
+		counts[part] = c
 	}
 	return counts
 }
