--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -22,7 +22,7 @@
 
 // testFleet is a number of daemons that exchange reports.
 type testFleet struct {
-	t   assert.TestingT
+	t       assert.TestingT
 	now     time.Time
 	daemons []*State
 	// changes are those of the first daemon.
