--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -33,6 +34,8 @@
 	MaxAttempts int
 	// FirstTokenDeadline is the deadline for the first token; zero means the team's policy.
 	FirstTokenDeadline time.Time
+	// Parts are the IDs of the prompt parts that the request shares with others.
+	Parts []uint64
 }
 
 // StreamEnd reports that the stream of one epoch has ended.
@@ -44,6 +47,8 @@
 	// Declined is true if the engines guarantee that no stage has run the request or
 	// will run it. The verdict of one stage alone doesn't cover the others.
 	Declined bool
+	// ConnectionLost is true if the first server ended the connection within the answer.
+	ConnectionLost bool
 }
 
 // Pause reports that a server declined a request and wants none from this daemon until a time.
@@ -65,9 +70,11 @@
 	// valid until OthersUntil; a zero OthersUntil means unchanged.
 	Others      board.View
 	OthersUntil time.Time
-	Arrivals    []Arrival
-	Tokens      []model.Token
-	Ends        []StreamEnd
+	// StoredBlocks are the blocked prompt parts in the key-value service; nil means unchanged.
+	StoredBlocks []crash.Block
+	Arrivals     []Arrival
+	Tokens       []model.Token
+	Ends         []StreamEnd
 	// Pauses lists servers that want no requests from this daemon for a while.
 	Pauses []Pause
 	// Diagnoses are the answers to Asks.
@@ -89,7 +96,7 @@
 
 // Empty reports whether the inbox holds no event.
 func (in *Inbox) Empty() bool {
-	return in.List == nil && in.Settings == nil && in.Daemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
+	return in.List == nil && in.StoredBlocks == nil && in.Settings == nil && in.Daemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
 		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses) == 0
 }
 
@@ -144,7 +151,9 @@
 	Server model.ServerID
 	// Request is 0 if the notice concerns no single request.
 	Request model.RequestID
-	Detail  string
+	// Part is the prompt part that the notice concerns; 0 if it concerns none.
+	Part   uint64
+	Detail string
 }
 
 //go:generate enumer -type=NoticeKind -transform=snake -text -output=noticekind_enumer.go
@@ -171,6 +180,12 @@
 	ServerPaused
 	// StreamStalled means that a stream in progress waits for a server that makes no progress.
 	StreamStalled
+	// PartSuspected means that engines ended under requests with a prompt part.
+	PartSuspected
+	// PartBlocked means that requests with a prompt part are refused.
+	PartBlocked
+	// PartUnblocked means that requests with a prompt part are accepted again.
+	PartUnblocked
 )
 
 // Outbox holds the commands that result from a tick. They are to be executed in the
--- a/internal/core/msgs/noticekind_enumer.go
+++ b/internal/core/msgs/noticekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedstream_stalled"
+const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedstream_stalledpart_suspectedpart_blockedpart_unblocked"
 
-var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115}
+var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115, 129, 141, 155}
 
-const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedstream_stalled"
+const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedstream_stalledpart_suspectedpart_blockedpart_unblocked"
 
 func (i NoticeKind) String() string {
 	if i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -33,9 +33,12 @@
 	_ = x[ServerStalled-(6)]
 	_ = x[ServerPaused-(7)]
 	_ = x[StreamStalled-(8)]
+	_ = x[PartSuspected-(9)]
+	_ = x[PartBlocked-(10)]
+	_ = x[PartUnblocked-(11)]
 }
 
-var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, StreamStalled}
+var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, StreamStalled, PartSuspected, PartBlocked, PartUnblocked}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
 	_NoticeKindName[0:14]:         ServerLeaving,
@@ -56,6 +59,12 @@
 	_NoticeKindLowerName[88:101]:  ServerPaused,
 	_NoticeKindName[101:115]:      StreamStalled,
 	_NoticeKindLowerName[101:115]: StreamStalled,
+	_NoticeKindName[115:129]:      PartSuspected,
+	_NoticeKindLowerName[115:129]: PartSuspected,
+	_NoticeKindName[129:141]:      PartBlocked,
+	_NoticeKindLowerName[129:141]: PartBlocked,
+	_NoticeKindName[141:155]:      PartUnblocked,
+	_NoticeKindLowerName[141:155]: PartUnblocked,
 }
 
 var _NoticeKindNames = []string{
@@ -68,6 +77,9 @@
 	_NoticeKindName[74:88],
 	_NoticeKindName[88:101],
 	_NoticeKindName[101:115],
+	_NoticeKindName[115:129],
+	_NoticeKindName[129:141],
+	_NoticeKindName[141:155],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/match"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/relay"
@@ -28,6 +29,8 @@
 	PromptTokens, MaxTokens int
 	// From is the position of the first event to send; the caller has all before it.
 	From int
+	// Parts are the IDs of the prompt parts that the request shares with others, in order.
+	Parts []uint64
 }
 
 // AnswerWriter writes the answer to one request. Exactly one of Answer, Fail, Complete and Abort
@@ -222,7 +225,7 @@
 func (e *Edge) serveStream(ctx context.Context, req *requestState, rule *setts.RouteRule, out AnswerWriter) {
 	id, reply := e.streams.Start(ModelRequest{
 		Team: req.in.Team, Model: req.service, MaxTokens: req.in.MaxTokens, PromptTokens: req.in.PromptTokens,
-		Origin: &req.in.Origin, Deadline: req.deadline, From: req.in.From,
+		Origin: &req.in.Origin, Deadline: req.deadline, From: req.in.From, Parts: req.in.Parts,
 		AtMostOnce:  rule.Repetition == setts.Once || (rule.Repetition == setts.Streaming && !rule.Resumable),
 		MaxAttempts: rule.MaxAttempts, FirstTokenDeadline: req.arrived.Add(rule.TargetLatency),
 	})
@@ -405,6 +408,9 @@
 	}
 	if f != nil {
 		fields = append(fields, "reason", f.Reason.String(), "verdict", f.Verdict.String(), "message", f.Message, "failed_server", f.Server)
+		if f.Reason == verdt.PromptBlocked {
+			fields = append(fields, "parts", crash.FormatParts(req.in.Parts))
+		}
 	}
 	e.log.Info(evlog.RequestServed, fields...)
 }
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -10,6 +10,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/engine"
@@ -37,6 +38,8 @@
 	// request that has only a prompt.
 	origin   *engine.Origin
 	deadline time.Time
+	// parts are the IDs of the prompt parts that the request shares with others.
+	parts []uint64
 	// answer is what an engine answered instead of the stream in the latest failed
 	// attempt, or nil.
 	answer *engine.Answer
@@ -112,6 +115,8 @@
 	AtMostOnce         bool
 	MaxAttempts        int
 	FirstTokenDeadline time.Time
+	// Parts are the IDs of the prompt parts that the request shares with others, in order.
+	Parts []uint64
 }
 
 // bytesPerToken is a typical token's length, used to estimate a prompt's size.
@@ -119,7 +124,7 @@
 
 // Start submits a request to the core. The answer or the refusal arrives in the Reply.
 func (s *StreamExecutor) Start(a ModelRequest) (model.RequestID, *Reply) {
-	pending := &pendingRequest{reply: newReply(), model: a.Model, prompt: a.Prompt, maxTokens: a.MaxTokens, origin: a.Origin, deadline: a.Deadline}
+	pending := &pendingRequest{reply: newReply(), model: a.Model, prompt: a.Prompt, maxTokens: a.MaxTokens, origin: a.Origin, deadline: a.Deadline, parts: a.Parts}
 	if a.PromptTokens == 0 {
 		a.PromptTokens = len(a.Prompt) / bytesPerToken
 	}
@@ -132,7 +137,7 @@
 		in.Arrivals = append(in.Arrivals, msgs.Arrival{
 			ID: id, Team: a.Team, Model: a.Model, Prefix: a.Prefix,
 			PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Deadline: a.Deadline,
-			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline,
+			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline, Parts: a.Parts,
 		})
 	})
 	return id, pending.reply
@@ -173,6 +178,11 @@
 	s.loop.post(func(in *msgs.Inbox) { in.Others, in.OthersUntil = others, until })
 }
 
+// SetStoredBlocks sets the blocked prompt parts that are stored in the key-value service.
+func (s *StreamExecutor) SetStoredBlocks(blocks []crash.Block) {
+	s.loop.post(func(in *msgs.Inbox) { in.StoredBlocks = blocks })
+}
+
 // Stop makes the core refuse new requests.
 func (s *StreamExecutor) Stop() { s.loop.post(func(in *msgs.Inbox) { in.Stop = true }) }
 
@@ -330,17 +340,27 @@
 		end.Failure = verdt.AsError(err, verdt.MayHaveRun)
 		var answerErr *engine.AnswerError
 		if errors.As(err, &answerErr) {
-			end.Declined = answerErr.Declined
+			end.Declined, end.ConnectionLost = answerErr.Declined, answerErr.ConnectionLost
 			s.keepAnswer(stream.Request, answerErr.Answer)
 		}
 		if stream.Origin != nil && ctx.Err() == nil {
 			s.log.Info(evlog.StreamFailed, "request", stream.Origin.ID, "epoch", stream.Epoch, "reason", end.Failure.Reason.String(),
-				"verdict", end.Failure.Verdict.String(), "server", end.Failure.Server, "declined", end.Declined, "message", end.Failure.Message)
+				"verdict", end.Failure.Verdict.String(), "server", end.Failure.Server, "declined", end.Declined, "message", end.Failure.Message, "parts", s.formatParts(stream.Request))
 		}
 	}
 	s.loop.post(func(in *msgs.Inbox) { in.Ends = append(in.Ends, end) })
 }
 
+// formatParts returns the shared prompt parts of a request as they are logged.
+func (s *StreamExecutor) formatParts(id model.RequestID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pending := s.pending[id]; pending != nil {
+		return crash.FormatParts(pending.parts)
+	}
+	return ""
+}
+
 // keepAnswer stores what an engine answered instead of a stream. The caller gets it if
 // no other engine serves the request.
 func (s *StreamExecutor) keepAnswer(id model.RequestID, a *engine.Answer) {
@@ -370,6 +390,12 @@
 		s.log.Info(evlog.ServerPaused, "server", n.Server, "detail", n.Detail)
 	case msgs.StreamStalled:
 		s.log.Info(evlog.StreamStalled, "request", s.logID(n.Request), "server", n.Server, "detail", n.Detail)
+	case msgs.PartSuspected:
+		s.log.Info(evlog.PartSuspected, "part", crash.FormatPart(n.Part), "detail", n.Detail)
+	case msgs.PartBlocked:
+		s.log.Info(evlog.PartBlocked, "part", crash.FormatPart(n.Part), "detail", n.Detail)
+	case msgs.PartUnblocked:
+		s.log.Info(evlog.PartUnblocked, "part", crash.FormatPart(n.Part), "detail", n.Detail)
 	case msgs.ListEmpty:
 		s.log.Error(errors.New("the membership list names no engine"), evlog.ListEmptied)
 	}
