Consider stalled streams when prompt parts are suspected

Cause: since a stalled stream stays open, its first engine may end it after it has waited too long for another one, which looked like a crash on the prompt; and a stalled request whose part is under suspicion would have been moved to the next engine, which it may crash.

--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -52,6 +52,10 @@
 		return false
 	}
 	server := r.Route.Hops[0].Server
+	if r.StalledOn != "" && r.StalledOn != server {
+		// The first engine gave up its wait for another one.
+		return false
+	}
 	if model.ServerID(e.Failure.Server) != server || r.OutputEpoch == r.Epoch && now.Sub(r.OutputSince) >= crash.BeginningDuration {
 		return false
 	}
--- a/internal/core/crashes_test.go
+++ b/internal/core/crashes_test.go
@@ -236,3 +236,29 @@
 	w.token(later, 0, false)
 	assert.Equal(t, len(w.evidence()), 0)
 }
+
+// TestWaitForLaterEngineIsNoCrash guards against prompt parts that come under suspicion because a first
+// engine gave up its wait for a later one of the route.
+func TestWaitForLaterEngineIsNoCrash(t *testing.T) {
+	w := newChainHarness(t, 1, WithStallCheck())
+	o := w.submit(msgs.Arrival{ID: 1, Parts: []uint64{callerPart, badPart}})
+	w.reportStall(o)
+	w.crashFirstServer(o)
+	assert.Equal(t, len(w.evidence()), 0)
+}
+
+// TestStalledRequestWithSuspectPartIsNotMoved guards against a request that may have crashed its engine and
+// is moved to the next one because the engine is silent.
+func TestStalledRequestWithSuspectPartIsNotMoved(t *testing.T) {
+	w := newChainHarness(t, 3, WithStallCheck())
+	w.tellEvidence("x1")
+	w.pass(time.Second)
+	w.tellEvidence("x1", "x2")
+	for i, parts := range [][]uint64{{callerPart, badPart}, {callerPart}} {
+		o := w.submit(msgs.Arrival{ID: model.RequestID(i + 1), Parts: parts})
+		w.core.recov.StallStream(w.now, o.Request, o.Route.Hops[0].Server, w.core.tables, &w.out)
+	}
+	w.pass(25 * time.Millisecond)
+	assert.Equal(t, len(w.out.Opens), 1)
+	assert.Equal(t, w.out.Opens[0].Request, model.RequestID(2))
+}
