--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -223,10 +223,11 @@
 
 // serveStream serves a request with a streamed answer from a chain of engines.
 func (e *Edge) serveStream(ctx context.Context, req *requestState, rule *setts.RouteRule, out AnswerWriter) {
+	req.in.AtMostOnce = rule.Repetition == setts.Once || (rule.Repetition == setts.Streaming && !rule.Resumable)
 	id, reply := e.streams.Start(ModelRequest{
 		Team: req.in.Team, Model: req.service, MaxTokens: req.in.MaxTokens, PromptTokens: req.in.PromptTokens,
 		Origin: &req.in.Origin, Deadline: req.deadline, From: req.in.From, Parts: req.in.Parts,
-		AtMostOnce:  rule.Repetition == setts.Once || (rule.Repetition == setts.Streaming && !rule.Resumable),
+		AtMostOnce:  req.in.AtMostOnce,
 		MaxAttempts: rule.MaxAttempts, FirstTokenDeadline: req.arrived.Add(rule.TargetLatency),
 	})
 	headSent := false
@@ -323,6 +324,7 @@
 // serveRelayed serves a request by a plain service, with retries as far as the route
 // permits.
 func (e *Edge) serveRelayed(ctx context.Context, req *requestState, rule *setts.RouteRule, out AnswerWriter) {
+	req.in.AtMostOnce = rule.Repetition != setts.Idempotent
 	relayReq := &relay.Request{
 		Service: req.service, Repeatable: rule.Repetition == setts.Idempotent, Deadline: req.deadline, MaxAttempts: rule.MaxAttempts,
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -49,6 +49,8 @@
 	Team model.Team
 	// Priority is the priority class; 0 is the most urgent.
 	Priority int
+	// AtMostOnce is set if the request must not be sent again after it may have run.
+	AtMostOnce bool
 }
 
 // AnswerError is a failure together with the server's error response.
