Move the last streams off an engine that is to replace its layers

Change: once the daemons together have 16 streams or fewer on such an engine, these are moved like those over a stopping server: only when another route is found, within the budget. TestLastStreamsLeaveReplacingEngine and both mutations.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -145,6 +145,7 @@
 	if !in.OthersUntil.IsZero() {
 		c.servers.SetOthers(in.OthersUntil, in.Others)
 		c.servers.Avoid(now.Add(layerChangeHold), in.Others.ReplacingLayers)
+		c.moveFromReplacing(now, in.Others.ReplacingLayers)
 		c.servers.MarkFull(now.Add(sharedFullDuration), in.Others.Full)
 		c.crash.Apply(now, crash.Report{Evidence: in.Others.CrashEvidence, Sound: in.Others.SoundParts, Blocks: in.Others.BlockedParts})
 		for _, id := range in.Others.Suspects {
--- a/internal/core/switch.go
+++ b/internal/core/switch.go
@@ -36,7 +36,7 @@
 	}
 	for id := range c.requests.Displaced {
 		r := c.requests.Get(id)
-		if !c.usesLeavingServer(r) {
+		if !c.usesLeavingServer(now, r) {
 			delete(c.requests.Displaced, id)
 		} else if r.StalledOn == "" {
 			waiting = append(waiting, r)
@@ -61,9 +61,31 @@
 	}
 }
 
-// usesLeavingServer reports whether a server of a request's route is leaving or no longer listed.
-func (c *Core) usesLeavingServer(r *table.Request) bool {
-	return slices.ContainsFunc(r.Route.Hops, func(h model.Hop) bool { return !c.mayServeAgain(h.Server) })
+// maxMovedStreams is the number of streams of all daemons on an engine up to which they are moved, so that
+// the engine can replace its layers. While it has more, most of them end by themselves.
+const maxMovedStreams = 16
+
+// moveFromReplacing finds the requests on engines that wait for the last streams to end before they replace
+// their layers. dispatch moves them.
+func (c *Core) moveFromReplacing(now time.Time, ids []model.ServerID) {
+	for _, id := range ids {
+		s := c.servers.Get(id)
+		if s == nil || len(s.Users)+s.OtherStreams > maxMovedStreams {
+			continue
+		}
+		s.ReplacingUntil = now.Add(layerChangeHold)
+		for user := range s.Users {
+			c.recov.MoveRequest(now, user, c.tables)
+		}
+	}
+}
+
+// usesLeavingServer reports whether a server of a request's route is leaving, no longer listed or waits for
+// its streams to end.
+func (c *Core) usesLeavingServer(now time.Time, r *table.Request) bool {
+	return slices.ContainsFunc(r.Route.Hops, func(h model.Hop) bool {
+		return !c.mayServeAgain(h.Server) || now.Before(c.servers.Get(h.Server).ReplacingUntil)
+	})
 }
 
 // switchRoute moves a request with an open stream to another route and reports whether it did.
--- a/internal/core/switch_test.go
+++ b/internal/core/switch_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -393,3 +394,37 @@
 	assert.Equal(t, len(w.out.Opens), 1)
 	assert.Assert(t, slices.Contains(heads, w.out.Opens[0].Route.Hops[0].Server), "%v, then %v", heads, w.out.Opens[0].Route)
 }
+
+// TestLastStreamsLeaveReplacingEngine guards against an engine that cannot take over missing layers for as long as
+// one stream on it lasts. Its last streams are moved; while it has many, or without another route, they stay.
+func TestLastStreamsLeaveReplacingEngine(t *testing.T) {
+	type scenario struct {
+		name   string
+		pairs  int
+		others int
+		moved  int
+	}
+	for _, tc := range []scenario{
+		{"last streams", 2, maxMovedStreams - 1, 1},
+		{"many streams of other daemons", 2, maxMovedStreams, 0},
+		{"no other route", 1, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newChainHarness(t, tc.pairs)
+			o := w.startStream(msgs.Arrival{ID: 1})
+			replacing := o.Route.Hops[1].Server
+			w.in.OthersUntil = w.now.Add(time.Second)
+			w.in.Others = board.View{ReplacingLayers: []model.ServerID{replacing}, Loads: []board.Load{{Server: replacing, Streams: tc.others}}}
+			w.tick()
+			assert.Equal(t, len(w.out.Cancels), tc.moved)
+			assert.Equal(t, len(w.out.Opens), tc.moved)
+			if tc.moved > 0 {
+				assert.Assert(t, !w.out.Opens[0].Route.Uses(replacing))
+				return
+			}
+			w.now = w.now.Add(2 * layerChangeHold)
+			w.addPair()
+			assert.Equal(t, len(w.out.Cancels), 0, "moved although the engine no longer waits")
+		})
+	}
+}
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -36,6 +36,9 @@
 	// AvoidUntil is the time until which a server gets no new work, after a failure or
 	// during a change of its layers.
 	AvoidUntil time.Time
+	// ReplacingUntil is the time until which the server is known to wait for its streams to end, so
+	// that it can replace its layers.
+	ReplacingUntil time.Time
 	// SuspectedUntil is the time until which this daemon suspects the server to be dead.
 	SuspectedUntil time.Time
 	// SuspectedByOthersUntil is the time until which another daemon suspects the server to be dead.
