Name what DisplaceRequest does

Cause: MoveRequest only marks a request since streams stay open until another route is found. Change: the name and two comments; nothing else. Measured: the core's tests pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -235,7 +235,7 @@
 func (c *Core) moveFromLeaving(now time.Time) {
 	for _, s := range c.drain.Due(now, c.servers) {
 		for _, id := range slices.Sorted(maps.Keys(s.Users)) {
-			c.recov.MoveRequest(now, id, c.tables)
+			c.recov.DisplaceRequest(now, id, c.tables)
 		}
 	}
 }
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -276,9 +276,9 @@
 	t.Requests.Rerouting[r.ID] = struct{}{}
 }
 
-// MoveRequest marks a request that is to leave its route because one of the route's servers stops. The
-// stream stays open until SwitchRoute moves the request or the engines end the stream.
-func (st *State) MoveRequest(now time.Time, id model.RequestID, t Tables) {
+// DisplaceRequest marks a request that is to leave its route because one of the route's servers stops or
+// replaces its layers. The stream stays open until SwitchRoute moves the request or the engines end the stream.
+func (st *State) DisplaceRequest(now time.Time, id model.RequestID, t Tables) {
 	if r := t.Requests.Get(id); r != nil && r.Phase == table.Running {
 		t.Requests.Displaced[id] = struct{}{}
 		r.TryAt = now
--- a/internal/core/switch.go
+++ b/internal/core/switch.go
@@ -75,7 +75,7 @@
 		}
 		s.ReplacingUntil = now.Add(layerChangeHold)
 		for user := range s.Users {
-			c.recov.MoveRequest(now, user, c.tables)
+			c.recov.DisplaceRequest(now, user, c.tables)
 		}
 	}
 }
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -136,8 +136,8 @@
 	Rerouting map[model.RequestID]struct{}
 	// Stalled holds the running requests whose stream waits for a stalled server.
 	Stalled map[model.RequestID]struct{}
-	// Displaced holds the running requests that are to leave a server which stops. Their stream
-	// stays open until another route is found.
+	// Displaced holds the running requests that are to leave a server which stops or replaces its
+	// layers. Their stream stays open until another route is found.
 	Displaced map[model.RequestID]struct{}
 }
 
