Log a value for starting daemons that could not be stored

Cause: the writes of the blocked prompt parts and of the number of daemons ignored their result, so a service that refuses them left no trace; the same lines stood twice. Change: one function writes both and logs event 319 value_not_stored with the key and the outcome; the next interval tries again as before. Measured: TestFailedStoreOfValueIsLogged passes (the code before had no line to find); the tests of boot on blocks and the fleet's size pass.

--- a/internal/boot/edgeblocks.go
+++ b/internal/boot/edgeblocks.go
@@ -21,8 +21,6 @@
 	blocksKey = "bulrushpond/blocked_parts"
 	// blocksInterval is how often the owner of the placement compares the stored blocks with its own.
 	blocksInterval = time.Second
-	// blocksStoreTimeout bounds the write of blocksKey.
-	blocksStoreTimeout = time.Second
 )
 
 // storedBlock is a blocked prompt part in the value of blocksKey.
@@ -92,8 +90,5 @@
 		d.deps.Log.Error(err, evlog.BlocksUnreadable, "revision", item.Revision)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, blocksStoreTimeout)
-	defer cancel()
-	// Any failure is tried again at the next interval.
-	_ = d.store.CAS(ctx, model.CAS{Key: blocksKey, Value: value, Expect: item.Revision})
+	d.storeValue(ctx, model.CAS{Key: blocksKey, Value: value, Expect: item.Revision})
 }
--- a/internal/boot/edgefleet.go
+++ b/internal/boot/edgefleet.go
@@ -16,8 +16,8 @@
 	fleetKey = "bulrushpond/daemons"
 	// fleetInterval is how often the owner of the placement compares the stored number with its own.
 	fleetInterval = 2 * time.Second
-	// fleetStoreTimeout bounds the write of fleetKey.
-	fleetStoreTimeout = time.Second
+	// valueStoreTimeout bounds one write of a value for daemons that start.
+	valueStoreTimeout = time.Second
 	// maxStoredDaemons bounds a stored number.
 	maxStoredDaemons = 100_000
 )
@@ -51,8 +51,15 @@
 	if !d.fleetSize.NeedsUpdate(time.Now(), daemons, stored) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, fleetStoreTimeout)
+	d.storeValue(ctx, model.CAS{Key: fleetKey, Value: []byte(strconv.Itoa(daemons)), Expect: item.Revision})
+}
+
+// storeValue writes a value that daemons which start read from the key-value service. A write that fails is
+// logged; the caller tries it again at its next interval.
+func (d *EdgeDaemon) storeValue(ctx context.Context, write model.CAS) {
+	ctx, cancel := context.WithTimeout(ctx, valueStoreTimeout)
 	defer cancel()
-	// Any failure is tried again at the next interval.
-	_ = d.store.CAS(ctx, model.CAS{Key: fleetKey, Value: []byte(strconv.Itoa(daemons)), Expect: item.Revision})
+	if result := d.store.CAS(ctx, write); result.Outcome != model.Done {
+		d.deps.Log.Info(evlog.ValueNotStored, "key", write.Key, "outcome", result.Outcome.String(), "expected_revision", write.Expect)
+	}
 }
--- a/internal/boot/edgefleet_test.go
+++ b/internal/boot/edgefleet_test.go
@@ -1,11 +1,15 @@
 package boot
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/platform"
 	"bulrushpond.example/bulrushpond/platform/fakes"
 )
 
@@ -46,3 +50,17 @@
 	env.start(nil)
 	env.waitUntil("the number is stored", func() bool { return p.Store.ValueContains(fleetKey, "1") })
 }
+
+// TestFailedStoreOfValueIsLogged guards against writes that fail without a trace.
+func TestFailedStoreOfValueIsLogged(t *testing.T) {
+	p, err := fakes.New()
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	var log bytes.Buffer
+	daemon := &EdgeDaemon{deps: Dependencies{Log: NewLog(&log, false)}, store: platform.NewStoreClient(p.Address())}
+	daemon.storeValue(t.Context(), model.CAS{Key: fleetKey, Value: []byte("3")})
+	assert.Equal(t, log.String(), "")
+	p.Store.SetDown(true)
+	daemon.storeValue(t.Context(), model.CAS{Key: fleetKey, Value: []byte("4")})
+	assert.Assert(t, strings.Contains(log.String(), `"value_not_stored"`) && strings.Contains(log.String(), fleetKey), log.String())
+}
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -85,6 +85,8 @@
 	BlocksUnreadable Event = 317
 	// FleetUnreadable means that the stored number of daemons cannot be used.
 	FleetUnreadable Event = 318
+	// ValueNotStored means that a value for daemons that start was not written, or not surely.
+	ValueNotStored Event = 319
 	// ShardOwned means that this daemon became the owner of a journal shard.
 	ShardOwned Event = 400
 	// ShardLost means that this daemon lost the ownership of a shard.
