--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -31,9 +31,9 @@
 	blockCrashes     = 3
 	tiedBlockCrashes = 5
 	// soundReportTime is how long a part must have been suspect before it is blocked. By then, all
-	// daemons in touch have reported whether they know it as sound.
+	// daemons that exchange reports have told whether they know it as sound.
 	soundReportTime = time.Second
-	// maxExchangeGap is the time without reports of the others after which a daemon is out of touch.
+	// maxExchangeGap is the time without reports of the others after which a daemon counts as cut off.
 	maxExchangeGap = time.Second
 	// BlockDuration is how long a part is blocked after the last crash.
 	BlockDuration = 10 * time.Minute
@@ -103,9 +103,9 @@
 	// disputed holds the parts that others block and this daemon knows as sound, and until when it
 	// tells them.
 	disputed map[uint64]time.Time
-	// exchangedAt is when the reports of the others last came, and inTouchSince since when they
+	// exchangedAt is when the reports of the others last came, and exchangingSince since when they
 	// come without a gap above maxExchangeGap.
-	exchangedAt, inTouchSince time.Time
+	exchangedAt, exchangingSince time.Time
 	// learned holds the parts blocked by other daemons since the last Check.
 	learned []uint64
 	// changed is set if Check has something to evaluate, and nextCheck is when it has otherwise.
@@ -187,7 +187,7 @@
 // Apply adds the reports of the other daemons. They may include this daemon's own.
 func (st *State) Apply(now time.Time, r Report) {
 	if now.Sub(st.exchangedAt) > maxExchangeGap {
-		st.inTouchSince = now
+		st.exchangingSince = now
 	}
 	st.exchangedAt = now
 	for _, e := range r.Evidence {
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -309,7 +309,7 @@
 	assert.Assert(t, !s.has(now.Add(soundTTL), bad))
 }
 
-// TestSoundPartIsNeverBlocked checks that a part that any daemon in touch knows as sound is not
+// TestSoundPartIsNeverBlocked checks that a part that any daemon that it exchanges reports with knows as sound is not
 // blocked, whatever else happens, and that all stays bounded.
 func TestSoundPartIsNeverBlocked(t *testing.T) {
 	proof.Check(t, func(t *rapid.T) {
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -187,7 +187,7 @@
 }
 
 // block blocks the suspect that explains the most crashes. Suspects that explain equally many wait
-// for more evidence, up to tiedBlockCrashes. A daemon that is out of touch blocks none, since
+// for more evidence, up to tiedBlockCrashes. A daemon that is cut off from the others blocks none, since
 // others may know the part as sound.
 func (st *State) block(now time.Time, ends []engineEnd) []Change {
 	if now.Sub(st.exchangedAt) > maxExchangeGap {
@@ -210,7 +210,7 @@
 	}
 	var changes []Change
 	for _, part := range parts {
-		if now.Sub(later(st.suspects[part], st.inTouchSince)) < soundReportTime || len(st.blocks) >= maxBlocks {
+		if now.Sub(later(st.suspects[part], st.exchangingSince)) < soundReportTime || len(st.blocks) >= maxBlocks {
 			continue
 		}
 		delete(st.suspects, part)
