Log the limits that backend servers name, and count headers that cannot be used

Cause: nothing in the logs or metrics told that a server named a limit, so the hypotheses of the incident could only be told apart on a copy with a print line. Change: platform/ decodes the header; event 320 server_limited says when a limit is named, changes or ends, event 321 header_invalid which value was not a number; limited_answers, servers_limited and invalid_headers count them. Nothing is decided by it yet.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -139,6 +139,9 @@
 	// pauses counts the answers in which a server asked for a pause, leaving the servers that
 	// said that they will stop.
 	pauses, leaving atomic.Uint64
+	// limitedAnswers counts the answers in which a server named a limit, invalidHeaders the headers
+	// that could not be used.
+	limitedAnswers, invalidHeaders atomic.Uint64
 
 	mu sync.Mutex
 	// roster holds the backend servers as of changesAsOf, the time of the last changes from
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -71,6 +71,11 @@
 	// ServersSaidLeaving the servers that said that they will stop.
 	ServerPauses       uint64 `json:"server_pauses"`
 	ServersSaidLeaving uint64 `json:"servers_said_leaving"`
+	// LimitedAnswers counts the answers in which a backend server named a limit, and InvalidHeaders the
+	// headers with a value that cannot be used. ServersLimited is the number of servers with a limit.
+	LimitedAnswers uint64 `json:"limited_answers"`
+	InvalidHeaders uint64 `json:"invalid_headers"`
+	ServersLimited int    `json:"servers_limited"`
 	// BudgetDaemons is the number of daemons that the retry budget is shared by.
 	BudgetDaemons int `json:"budget_daemons"`
 	// EngineCrashes counts the streams whose engine ended when it began the answer.
@@ -90,12 +95,14 @@
 			Meters: d.edge.Meter().Read(), StoreEra: d.feed.Position().Era, StoreRevision: d.feed.Position().Revision, StoreAgeMs: d.feed.Age(time.Now()).Milliseconds(),
 			RequestsInProgress: d.edge.InProgress(), PlacementFence: d.duty.FencingToken(), LogLinesDropped: logWriter.DroppedLines(),
 			ServerPauses: d.pauses.Load(), ServersSaidLeaving: d.leaving.Load(),
+			LimitedAnswers: d.limitedAnswers.Load(), InvalidHeaders: d.invalidHeaders.Load(), ServersLimited: d.edge.LimitedServers(),
 		}
 		if routing := d.edge.Routing(); routing != nil {
 			vars.SettingsRevision = uint64(routing.Revision)
 		}
 		d.streams.View(func(c *core.Core) {
 			vars.BudgetDaemons = c.BudgetDaemons()
+			vars.ServersLimited += c.LimitedServers()
 			m := c.CrashMetrics()
 			vars.EngineCrashes, vars.PartsBlocked, vars.PartsBlockedNow, vars.RequestsBlocked = m.EngineCrashes, m.PartsBlocked, m.PartsBlockedNow, m.RequestsBlocked
 			vars.StreamsRecovered, vars.TokensDropped, vars.EnginesKnown = c.RecoveredStreams(), c.DroppedTokens(), c.ServerCount()
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/elect"
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
@@ -123,6 +124,28 @@
 	d.edge.PauseServer(server, until)
 }
 
+// ServerLimits implements engine.Observer.
+func (d *EdgeDaemon) ServerLimits(server string, perSecond float64) {
+	d.limitedAnswers.Add(1)
+	d.recordLimit(limit.Statement{Server: model.ServerID(server), Limited: true, PerSecond: perSecond})
+}
+
+// ServerUnlimited implements engine.Observer.
+func (d *EdgeDaemon) ServerUnlimited(server string) {
+	d.recordLimit(limit.Statement{Server: model.ServerID(server)})
+}
+
+func (d *EdgeDaemon) recordLimit(said limit.Statement) {
+	d.streams.RecordLimit(said)
+	d.edge.RecordLimit(said)
+}
+
+// InvalidHeader implements engine.Observer.
+func (d *EdgeDaemon) InvalidHeader(server, header, value string) {
+	d.invalidHeaders.Add(1)
+	d.deps.Log.Info(evlog.HeaderInvalid, "server", server, "header", header, "value", value)
+}
+
 // distributeServers passes the backend servers to the components that use them. The
 // caller holds mu.
 func (d *EdgeDaemon) distributeServers(now time.Time) {
--- a/internal/boot/explain.go
+++ b/internal/boot/explain.go
@@ -110,7 +110,7 @@
 
 // tellsUnusable reports whether an event says that a server asked not to be used.
 func (e logEvent) tellsUnusable() bool {
-	return e.name == evlog.ServerPaused.String() || e.name == evlog.ServerSaidLeaving.String()
+	return e.name == evlog.ServerPaused.String() || e.name == evlog.ServerSaidLeaving.String() || e.name == evlog.ServerLimited.String()
 }
 
 // parts returns the prompt parts of the request that an event is about.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,6 +129,11 @@
 			out.Notify(msgs.Notice{Kind: msgs.ServerPaused, Server: p.Server, Detail: until.Sub(now).String()})
 		}
 	}
+	for _, s := range in.Limits {
+		if c.servers.Get(s.Server) != nil && c.servers.Limits.Record(now, s) {
+			out.Notify(msgs.Notice{Kind: msgs.ServerLimited, Server: s.Server, Detail: s.String()})
+		}
+	}
 	for _, r := range in.Reports {
 		c.drain.ApplyReport(now, r, c.servers, out)
 	}
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -8,6 +8,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/crash"
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -80,6 +81,8 @@
 	Ends         []StreamEnd
 	// Pauses lists servers that want no requests from this daemon for a while.
 	Pauses []Pause
+	// Limits holds what servers said about their limits.
+	Limits []limit.Statement
 	// Diagnoses are the answers to Asks.
 	Diagnoses []Diagnosis
 	// CallerGone lists the requests whose callers closed their connections.
@@ -93,14 +96,14 @@
 	*in = Inbox{
 		Reports: in.Reports[:0], Arrivals: in.Arrivals[:0], Tokens: in.Tokens[:0],
 		Ends: in.Ends[:0], CallerGone: in.CallerGone[:0], Diagnoses: in.Diagnoses[:0],
-		Pauses: in.Pauses[:0],
+		Pauses: in.Pauses[:0], Limits: in.Limits[:0],
 	}
 }
 
 // Empty reports whether the inbox holds no event.
 func (in *Inbox) Empty() bool {
 	return in.List == nil && in.StoredBlocks == nil && in.Settings == nil && in.Daemons == 0 && in.BudgetDaemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
-		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses) == 0
+		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses)+len(in.Limits) == 0
 }
 
 // Open starts or resumes a stream.
@@ -181,6 +184,8 @@
 	ServerStalled
 	// ServerPaused means that a backend server asked for a pause and gets no requests.
 	ServerPaused
+	// ServerLimited means that a server named a limit for requests, or none any more.
+	ServerLimited
 	// StreamStalled means that a stream in progress waits for a server that makes no progress.
 	StreamStalled
 	// PartSuspected means that engines ended under requests with a prompt part.
--- a/internal/core/msgs/noticekind_enumer.go
+++ b/internal/core/msgs/noticekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedstream_stalledpart_suspectedpart_blockedpart_unblocked"
+const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblocked"
 
-var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115, 129, 141, 155}
+var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115, 129, 143, 155, 169}
 
-const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedstream_stalledpart_suspectedpart_blockedpart_unblocked"
+const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblocked"
 
 func (i NoticeKind) String() string {
 	if i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -24,47 +24,53 @@
 // Re-run the stringer command to generate them again.
 func _NoticeKindNoOp() {
 	var x [1]struct{}
-	_ = x[ServerLeaving-(0)]
-	_ = x[ServerBack-(1)]
-	_ = x[ServerAvoided-(2)]
-	_ = x[StreamMoved-(3)]
-	_ = x[TokenDropped-(4)]
-	_ = x[ListEmpty-(5)]
-	_ = x[ServerStalled-(6)]
-	_ = x[ServerPaused-(7)]
-	_ = x[StreamStalled-(8)]
-	_ = x[PartSuspected-(9)]
-	_ = x[PartBlocked-(10)]
-	_ = x[PartUnblocked-(11)]
+	_ = x[ServerLeaving-0]
+	_ = x[ServerBack-1]
+	_ = x[ServerAvoided-2]
+	_ = x[StreamMoved-3]
+	_ = x[TokenDropped-4]
+	_ = x[ListEmpty-5]
+	_ = x[ServerStalled-6]
+	_ = x[ServerPaused-7]
+	_ = x[ServerLimited-8]
+	_ = x[StreamStalled-9]
+	_ = x[PartSuspected-10]
+	_ = x[PartBlocked-11]
+	_ = x[PartUnblocked-12]
 }
 
-var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, StreamStalled, PartSuspected, PartBlocked, PartUnblocked}
+var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, ServerLimited, StreamStalled, PartSuspected, PartBlocked, PartUnblocked}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
-	_NoticeKindName[0:14]:         ServerLeaving,
+	_NoticeKindName[0:14]:    ServerLeaving,
+	_NoticeKindName[14:25]:   ServerBack,
+	_NoticeKindName[25:39]:   ServerAvoided,
+	_NoticeKindName[39:51]:   StreamMoved,
+	_NoticeKindName[51:64]:   TokenDropped,
+	_NoticeKindName[64:74]:   ListEmpty,
+	_NoticeKindName[74:88]:   ServerStalled,
+	_NoticeKindName[88:101]:  ServerPaused,
+	_NoticeKindName[101:115]: ServerLimited,
+	_NoticeKindName[115:129]: StreamStalled,
+	_NoticeKindName[129:143]: PartSuspected,
+	_NoticeKindName[143:155]: PartBlocked,
+	_NoticeKindName[155:169]: PartUnblocked,
+}
+
+var _NoticeKindLowerNameToValueMap = map[string]NoticeKind{
 	_NoticeKindLowerName[0:14]:    ServerLeaving,
-	_NoticeKindName[14:25]:        ServerBack,
 	_NoticeKindLowerName[14:25]:   ServerBack,
-	_NoticeKindName[25:39]:        ServerAvoided,
 	_NoticeKindLowerName[25:39]:   ServerAvoided,
-	_NoticeKindName[39:51]:        StreamMoved,
 	_NoticeKindLowerName[39:51]:   StreamMoved,
-	_NoticeKindName[51:64]:        TokenDropped,
 	_NoticeKindLowerName[51:64]:   TokenDropped,
-	_NoticeKindName[64:74]:        ListEmpty,
 	_NoticeKindLowerName[64:74]:   ListEmpty,
-	_NoticeKindName[74:88]:        ServerStalled,
 	_NoticeKindLowerName[74:88]:   ServerStalled,
-	_NoticeKindName[88:101]:       ServerPaused,
 	_NoticeKindLowerName[88:101]:  ServerPaused,
-	_NoticeKindName[101:115]:      StreamStalled,
-	_NoticeKindLowerName[101:115]: StreamStalled,
-	_NoticeKindName[115:129]:      PartSuspected,
-	_NoticeKindLowerName[115:129]: PartSuspected,
-	_NoticeKindName[129:141]:      PartBlocked,
-	_NoticeKindLowerName[129:141]: PartBlocked,
-	_NoticeKindName[141:155]:      PartUnblocked,
-	_NoticeKindLowerName[141:155]: PartUnblocked,
+	_NoticeKindLowerName[101:115]: ServerLimited,
+	_NoticeKindLowerName[115:129]: StreamStalled,
+	_NoticeKindLowerName[129:143]: PartSuspected,
+	_NoticeKindLowerName[143:155]: PartBlocked,
+	_NoticeKindLowerName[155:169]: PartUnblocked,
 }
 
 var _NoticeKindNames = []string{
@@ -78,8 +84,9 @@
 	_NoticeKindName[88:101],
 	_NoticeKindName[101:115],
 	_NoticeKindName[115:129],
-	_NoticeKindName[129:141],
-	_NoticeKindName[141:155],
+	_NoticeKindName[129:143],
+	_NoticeKindName[143:155],
+	_NoticeKindName[155:169],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
@@ -89,7 +96,7 @@
 		return val, nil
 	}
 
-	if val, ok := _NoticeKindNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _NoticeKindLowerNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to NoticeKind values", s)
--- a/internal/core/msgs/shardnoticekind_enumer.go
+++ b/internal/core/msgs/shardnoticekind_enumer.go
@@ -24,25 +24,28 @@
 // Re-run the stringer command to generate them again.
 func _ShardNoticeKindNoOp() {
 	var x [1]struct{}
-	_ = x[ShardOwned-(0)]
-	_ = x[ShardLost-(1)]
-	_ = x[ShardReleased-(2)]
-	_ = x[ShardFull-(3)]
-	_ = x[ShardCorrupt-(4)]
+	_ = x[ShardOwned-0]
+	_ = x[ShardLost-1]
+	_ = x[ShardReleased-2]
+	_ = x[ShardFull-3]
+	_ = x[ShardCorrupt-4]
 }
 
 var _ShardNoticeKindValues = []ShardNoticeKind{ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt}
 
 var _ShardNoticeKindNameToValueMap = map[string]ShardNoticeKind{
-	_ShardNoticeKindName[0:11]:       ShardOwned,
+	_ShardNoticeKindName[0:11]:  ShardOwned,
+	_ShardNoticeKindName[11:21]: ShardLost,
+	_ShardNoticeKindName[21:35]: ShardReleased,
+	_ShardNoticeKindName[35:45]: ShardFull,
+	_ShardNoticeKindName[45:58]: ShardCorrupt,
+}
+
+var _ShardNoticeKindLowerNameToValueMap = map[string]ShardNoticeKind{
 	_ShardNoticeKindLowerName[0:11]:  ShardOwned,
-	_ShardNoticeKindName[11:21]:      ShardLost,
 	_ShardNoticeKindLowerName[11:21]: ShardLost,
-	_ShardNoticeKindName[21:35]:      ShardReleased,
 	_ShardNoticeKindLowerName[21:35]: ShardReleased,
-	_ShardNoticeKindName[35:45]:      ShardFull,
 	_ShardNoticeKindLowerName[35:45]: ShardFull,
-	_ShardNoticeKindName[45:58]:      ShardCorrupt,
 	_ShardNoticeKindLowerName[45:58]: ShardCorrupt,
 }
 
@@ -61,7 +64,7 @@
 		return val, nil
 	}
 
-	if val, ok := _ShardNoticeKindNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _ShardNoticeKindLowerNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to ShardNoticeKind values", s)
--- a/internal/core/msgs/storekind_enumer.go
+++ b/internal/core/msgs/storekind_enumer.go
@@ -24,22 +24,25 @@
 // Re-run the stringer command to generate them again.
 func _StoreKindNoOp() {
 	var x [1]struct{}
-	_ = x[StoreGet-(0)]
-	_ = x[StoreCAS-(1)]
-	_ = x[StoreGrant-(2)]
-	_ = x[StoreKeepAlive-(3)]
+	_ = x[StoreGet-0]
+	_ = x[StoreCAS-1]
+	_ = x[StoreGrant-2]
+	_ = x[StoreKeepAlive-3]
 }
 
 var _StoreKindValues = []StoreKind{StoreGet, StoreCAS, StoreGrant, StoreKeepAlive}
 
 var _StoreKindNameToValueMap = map[string]StoreKind{
-	_StoreKindName[0:9]:        StoreGet,
+	_StoreKindName[0:9]:   StoreGet,
+	_StoreKindName[9:18]:  StoreCAS,
+	_StoreKindName[18:29]: StoreGrant,
+	_StoreKindName[29:45]: StoreKeepAlive,
+}
+
+var _StoreKindLowerNameToValueMap = map[string]StoreKind{
 	_StoreKindLowerName[0:9]:   StoreGet,
-	_StoreKindName[9:18]:       StoreCAS,
 	_StoreKindLowerName[9:18]:  StoreCAS,
-	_StoreKindName[18:29]:      StoreGrant,
 	_StoreKindLowerName[18:29]: StoreGrant,
-	_StoreKindName[29:45]:      StoreKeepAlive,
 	_StoreKindLowerName[29:45]: StoreKeepAlive,
 }
 
@@ -57,7 +60,7 @@
 		return val, nil
 	}
 
-	if val, ok := _StoreKindNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _StoreKindLowerNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to StoreKind values", s)
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -83,12 +84,13 @@
 	Zone    string
 	budget  *retry.Budget
 	servers map[string]*server
+	limits  *limit.State
 	rng     *rand.Rand
 }
 
 // New returns a state without servers.
 func New(zone string, budget *retry.Budget, seed uint64) *State {
-	return &State{Zone: zone, budget: budget, servers: map[string]*server{}, rng: rand.New(rand.NewPCG(seed, 1))}
+	return &State{Zone: zone, budget: budget, servers: map[string]*server{}, limits: limit.New(), rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // RetainServers removes the servers whose IDs are not in ids.
@@ -178,6 +180,14 @@
 	return true
 }
 
+// RecordLimit records what a server said about its limit, and reports whether that is news.
+func (st *State) RecordLimit(now time.Time, s limit.Statement) bool {
+	return st.servers[string(s.Server)] != nil && st.limits.Record(now, s)
+}
+
+// Limited returns the number of servers with a limit in force.
+func (st *State) Limited() int { return st.limits.Limited() }
+
 // chooseServer returns the live server of the service with the lowest cost, or nil.
 // Paused servers are left out. Servers that are in cooldown come after the others, and servers
 // that were tried before come last.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -34,6 +34,9 @@
 	return c.budget.Daemons()
 }
 
+// LimitedServers returns the number of model engines with a limit in force.
+func (c *Core) LimitedServers() int { return c.servers.Limits.Limited() }
+
 // InProgress returns the number of requests in progress, including waiting ones.
 func (c *Core) InProgress() int { return c.requests.Len() }
 
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -102,6 +103,8 @@
 	OthersUntil time.Time
 	// Pipes is the recent traffic between availability zones.
 	Pipes Pipes
+	// Limits holds the limits that servers named.
+	Limits *limit.State
 }
 
 // SetOthers sets the loads of the other daemons, which are valid until the given time.
@@ -195,7 +198,9 @@
 }
 
 // NewServers returns an empty table.
-func NewServers() *Servers { return &Servers{rows: map[model.ServerID]*Server{}} }
+func NewServers() *Servers {
+	return &Servers{rows: map[model.ServerID]*Server{}, Limits: limit.New()}
+}
 
 // Get returns a row, or nil if there is none.
 func (t *Servers) Get(id model.ServerID) *Server { return t.rows[id] }
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/crash"
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/match"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/relay"
@@ -113,6 +114,24 @@
 	}
 }
 
+// RecordLimit records what a backend server of a plain service said about its limit.
+func (e *Edge) RecordLimit(said limit.Statement) {
+	now := time.Now()
+	e.mu.Lock()
+	news := e.relayState.RecordLimit(now, said)
+	e.mu.Unlock()
+	if news {
+		e.log.Info(evlog.ServerLimited, "server", said.Server, "detail", said.String())
+	}
+}
+
+// LimitedServers returns the number of backend servers of plain services with a limit in force.
+func (e *Edge) LimitedServers() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.relayState.Limited()
+}
+
 // SetDaemons sets how many daemons share the retry budget.
 func (e *Edge) SetDaemons(n int) {
 	e.mu.Lock()
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -11,6 +11,7 @@
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/crash"
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/engine"
@@ -176,6 +177,11 @@
 	s.loop.post(func(in *msgs.Inbox) { in.Pauses = append(in.Pauses, msgs.Pause{Server: id, Until: until}) })
 }
 
+// RecordLimit records what a server said about its limit.
+func (s *StreamExecutor) RecordLimit(said limit.Statement) {
+	s.loop.post(func(in *msgs.Inbox) { in.Limits = append(in.Limits, said) })
+}
+
 // SetOthers sets what the other daemons have in progress and which servers they
 // suspect of a failure. It is valid for board.StatusTTL.
 func (s *StreamExecutor) SetOthers(others board.View) {
@@ -393,6 +399,8 @@
 		s.log.Info(evlog.ServerStalled, "server", n.Server, "detail", n.Detail)
 	case msgs.ServerPaused:
 		s.log.Info(evlog.ServerPaused, "server", n.Server, "detail", n.Detail)
+	case msgs.ServerLimited:
+		s.log.Info(evlog.ServerLimited, "server", n.Server, "detail", n.Detail)
 	case msgs.StreamStalled:
 		s.log.Info(evlog.StreamStalled, "request", s.logID(n.Request), "server", n.Server, "detail", n.Detail)
 	case msgs.PartSuspected:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -150,6 +150,13 @@
 	// ServerPauses reports that a server declined a request and wants none from this daemon
 	// until a time, which may be far in the future.
 	ServerPauses(server string, until time.Time)
+	// ServerLimits reports that a server takes only so many requests a second from all daemons
+	// together.
+	ServerLimits(server string, perSecond float64)
+	// ServerUnlimited reports that a server answered a request without naming a limit.
+	ServerUnlimited(server string)
+	// InvalidHeader reports a header with a value that cannot be used.
+	InvalidHeader(server, header, value string)
 }
 
 // Relay forwards callers' requests unchanged. Errors are *AnswerError.
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -12,8 +12,8 @@
 	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_dropped"
 	_EventName_1      = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
-	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_stored"
-	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_stored"
+	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalid"
+	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalid"
 	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
 	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
 	_EventName_4      = "peer_unreachable"
@@ -25,7 +25,7 @@
 var (
 	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
-	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286}
+	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314}
 	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132}
 	_EventIndex_4 = [...]uint8{0, 16}
 	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96}
@@ -39,7 +39,7 @@
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _EventName_1[_EventIndex_1[i]:_EventIndex_1[i+1]]
-	case 300 <= i && i <= 319:
+	case 300 <= i && i <= 321:
 		i -= 300
 		return _EventName_2[_EventIndex_2[i]:_EventIndex_2[i+1]]
 	case 400 <= i && i <= 411:
@@ -59,169 +59,178 @@
 // Re-run the stringer command to generate them again.
 func _EventNoOp() {
 	var x [1]struct{}
-	_ = x[DaemonStarted-(100)]
-	_ = x[DaemonStopping-(101)]
-	_ = x[DaemonStopped-(102)]
-	_ = x[DaemonStopForced-(103)]
-	_ = x[PartFailed-(104)]
-	_ = x[FileReloaded-(105)]
-	_ = x[FileUnreadable-(106)]
-	_ = x[LinesDropped-(107)]
-	_ = x[SettingsInForce-(200)]
-	_ = x[SettingsUnreadable-(201)]
-	_ = x[SettingsStale-(202)]
-	_ = x[SettingsCurrent-(203)]
-	_ = x[SettingsOlder-(204)]
-	_ = x[ListUnreachable-(300)]
-	_ = x[ListEmptied-(301)]
-	_ = x[ServerLeaves-(302)]
-	_ = x[ServerReturned-(303)]
-	_ = x[ServerAvoided-(304)]
-	_ = x[StreamMoved-(305)]
-	_ = x[TokenDropped-(306)]
-	_ = x[ServerStalled-(307)]
-	_ = x[MemberUnreadable-(308)]
-	_ = x[ServerSeen-(309)]
-	_ = x[ServerGone-(310)]
-	_ = x[ServerSaidLeaving-(311)]
-	_ = x[ServerPaused-(312)]
-	_ = x[ServerEntryHeld-(313)]
-	_ = x[PartSuspected-(314)]
-	_ = x[PartBlocked-(315)]
-	_ = x[PartUnblocked-(316)]
-	_ = x[BlocksUnreadable-(317)]
-	_ = x[FleetUnreadable-(318)]
-	_ = x[ValueNotStored-(319)]
-	_ = x[ShardOwned-(400)]
-	_ = x[ShardLost-(401)]
-	_ = x[ShardReleased-(402)]
-	_ = x[ShardFull-(403)]
-	_ = x[ShardCorrupt-(404)]
-	_ = x[StoreDown-(405)]
-	_ = x[StoreUp-(406)]
-	_ = x[OrderGiven-(407)]
-	_ = x[OrderFailed-(408)]
-	_ = x[DutyOwned-(409)]
-	_ = x[DutyLost-(410)]
-	_ = x[StoreRestored-(411)]
-	_ = x[PeerUnreachable-(500)]
-	_ = x[RequestFailed-(600)]
-	_ = x[RequestServed-(601)]
-	_ = x[RequestRepeated-(602)]
-	_ = x[StreamOpened-(603)]
-	_ = x[StreamFailed-(604)]
-	_ = x[RequestSent-(605)]
-	_ = x[StreamStalled-(606)]
+	_ = x[DaemonStarted-100]
+	_ = x[DaemonStopping-101]
+	_ = x[DaemonStopped-102]
+	_ = x[DaemonStopForced-103]
+	_ = x[PartFailed-104]
+	_ = x[FileReloaded-105]
+	_ = x[FileUnreadable-106]
+	_ = x[LinesDropped-107]
+	_ = x[SettingsInForce-200]
+	_ = x[SettingsUnreadable-201]
+	_ = x[SettingsStale-202]
+	_ = x[SettingsCurrent-203]
+	_ = x[SettingsOlder-204]
+	_ = x[ListUnreachable-300]
+	_ = x[ListEmptied-301]
+	_ = x[ServerLeaves-302]
+	_ = x[ServerReturned-303]
+	_ = x[ServerAvoided-304]
+	_ = x[StreamMoved-305]
+	_ = x[TokenDropped-306]
+	_ = x[ServerStalled-307]
+	_ = x[MemberUnreadable-308]
+	_ = x[ServerSeen-309]
+	_ = x[ServerGone-310]
+	_ = x[ServerSaidLeaving-311]
+	_ = x[ServerPaused-312]
+	_ = x[ServerEntryHeld-313]
+	_ = x[PartSuspected-314]
+	_ = x[PartBlocked-315]
+	_ = x[PartUnblocked-316]
+	_ = x[BlocksUnreadable-317]
+	_ = x[FleetUnreadable-318]
+	_ = x[ValueNotStored-319]
+	_ = x[ServerLimited-320]
+	_ = x[HeaderInvalid-321]
+	_ = x[ShardOwned-400]
+	_ = x[ShardLost-401]
+	_ = x[ShardReleased-402]
+	_ = x[ShardFull-403]
+	_ = x[ShardCorrupt-404]
+	_ = x[StoreDown-405]
+	_ = x[StoreUp-406]
+	_ = x[OrderGiven-407]
+	_ = x[OrderFailed-408]
+	_ = x[DutyOwned-409]
+	_ = x[DutyLost-410]
+	_ = x[StoreRestored-411]
+	_ = x[PeerUnreachable-500]
+	_ = x[RequestFailed-600]
+	_ = x[RequestServed-601]
+	_ = x[RequestRepeated-602]
+	_ = x[StreamOpened-603]
+	_ = x[StreamFailed-604]
+	_ = x[RequestSent-605]
+	_ = x[StreamStalled-606]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled}
 
 var _EventNameToValueMap = map[string]Event{
-	_EventName_0[0:14]:         DaemonStarted,
+	_EventName_0[0:14]:    DaemonStarted,
+	_EventName_0[14:29]:   DaemonStopping,
+	_EventName_0[29:43]:   DaemonStopped,
+	_EventName_0[43:61]:   DaemonStopForced,
+	_EventName_0[61:72]:   PartFailed,
+	_EventName_0[72:85]:   FileReloaded,
+	_EventName_0[85:100]:  FileUnreadable,
+	_EventName_0[100:113]: LinesDropped,
+	_EventName_1[0:17]:    SettingsInForce,
+	_EventName_1[17:36]:   SettingsUnreadable,
+	_EventName_1[36:50]:   SettingsStale,
+	_EventName_1[50:66]:   SettingsCurrent,
+	_EventName_1[66:80]:   SettingsOlder,
+	_EventName_2[0:16]:    ListUnreachable,
+	_EventName_2[16:28]:   ListEmptied,
+	_EventName_2[28:41]:   ServerLeaves,
+	_EventName_2[41:56]:   ServerReturned,
+	_EventName_2[56:70]:   ServerAvoided,
+	_EventName_2[70:82]:   StreamMoved,
+	_EventName_2[82:95]:   TokenDropped,
+	_EventName_2[95:109]:  ServerStalled,
+	_EventName_2[109:126]: MemberUnreadable,
+	_EventName_2[126:137]: ServerSeen,
+	_EventName_2[137:148]: ServerGone,
+	_EventName_2[148:167]: ServerSaidLeaving,
+	_EventName_2[167:180]: ServerPaused,
+	_EventName_2[180:197]: ServerEntryHeld,
+	_EventName_2[197:211]: PartSuspected,
+	_EventName_2[211:223]: PartBlocked,
+	_EventName_2[223:237]: PartUnblocked,
+	_EventName_2[237:254]: BlocksUnreadable,
+	_EventName_2[254:270]: FleetUnreadable,
+	_EventName_2[270:286]: ValueNotStored,
+	_EventName_2[286:300]: ServerLimited,
+	_EventName_2[300:314]: HeaderInvalid,
+	_EventName_3[0:11]:    ShardOwned,
+	_EventName_3[11:21]:   ShardLost,
+	_EventName_3[21:35]:   ShardReleased,
+	_EventName_3[35:45]:   ShardFull,
+	_EventName_3[45:58]:   ShardCorrupt,
+	_EventName_3[58:68]:   StoreDown,
+	_EventName_3[68:76]:   StoreUp,
+	_EventName_3[76:87]:   OrderGiven,
+	_EventName_3[87:99]:   OrderFailed,
+	_EventName_3[99:109]:  DutyOwned,
+	_EventName_3[109:118]: DutyLost,
+	_EventName_3[118:132]: StoreRestored,
+	_EventName_4[0:16]:    PeerUnreachable,
+	_EventName_5[0:14]:    RequestFailed,
+	_EventName_5[14:28]:   RequestServed,
+	_EventName_5[28:44]:   RequestRepeated,
+	_EventName_5[44:57]:   StreamOpened,
+	_EventName_5[57:70]:   StreamFailed,
+	_EventName_5[70:82]:   RequestSent,
+	_EventName_5[82:96]:   StreamStalled,
+}
+
+var _EventLowerNameToValueMap = map[string]Event{
 	_EventLowerName_0[0:14]:    DaemonStarted,
-	_EventName_0[14:29]:        DaemonStopping,
 	_EventLowerName_0[14:29]:   DaemonStopping,
-	_EventName_0[29:43]:        DaemonStopped,
 	_EventLowerName_0[29:43]:   DaemonStopped,
-	_EventName_0[43:61]:        DaemonStopForced,
 	_EventLowerName_0[43:61]:   DaemonStopForced,
-	_EventName_0[61:72]:        PartFailed,
 	_EventLowerName_0[61:72]:   PartFailed,
-	_EventName_0[72:85]:        FileReloaded,
 	_EventLowerName_0[72:85]:   FileReloaded,
-	_EventName_0[85:100]:       FileUnreadable,
 	_EventLowerName_0[85:100]:  FileUnreadable,
-	_EventName_0[100:113]:      LinesDropped,
 	_EventLowerName_0[100:113]: LinesDropped,
-	_EventName_1[0:17]:         SettingsInForce,
 	_EventLowerName_1[0:17]:    SettingsInForce,
-	_EventName_1[17:36]:        SettingsUnreadable,
 	_EventLowerName_1[17:36]:   SettingsUnreadable,
-	_EventName_1[36:50]:        SettingsStale,
 	_EventLowerName_1[36:50]:   SettingsStale,
-	_EventName_1[50:66]:        SettingsCurrent,
 	_EventLowerName_1[50:66]:   SettingsCurrent,
-	_EventName_1[66:80]:        SettingsOlder,
 	_EventLowerName_1[66:80]:   SettingsOlder,
-	_EventName_2[0:16]:         ListUnreachable,
 	_EventLowerName_2[0:16]:    ListUnreachable,
-	_EventName_2[16:28]:        ListEmptied,
 	_EventLowerName_2[16:28]:   ListEmptied,
-	_EventName_2[28:41]:        ServerLeaves,
 	_EventLowerName_2[28:41]:   ServerLeaves,
-	_EventName_2[41:56]:        ServerReturned,
 	_EventLowerName_2[41:56]:   ServerReturned,
-	_EventName_2[56:70]:        ServerAvoided,
 	_EventLowerName_2[56:70]:   ServerAvoided,
-	_EventName_2[70:82]:        StreamMoved,
 	_EventLowerName_2[70:82]:   StreamMoved,
-	_EventName_2[82:95]:        TokenDropped,
 	_EventLowerName_2[82:95]:   TokenDropped,
-	_EventName_2[95:109]:       ServerStalled,
 	_EventLowerName_2[95:109]:  ServerStalled,
-	_EventName_2[109:126]:      MemberUnreadable,
 	_EventLowerName_2[109:126]: MemberUnreadable,
-	_EventName_2[126:137]:      ServerSeen,
 	_EventLowerName_2[126:137]: ServerSeen,
-	_EventName_2[137:148]:      ServerGone,
 	_EventLowerName_2[137:148]: ServerGone,
-	_EventName_2[148:167]:      ServerSaidLeaving,
 	_EventLowerName_2[148:167]: ServerSaidLeaving,
-	_EventName_2[167:180]:      ServerPaused,
 	_EventLowerName_2[167:180]: ServerPaused,
-	_EventName_2[180:197]:      ServerEntryHeld,
 	_EventLowerName_2[180:197]: ServerEntryHeld,
-	_EventName_2[197:211]:      PartSuspected,
 	_EventLowerName_2[197:211]: PartSuspected,
-	_EventName_2[211:223]:      PartBlocked,
 	_EventLowerName_2[211:223]: PartBlocked,
-	_EventName_2[223:237]:      PartUnblocked,
 	_EventLowerName_2[223:237]: PartUnblocked,
-	_EventName_2[237:254]:      BlocksUnreadable,
 	_EventLowerName_2[237:254]: BlocksUnreadable,
-	_EventName_2[254:270]:      FleetUnreadable,
 	_EventLowerName_2[254:270]: FleetUnreadable,
-	_EventName_2[270:286]:      ValueNotStored,
 	_EventLowerName_2[270:286]: ValueNotStored,
-	_EventName_3[0:11]:         ShardOwned,
+	_EventLowerName_2[286:300]: ServerLimited,
+	_EventLowerName_2[300:314]: HeaderInvalid,
 	_EventLowerName_3[0:11]:    ShardOwned,
-	_EventName_3[11:21]:        ShardLost,
 	_EventLowerName_3[11:21]:   ShardLost,
-	_EventName_3[21:35]:        ShardReleased,
 	_EventLowerName_3[21:35]:   ShardReleased,
-	_EventName_3[35:45]:        ShardFull,
 	_EventLowerName_3[35:45]:   ShardFull,
-	_EventName_3[45:58]:        ShardCorrupt,
 	_EventLowerName_3[45:58]:   ShardCorrupt,
-	_EventName_3[58:68]:        StoreDown,
 	_EventLowerName_3[58:68]:   StoreDown,
-	_EventName_3[68:76]:        StoreUp,
 	_EventLowerName_3[68:76]:   StoreUp,
-	_EventName_3[76:87]:        OrderGiven,
 	_EventLowerName_3[76:87]:   OrderGiven,
-	_EventName_3[87:99]:        OrderFailed,
 	_EventLowerName_3[87:99]:   OrderFailed,
-	_EventName_3[99:109]:       DutyOwned,
 	_EventLowerName_3[99:109]:  DutyOwned,
-	_EventName_3[109:118]:      DutyLost,
 	_EventLowerName_3[109:118]: DutyLost,
-	_EventName_3[118:132]:      StoreRestored,
 	_EventLowerName_3[118:132]: StoreRestored,
-	_EventName_4[0:16]:         PeerUnreachable,
 	_EventLowerName_4[0:16]:    PeerUnreachable,
-	_EventName_5[0:14]:         RequestFailed,
 	_EventLowerName_5[0:14]:    RequestFailed,
-	_EventName_5[14:28]:        RequestServed,
 	_EventLowerName_5[14:28]:   RequestServed,
-	_EventName_5[28:44]:        RequestRepeated,
 	_EventLowerName_5[28:44]:   RequestRepeated,
-	_EventName_5[44:57]:        StreamOpened,
 	_EventLowerName_5[44:57]:   StreamOpened,
-	_EventName_5[57:70]:        StreamFailed,
 	_EventLowerName_5[57:70]:   StreamFailed,
-	_EventName_5[70:82]:        RequestSent,
 	_EventLowerName_5[70:82]:   RequestSent,
-	_EventName_5[82:96]:        StreamStalled,
 	_EventLowerName_5[82:96]:   StreamStalled,
 }
 
@@ -259,6 +268,8 @@
 	_EventName_2[237:254],
 	_EventName_2[254:270],
 	_EventName_2[270:286],
+	_EventName_2[286:300],
+	_EventName_2[300:314],
 	_EventName_3[0:11],
 	_EventName_3[11:21],
 	_EventName_3[21:35],
@@ -288,7 +299,7 @@
 		return val, nil
 	}
 
-	if val, ok := _EventNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _EventLowerNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to Event values", s)
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -87,6 +87,10 @@
 	FleetUnreadable Event = 318
 	// ValueNotStored means that a value for daemons that start was not written, or not surely.
 	ValueNotStored Event = 319
+	// ServerLimited means that a server named a limit for requests, or none any more.
+	ServerLimited Event = 320
+	// HeaderInvalid means that a server's answer had a header that cannot be used.
+	HeaderInvalid Event = 321
 	// ShardOwned means that this daemon became the owner of a journal shard.
 	ShardOwned Event = 400
 	// ShardLost means that this daemon lost the ownership of a shard.
