Share the limits that servers name out among all daemons by demand

Callers saw nothing at first: a server in need that named how many requests a second it takes got as many as before, 151 in 4 s where 100 were allowed. Cause: the header was passed on and not read, so no daemon heeded it; had each heeded it alone, the sum would have been as many times the limit as there are daemons. Class: a limit of the whole fleet that every member has to keep without knowing what the others do.

Change: internal/core/limit. Each daemon reports what servers said with its age, and how many requests a second it would send there. The daemon that the others exchange their state with grants whole requests in proportion to this demand, never more in all than the part of the daemons that report to it; fractions are carried over, so one request a second can be shared by 390 daemons. A daemon that gets no shares for a second uses half of an even part, at moments of its own. Routes begin elsewhere, or the request is refused as not run, each caller with another time to come back. The latest statement counts; an answer without a limit ends it.

Evidence: TestEdgeServerLimits failed with 44 to 88 requests in 4 s (allowed 11 and 20), now 0 to 7. All tests and the linter pass.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -22,6 +22,7 @@
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/elect"
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/relay"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/internal/core/roster"
@@ -160,6 +161,8 @@
 	// loadBoard holds the load in progress of all daemons, while this daemon is the hub;
 	// guarded by mu.
 	loadBoard *board.State
+	// limits shares out the limits of servers, while this daemon is the hub; guarded by mu.
+	limits *limit.Allocator
 }
 
 // EdgeDaemonOption configures an EdgeDaemon.
@@ -179,7 +182,7 @@
 	}
 	d := &EdgeDaemon{
 		deps: deps, vm: vm, store: platform.NewStoreClient(vm.StoreAddress), processID: processID,
-		roster: roster.New(entryExpiryBeats*vm.HeartbeatInterval+entryExpiryMargin, lapsedEntryHold), loadBoard: board.New(), daemonCount: 1, shutdownDelay: edgeShutdownDelay,
+		roster: roster.New(entryExpiryBeats*vm.HeartbeatInterval+entryExpiryMargin, lapsedEntryHold), loadBoard: board.New(), limits: limit.NewAllocator(base), daemonCount: 1, shutdownDelay: edgeShutdownDelay,
 	}
 	d.engines = platform.NewEngineClient(platform.WithObserver(d))
 	for _, opt := range opts {
@@ -187,7 +190,7 @@
 	}
 	budget := func() *retry.Budget { return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow) }
 	d.streams = drive.NewStreamExecutor(deps.Log, d.engines, base,
-		core.WithPicker(route.NewChains(vm.Zone, base)), core.WithBudget(budget()), core.WithStallCheck())
+		core.WithPicker(route.NewChains(vm.Zone, base)), core.WithBudget(budget()), core.WithStallCheck(), core.WithLimitSeed(base))
 	d.burnRecorder = burn.NewRecorder(d.burnLimits)
 	d.edge = drive.NewEdge(deps.Log, d.streams, d.engines, relay.New(vm.Zone, budget(), base), base, d.burnRecorder)
 	d.feed = drive.NewStoreMirror(deps.Log, d.store, d, d.applyStoreChanges)
--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -34,8 +34,7 @@
 		d.deps.Log.Info(evlog.PeerUnreachable, "peer", hub, "error", hubErrorText(err))
 		return mirror.Delta{}, 0, false
 	}
-	d.streams.SetOthers(answer.Hub.Others)
-	d.serversLeave(answer.Hub.Others.Leaving, hub)
+	d.applyOthers(answer.Hub.Others, hub)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(answer.Hub.Peers) > 0 {
@@ -45,6 +44,13 @@
 	return answer.Hub.Delta, answer.Hub.Age, true
 }
 
+// applyOthers takes over what the other daemons reported. source is logged.
+func (d *EdgeDaemon) applyOthers(others board.View, source string) {
+	d.streams.SetOthers(others)
+	d.edge.ApplyLimits(others.Limits)
+	d.serversLeave(others.Leaving, source)
+}
+
 // hubErrorText returns the log text of a failed hub request; err is nil if the answer has no
 // hub data.
 func hubErrorText(err error) string {
@@ -126,6 +132,7 @@
 	var load board.DaemonStatus
 	d.streams.View(func(c *core.Core) { load = c.DaemonStatus(time.Now()) })
 	load.Address = d.vm.PeersAddress
+	load.Limits = append(load.Limits, d.edge.LimitReports(time.Now())...)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	load.Leaving = d.roster.SaidLeaving()
@@ -138,8 +145,7 @@
 		return
 	}
 	answer := d.exchangeLoad(model.DaemonID(d.vm.VMName), d.ownLoad())
-	d.streams.SetOthers(answer.Others)
-	d.serversLeave(answer.Others.Leaving, "other daemons")
+	d.applyOthers(answer.Others, "other daemons")
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers = answer.Peers
@@ -149,12 +155,16 @@
 // exchangeLoad records the load of one daemon and returns the load of the others.
 func (d *EdgeDaemon) exchangeLoad(from model.DaemonID, load board.DaemonStatus) peer.HubAnswer {
 	moving := d.duty.ReplacingLayers()
+	sharing := 1
+	d.streams.View(func(c *core.Core) { sharing = max(1, c.BudgetDaemons()) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.loadBoard.Put(now, from, load)
 	others := d.loadBoard.Others(now, from)
 	others.ReplacingLayers = moving
+	reporting := float64(d.loadBoard.Daemons(now)) / float64(sharing)
+	others.Limits = d.limits.Exchange(now, from, load.Limits, min(1, reporting))
 	return peer.HubAnswer{
 		Others: others, Daemons: d.loadBoard.Daemons(now), Peers: d.loadBoard.Peers(from, maxPeersPerAnswer),
 	}
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/crash"
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -64,6 +65,8 @@
 	Full []model.ServerID `cbor:"5,keyasint,omitempty"`
 	// Leaving are the servers whose answers said that they will stop.
 	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
+	// Limits are the limits that servers named, and the daemon's demand for these servers.
+	Limits []limit.Report `cbor:"7,keyasint,omitempty"`
 	PromptParts
 }
 
@@ -88,6 +91,8 @@
 	Full []model.ServerID `cbor:"5,keyasint,omitempty"`
 	// Leaving are the servers that told any daemon that they will stop.
 	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
+	// Limits are the daemon's shares of the limits that servers named.
+	Limits []limit.Grant `cbor:"7,keyasint,omitempty"`
 	// PromptParts is the union over all daemons.
 	PromptParts
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/admit"
 	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/drain"
+	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/recov"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
@@ -78,6 +79,11 @@
 // engines must answer.
 func WithStallCheck() Option { return func(c *Core) { c.stall = stall.New() } }
 
+// WithLimitSeed seeds the times of this daemon's requests to servers with limits.
+func WithLimitSeed(seed uint64) Option {
+	return func(c *Core) { c.servers.Limits = limit.New(seed) }
+}
+
 // New returns a core without servers and settings.
 func New(opts ...Option) *Core {
 	c := &Core{
@@ -129,11 +135,7 @@
 			out.Notify(msgs.Notice{Kind: msgs.ServerPaused, Server: p.Server, Detail: until.Sub(now).String()})
 		}
 	}
-	for _, s := range in.Limits {
-		if c.servers.Get(s.Server) != nil && c.servers.Limits.Record(now, s) {
-			out.Notify(msgs.Notice{Kind: msgs.ServerLimited, Server: s.Server, Detail: s.String()})
-		}
-	}
+	c.applyLimits(now, in, out)
 	for _, r := range in.Reports {
 		c.drain.ApplyReport(now, r, c.servers, out)
 	}
@@ -147,6 +149,7 @@
 	if in.BudgetDaemons > 0 && c.budget != nil {
 		c.budget.SetDaemons(now, in.BudgetDaemons)
 	}
+	c.servers.Limits.SetDaemons(max(c.daemons, c.BudgetDaemons()))
 	if !in.OthersUntil.IsZero() {
 		c.servers.SetOthers(in.OthersUntil, in.Others)
 		c.servers.Avoid(now.Add(layerChangeHold), in.Others.ReplacingLayers)
@@ -193,7 +196,11 @@
 		if c.budget != nil {
 			c.budget.CountRequest(now, a.Model)
 		}
-		if f := c.refuseBlocked(now, a); f != nil {
+		f := c.refuseBlocked(now, a)
+		if f == nil {
+			f = c.refuseLimited(now, a)
+		}
+		if f != nil {
 			out.Finishes = append(out.Finishes, msgs.Finish{Request: a.ID, Failure: f})
 			continue
 		}
@@ -219,6 +226,10 @@
 				c.requests.Postpone(r)
 				continue
 			}
+			if ids := c.servers.LimitedFirst(now, r.Model); r.Phase == table.Queued && c.admit.Queues[r.Model].Limited && len(ids) > 0 {
+				c.failLimited(now, r, ids, out)
+				continue
+			}
 			c.giveUp(now, r, verdt.Overloaded, "the first token would come too late", out)
 			continue
 		}
@@ -297,8 +308,12 @@
 	if len(c.requests.Rerouting) > 0 {
 		for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
 			if r := c.requests.Get(id); !now.Before(r.TryAt) || r.TriedVersion != c.servers.Version {
-				if c.startRequest(now, r, c.models[r.Model], out) == route.Paused {
+				switch c.startRequest(now, r, c.models[r.Model], out) {
+				case route.Paused:
 					c.failIfPausedBeyond(now, r, r.RerouteUntil, out)
+				case route.Limited:
+					c.failIfLimitedBeyond(now, r, r.RerouteUntil, out)
+				case route.Found, route.Busy, route.NoChain:
 				}
 			} else {
 				c.blocked = true
@@ -316,6 +331,7 @@
 	for q.Length > 0 {
 		r := c.requests.Get(q.Head())
 		result := c.startRequest(now, r, layers, out)
+		q.Limited = result == route.Limited
 		switch result {
 		case route.Found:
 			q.Outage = false
@@ -328,6 +344,11 @@
 			if !c.failIfPausedBeyond(now, r, r.QueueUntil, out) {
 				return
 			}
+		case route.Limited:
+			q.Outage = false
+			if !c.failIfLimitedBeyond(now, r, r.QueueUntil, out) {
+				return
+			}
 		}
 	}
 }
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -313,6 +313,8 @@
 	r.Route, r.Trail = chain, model.TrailOf(chain)
 	r.LastObservedAt, r.LastActivityAt, r.OpenedFrom = time.Time{}, now, r.Next
 	r.Gap = 0
+	r.LimitDemandCounted = false
+	t.Servers.Limits.Take(now, chain.Hops[0].Server)
 	t.Servers.Reserve(r, chain)
 	t.Servers.RecordTransfer(now, r, chain)
 	out.Opens = append(out.Opens, msgs.Open{Request: r.ID, Epoch: r.Epoch, Route: chain, From: r.Next, Priority: r.Priority})
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -90,7 +90,7 @@
 
 // New returns a state without servers.
 func New(zone string, budget *retry.Budget, seed uint64) *State {
-	return &State{Zone: zone, budget: budget, servers: map[string]*server{}, limits: limit.New(), rng: rand.New(rand.NewPCG(seed, 1))}
+	return &State{Zone: zone, budget: budget, servers: map[string]*server{}, limits: limit.New(seed), rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // RetainServers removes the servers whose IDs are not in ids.
@@ -98,6 +98,7 @@
 	for id := range st.servers {
 		if !ids[id] {
 			delete(st.servers, id)
+			st.limits.Forget(model.ServerID(id))
 		}
 	}
 }
@@ -111,8 +112,11 @@
 	st.servers[m.ID] = &server{member: m, successRate: 1}
 }
 
-// SetDaemons sets how many daemons share the retry budget.
-func (st *State) SetDaemons(now time.Time, n int) { st.budget.SetDaemons(now, n) }
+// SetDaemons sets how many daemons share the retry budget and the servers' limits.
+func (st *State) SetDaemons(now time.Time, n int) {
+	st.budget.SetDaemons(now, n)
+	st.limits.SetDaemons(st.budget.Daemons())
+}
 
 // CountRequest counts a new request towards the retry budget.
 func (st *State) CountRequest(now time.Time, r *Request) { st.budget.CountRequest(now, r.Service) }
@@ -123,7 +127,13 @@
 	if !now.Before(r.Deadline) {
 		return Attempt{}, verdt.New(r.Verdict, verdt.DeadlinePassed, "the deadline passed")
 	}
-	best := st.chooseServer(now, r)
+	best, wanted := st.chooseServer(now, r)
+	for _, s := range wanted {
+		st.limits.Want(now, s.id())
+	}
+	if best == nil && len(wanted) > 0 {
+		return Attempt{}, verdt.New(r.Verdict, verdt.Overloaded, "all backend servers of the service are at the limit that they named", verdt.RetryAt(st.RetryAt(now, r.Service)))
+	}
 	if best == nil {
 		return Attempt{}, verdt.New(r.Verdict, verdt.NoRoute, "no backend server of the service takes requests", verdt.RetryAt(st.RetryAt(now, r.Service)))
 	}
@@ -133,6 +143,7 @@
 	r.Attempts++
 	r.Tried = append(r.Tried, best.member.ID)
 	best.inFlight++
+	st.limits.Take(now, best.id())
 	return Attempt{Server: best.member, Began: now, InProgress: best.inFlight - 1}, nil
 }
 
@@ -141,7 +152,7 @@
 	if r.Attempts >= r.MaxAttempts || !st.budget.HasRoom(now, r.Service, 1) {
 		return false
 	}
-	s := st.chooseServer(now, r)
+	s, _ := st.chooseServer(now, r)
 	return s != nil && !slices.Contains(r.Tried, s.member.ID)
 }
 
@@ -158,12 +169,26 @@
 // of its live servers takes requests again.
 func (st *State) RetryAt(now time.Time, service string) time.Time {
 	var next time.Time
+	var limited []model.ServerID
 	for _, s := range st.servers {
-		if s.member.Service == service && s.member.State == model.Live && (next.IsZero() || s.pausedUntil.Before(next)) {
+		if s.member.Service != service || s.member.State != model.Live {
+			continue
+		}
+		if !now.Before(s.pausedUntil) && !st.limits.HasRoom(now, s.id()) {
+			limited = append(limited, s.id())
+			continue
+		}
+		if next.IsZero() || s.pausedUntil.Before(next) {
 			next = s.pausedUntil
 		}
 	}
-	if soonest := now.Add(retryDelay); next.Before(soonest) {
+	soonest := now.Add(retryDelay)
+	if len(limited) > 0 && (next.IsZero() || next.After(soonest)) {
+		if at := st.limits.RetryAt(now, service, limited); next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if next.Before(soonest) {
 		return soonest
 	}
 	return next
@@ -186,14 +211,24 @@
 }
 
 // Limited returns the number of servers with a limit in force.
-func (st *State) Limited() int { return st.limits.Limited() }
+func (st *State) Limited() int { return st.limits.Count() }
+
+// LimitReports returns what this daemon tells the others about the limits of servers.
+func (st *State) LimitReports(now time.Time) []limit.Report { return st.limits.Reports(now) }
+
+// ApplyLimits applies this daemon's shares of limits and what servers said to the others, and returns the
+// statements that are news.
+func (st *State) ApplyLimits(now time.Time, grants []limit.Grant) []limit.Statement {
+	return st.limits.Apply(now, grants, func(id model.ServerID) bool { return st.servers[string(id)] != nil })
+}
 
-// chooseServer returns the live server of the service with the lowest cost, or nil.
-// Paused servers are left out. Servers that are in cooldown come after the others, and servers
-// that were tried before come last.
-func (st *State) chooseServer(now time.Time, r *Request) *server {
-	var best *server
-	lowestCost := math.Inf(1)
+// chooseServer returns the live server of the service with the lowest cost, or nil, and the servers with
+// limits for which there is demand. Paused servers and those whose limits allow no request now are left out.
+// Servers that are in cooldown come after the others, and servers that were tried before come last.
+func (st *State) chooseServer(now time.Time, r *Request) (best *server, wanted []*server) {
+	lowestCost, lowestLimitedCost := math.Inf(1), math.Inf(1)
+	var limited []*server
+	var cheapestLimited *server
 	for _, s := range st.servers {
 		if s.member.Service != r.Service || s.member.State != model.Live || now.Before(s.pausedUntil) {
 			continue
@@ -207,13 +242,28 @@
 				cost += 1e12
 			}
 		}
-		if cost < lowestCost {
+		if st.limits.Limited(s.id()) {
+			limited = append(limited, s)
+			if cost < lowestLimitedCost {
+				cheapestLimited, lowestLimitedCost = s, cost
+			}
+		}
+		if cost < lowestCost && st.limits.HasRoom(now, s.id()) {
 			best, lowestCost = s, cost
 		}
 	}
-	return best
+	switch {
+	case best == nil:
+		return nil, limited
+	case lowestLimitedCost <= lowestCost:
+		return best, []*server{cheapestLimited}
+	}
+	return best, nil
 }
 
+// id returns the ID of a server.
+func (s *server) id() model.ServerID { return model.ServerID(s.member.ID) }
+
 // estimatedCost estimates the time to a successful response. Jitter of 5 % keeps daemons
 // with the same view from choosing the same server.
 func (st *State) estimatedCost(s *server) float64 {
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -96,38 +96,69 @@
 	for range c.usable {
 		c.jitter = append(c.jitter, 1+costJitter*(2*c.rng.Float64()-1))
 	}
-	if route, ok := c.search(now, servers, q, withRoom); ok {
-		return route, Found
+	if route, ok := c.search(now, servers, q, requirements{room: true, pauses: true}); ok {
+		return c.pickWithinLimits(now, servers, q, route)
 	}
-	if _, ok := c.search(now, servers, q, notPaused); ok {
+	if _, ok := c.search(now, servers, q, requirements{pauses: true}); ok {
 		return model.Route{}, Busy
 	}
-	if _, ok := c.search(now, servers, q, anyUsable); ok {
+	if _, ok := c.search(now, servers, q, requirements{}); ok {
 		return model.Route{}, Paused
 	}
 	return model.Route{}, NoChain
 }
 
-//go:generate enumer -type=filter -transform=snake -output=filter_enumer.go
+// pickWithinLimits returns the cheapest route, or another one if its first server's limit allows no more
+// requests of this daemon.
+func (c *Chains) pickWithinLimits(now time.Time, servers *table.Servers, q Query, cheapest model.Route) (model.Route, Result) {
+	first := cheapest.Hops[0].Server
+	c.countDemand(now, servers, q, first)
+	if servers.Limits.HasRoom(now, first) {
+		return cheapest, Found
+	}
+	if route, ok := c.search(now, servers, q, requirements{room: true, pauses: true, limits: true}); ok {
+		c.countDemand(now, servers, q, route.Hops[0].Server)
+		return route, Found
+	}
+	for _, s := range c.usable {
+		if s.Report.Span.From == 0 && s.ID != first && allowed(q, s.ID, 0) {
+			c.countDemand(now, servers, q, s.ID)
+		}
+	}
+	q.Request.LimitDemandCounted = true
+	if _, ok := c.search(now, servers, q, requirements{pauses: true, limits: true}); ok {
+		return model.Route{}, Busy
+	}
+	return model.Route{}, Limited
+}
 
-// filter selects the servers and pipes that a search may use.
-type filter uint8
+// countDemand counts a request in the demand for a server with a limit, unless it was counted in an
+// earlier search for the same stream.
+func (c *Chains) countDemand(now time.Time, servers *table.Servers, q Query, id model.ServerID) {
+	if !q.Request.LimitDemandCounted {
+		servers.Limits.Want(now, id)
+	}
+}
 
-const (
-	// withRoom selects servers and pipes with room for the request.
-	withRoom filter = iota
-	// notPaused selects all usable servers that did not ask for a pause.
-	notPaused
-	// anyUsable selects all usable servers.
-	anyUsable
-)
+// requirements are what servers and pipes must meet for a search to use them.
+type requirements struct {
+	// room is set if they must have room for the request.
+	room bool
+	// pauses is set if servers must not have asked for a pause.
+	pauses bool
+	// limits is set if the limit of the first server must allow the request.
+	limits bool
+}
 
-// admits reports whether a filter admits a server.
-func (c *Chains) admits(now time.Time, f filter, s *table.Server, daemons int, tokens float64) bool {
-	if f != anyUsable && now.Before(s.PausedUntil) {
+// admits reports whether a server meets the requirements for a stage that starts at a layer.
+func (c *Chains) admits(now time.Time, servers *table.Servers, need requirements, s *table.Server, layer, daemons int, tokens float64) bool {
+	switch {
+	case need.pauses && now.Before(s.PausedUntil):
+		return false
+	case need.limits && layer == 0 && !servers.Limits.HasRoom(now, s.ID):
 		return false
 	}
-	return f != withRoom || c.hasRoom(now, s, daemons, tokens)
+	return !need.room || c.hasRoom(now, s, daemons, tokens)
 }
 
 // refresh updates the usable servers of a model if the server table changed or an
@@ -156,11 +187,11 @@
 
 // search finds the cheapest chain by dynamic programming over the layers, in ascending
 // order so that each is visited once, and the zones.
-func (c *Chains) search(now time.Time, servers *table.Servers, q Query, f filter) (model.Route, bool) {
+func (c *Chains) search(now time.Time, servers *table.Servers, q Query, need requirements) (model.Route, bool) {
 	zones := c.zones()
 	layers := max(1, q.Layers)
 	tokens := q.Request.Tokens(usualAnswerTokens)
-	pipeOpen := c.findOpenPipes(now, servers, zones, tokens, q.Daemons, f == withRoom)
+	pipeOpen := c.findOpenPipes(now, servers, zones, tokens, q.Daemons, need.room)
 	best := make([][]partialChain, layers+1)
 	for i := range best {
 		best[i] = make([]partialChain, len(zones))
@@ -171,7 +202,7 @@
 	for layer := range layers {
 		for i, s := range c.usable {
 			span := s.Report.Span
-			if span.From > layer || span.To <= layer || span.To > layers || !c.admits(now, f, s, q.Daemons, float64(tokens)) ||
+			if span.From > layer || span.To <= layer || span.To > layers || !c.admits(now, servers, need, s, layer, q.Daemons, float64(tokens)) ||
 				!allowed(q, s.ID, layer) {
 				continue
 			}
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -22,6 +22,9 @@
 	// Paused means that chains exist, but only over servers that asked this daemon for a
 	// pause.
 	Paused
+	// Limited means that chains with room exist, but only from first servers whose limits allow no
+	// more requests of this daemon now.
+	Limited
 )
 
 // Query holds the parameters of Picker.Pick.
--- a/internal/core/route/result_enumer.go
+++ b/internal/core/route/result_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ResultName = "foundbusyno_chainpaused"
+const _ResultName = "foundbusyno_chainpausedlimited"
 
-var _ResultIndex = [...]uint8{0, 5, 9, 17, 23}
+var _ResultIndex = [...]uint8{0, 5, 9, 17, 23, 30}
 
-const _ResultLowerName = "foundbusyno_chainpaused"
+const _ResultLowerName = "foundbusyno_chainpausedlimited"
 
 func (i Result) String() string {
 	if i >= Result(len(_ResultIndex)-1) {
@@ -24,23 +24,29 @@
 // Re-run the stringer command to generate them again.
 func _ResultNoOp() {
 	var x [1]struct{}
-	_ = x[Found-(0)]
-	_ = x[Busy-(1)]
-	_ = x[NoChain-(2)]
-	_ = x[Paused-(3)]
+	_ = x[Found-0]
+	_ = x[Busy-1]
+	_ = x[NoChain-2]
+	_ = x[Paused-3]
+	_ = x[Limited-4]
 }
 
-var _ResultValues = []Result{Found, Busy, NoChain, Paused}
+var _ResultValues = []Result{Found, Busy, NoChain, Paused, Limited}
 
 var _ResultNameToValueMap = map[string]Result{
-	_ResultName[0:5]:        Found,
+	_ResultName[0:5]:   Found,
+	_ResultName[5:9]:   Busy,
+	_ResultName[9:17]:  NoChain,
+	_ResultName[17:23]: Paused,
+	_ResultName[23:30]: Limited,
+}
+
+var _ResultLowerNameToValueMap = map[string]Result{
 	_ResultLowerName[0:5]:   Found,
-	_ResultName[5:9]:        Busy,
 	_ResultLowerName[5:9]:   Busy,
-	_ResultName[9:17]:       NoChain,
 	_ResultLowerName[9:17]:  NoChain,
-	_ResultName[17:23]:      Paused,
 	_ResultLowerName[17:23]: Paused,
+	_ResultLowerName[23:30]: Limited,
 }
 
 var _ResultNames = []string{
@@ -48,6 +54,7 @@
 	_ResultName[5:9],
 	_ResultName[9:17],
 	_ResultName[17:23],
+	_ResultName[23:30],
 }
 
 // ResultString retrieves an enum value from the enum constants string name.
@@ -57,7 +64,7 @@
 		return val, nil
 	}
 
-	if val, ok := _ResultNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _ResultLowerNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to Result values", s)
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -16,7 +16,7 @@
 func (c *Core) DaemonStatus(now time.Time) board.DaemonStatus {
 	return board.DaemonStatus{
 		Loads: c.servers.Loads(), Suspects: c.servers.Suspects(now), Pipes: c.servers.Pipes.Sent(now),
-		Full: c.servers.Declined(now.Add(-sharedFullDuration)), PromptParts: c.promptParts(now),
+		Full: c.servers.Declined(now.Add(-sharedFullDuration)), PromptParts: c.promptParts(now), Limits: c.servers.Limits.Reports(now),
 	}
 }
 
@@ -35,7 +35,7 @@
 }
 
 // LimitedServers returns the number of model engines with a limit in force.
-func (c *Core) LimitedServers() int { return c.servers.Limits.Limited() }
+func (c *Core) LimitedServers() int { return c.servers.Limits.Count() }
 
 // InProgress returns the number of requests in progress, including waiting ones.
 func (c *Core) InProgress() int { return c.requests.Len() }
--- a/internal/core/table/queue.go
+++ b/internal/core/table/queue.go
@@ -24,8 +24,10 @@
 // Queue holds the requests that wait for one model, and shares the model's capacity
 // between teams by start-time fair queueing (SFQ).
 type Queue struct {
-	teams map[model.Team]*TeamQueue
-	heap  *Heap[*TeamQueue]
+	// Limited is set if the first request waits for a server whose limit allows no more requests now.
+	Limited bool
+	teams   map[model.Team]*TeamQueue
+	heap    *Heap[*TeamQueue]
 	// sweepAt is the number of teams at which idle ones are removed.
 	sweepAt int
 	// virtualTime is the Start of the request dispatched last. It never decreases.
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -93,6 +93,9 @@
 	OutputSince time.Time
 	// Crashes counts the engines that ended when they began the request's answer.
 	Crashes int
+	// LimitDemandCounted is set once the request was counted in the demand for servers with limits,
+	// while it waits for a route.
+	LimitDemandCounted bool
 	// Priority and MaxRecoveries are the team's policy as of the request's arrival.
 	Priority      int
 	MaxRecoveries int
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -175,6 +175,17 @@
 	return next
 }
 
+// LimitedFirst returns the usable servers of a model with limits that may be the first of a route.
+func (t *Servers) LimitedFirst(now time.Time, modelName string) []model.ServerID {
+	var ids []model.ServerID
+	for id, s := range t.rows {
+		if s.Report.Model == modelName && s.Report.Span.From == 0 && s.Usable(now) && t.Limits.Limited(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Suspects returns the servers that this daemon suspects to be dead, sorted.
 func (t *Servers) Suspects(now time.Time) []model.ServerID {
 	var ids []model.ServerID
@@ -199,7 +210,7 @@
 
 // NewServers returns an empty table.
 func NewServers() *Servers {
-	return &Servers{rows: map[model.ServerID]*Server{}, Limits: limit.New()}
+	return &Servers{rows: map[model.ServerID]*Server{}, Limits: limit.New(1)}
 }
 
 // Get returns a row, or nil if there is none.
@@ -219,6 +230,7 @@
 func (t *Servers) Remove(id model.ServerID) {
 	if s := t.rows[id]; s != nil && len(s.Users) == 0 {
 		delete(t.rows, id)
+		t.Limits.Forget(id)
 		t.Version++
 	}
 }
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -125,6 +125,25 @@
 	}
 }
 
+// LimitReports returns what this daemon tells the others about the limits of backend servers of plain
+// services.
+func (e *Edge) LimitReports(now time.Time) []limit.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.relayState.LimitReports(now)
+}
+
+// ApplyLimits applies this daemon's shares of limits and what servers said to other daemons.
+func (e *Edge) ApplyLimits(grants []limit.Grant) {
+	now := time.Now()
+	e.mu.Lock()
+	news := e.relayState.ApplyLimits(now, grants)
+	e.mu.Unlock()
+	for _, said := range news {
+		e.log.Info(evlog.ServerLimited, "server", said.Server, "detail", said.String()+", said to another daemon")
+	}
+}
+
 // LimitedServers returns the number of backend servers of plain services with a limit in force.
 func (e *Edge) LimitedServers() int {
 	e.mu.Lock()
