Let the evidence on crashing prompt parts serve other kinds of keys

Cause: whole requests that crash servers need the same evidence, exchange and blocks as prompt parts, with other counts. Change: crash.Policy holds what differs, the board sums any crash.Report in one type, and a daemon drops its own evidence once it knows the part as sound, as reports would grow with each request that an ended engine ran. No decision on prompt parts changes.

--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -68,6 +68,7 @@
 	// Limits are the limits that servers named, and the daemon's demand for these servers.
 	Limits []limit.Report `cbor:"7,keyasint,omitempty"`
 	PromptParts
+	RequestCrashes
 }
 
 // PromptParts is what one or more daemons know about prompt parts that crash engines; see
@@ -78,6 +79,50 @@
 	BlockedParts  []crash.Block    `cbor:"18,keyasint,omitempty"`
 }
 
+// Report returns what the daemons know, as a report.
+func (p PromptParts) Report() crash.Report {
+	return crash.Report{Evidence: p.CrashEvidence, Sound: p.SoundParts, Blocks: p.BlockedParts}
+}
+
+// PromptPartsOf returns the content of a report.
+func PromptPartsOf(r crash.Report) PromptParts {
+	return PromptParts{CrashEvidence: r.Evidence, SoundParts: r.Sound, BlockedParts: r.Blocks}
+}
+
+// RequestCrashes is what one or more daemons know about whole requests that crash servers; see
+// crash.Report.
+type RequestCrashes struct {
+	// ModelRequests are requests to model engines, PlainRequests those to plain services.
+	ModelRequests crash.Report `cbor:"19,keyasint,omitzero"`
+	PlainRequests crash.Report `cbor:"20,keyasint,omitzero"`
+}
+
+// crashSums counts the daemons that report each entry.
+type crashSums struct {
+	evidence map[crash.Evidence]int
+	sound    map[uint64]int
+	blocks   map[crash.Block]int
+}
+
+func newCrashSums() crashSums {
+	return crashSums{evidence: map[crash.Evidence]int{}, sound: map[uint64]int{}, blocks: map[crash.Block]int{}}
+}
+
+// add adds a report if sign is 1, or subtracts it if sign is -1.
+func (c crashSums) add(r crash.Report, sign int) {
+	addToCounts(c.evidence, r.Evidence, sign)
+	addToCounts(c.sound, r.Sound, sign)
+	addToCounts(c.blocks, r.Blocks, sign)
+}
+
+// union returns what any daemon reported, sorted.
+func (c crashSums) union() crash.Report {
+	return crash.Report{
+		Evidence: slices.SortedFunc(maps.Keys(c.evidence), crash.Evidence.Compare), Sound: slices.Sorted(maps.Keys(c.sound)),
+		Blocks: slices.SortedFunc(maps.Keys(c.blocks), crash.Block.Compare),
+	}
+}
+
 // View is the summary of the other daemons' reports that a daemon gets.
 type View struct {
 	Loads []Load     `cbor:"1,keyasint,omitempty"`
@@ -93,8 +138,9 @@
 	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
 	// Limits are the daemon's shares of the limits that servers named.
 	Limits []limit.Grant `cbor:"7,keyasint,omitempty"`
-	// PromptParts is the union over all daemons.
+	// PromptParts and RequestCrashes are the unions over all daemons.
 	PromptParts
+	RequestCrashes
 }
 
 // daemonReport is a daemon's last report and when it expires.
@@ -108,15 +154,12 @@
 	reports map[model.DaemonID]daemonReport
 	// loads, pipes, suspects, full and leaving are the sums over reports, without zero
 	// entries.
-	loads    map[model.ServerID]Load
-	pipes    map[Pipe]int
-	suspects map[model.ServerID]int
-	full     map[model.ServerID]int
-	leaving  map[model.ServerID]int
-	// crashEvidence, soundParts and blockedParts count the daemons that report each entry.
-	crashEvidence map[crash.Evidence]int
-	soundParts    map[uint64]int
-	blockedParts  map[crash.Block]int
+	loads                                     map[model.ServerID]Load
+	pipes                                     map[Pipe]int
+	suspects                                  map[model.ServerID]int
+	full                                      map[model.ServerID]int
+	leaving                                   map[model.ServerID]int
+	promptParts, modelRequests, plainRequests crashSums
 	// daemons holds the keys of reports, sorted.
 	daemons   []model.DaemonID
 	nextSweep time.Time
@@ -128,7 +171,7 @@
 func New() *State {
 	return &State{
 		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{}, leaving: map[model.ServerID]int{},
-		crashEvidence: map[crash.Evidence]int{}, soundParts: map[uint64]int{}, blockedParts: map[crash.Block]int{},
+		promptParts: newCrashSums(), modelRequests: newCrashSums(), plainRequests: newCrashSums(),
 	}
 }
 
@@ -162,9 +205,9 @@
 	addToCounts(st.suspects, status.Suspects, sign)
 	addToCounts(st.full, status.Full, sign)
 	addToCounts(st.leaving, status.Leaving, sign)
-	addToCounts(st.crashEvidence, status.CrashEvidence, sign)
-	addToCounts(st.soundParts, status.SoundParts, sign)
-	addToCounts(st.blockedParts, status.BlockedParts, sign)
+	st.promptParts.add(status.PromptParts.Report(), sign)
+	st.modelRequests.add(status.ModelRequests, sign)
+	st.plainRequests.add(status.PlainRequests, sign)
 }
 
 // addToCounts adds sign to the count of each ID and removes counts that become 0.
@@ -222,8 +265,8 @@
 	return slices.Compact(peers)
 }
 
-// Others returns the sums over all daemons but one, sorted. Suspects, Full, Leaving and
-// PromptParts include that daemon's own.
+// Others returns the sums over all daemons but one, sorted. Suspects, Full, Leaving,
+// PromptParts and RequestCrashes include that daemon's own.
 func (st *State) Others(now time.Time, except model.DaemonID) View {
 	st.sweep(now)
 	own := st.reports[except]
@@ -237,10 +280,8 @@
 	}
 	v := View{
 		Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving)),
-		PromptParts: PromptParts{
-			CrashEvidence: slices.SortedFunc(maps.Keys(st.crashEvidence), crash.Evidence.Compare), SoundParts: slices.Sorted(maps.Keys(st.soundParts)),
-			BlockedParts: slices.SortedFunc(maps.Keys(st.blockedParts), crash.Block.Compare),
-		},
+		PromptParts:    PromptPartsOf(st.promptParts.union()),
+		RequestCrashes: RequestCrashes{ModelRequests: st.modelRequests.union(), PlainRequests: st.plainRequests.union()},
 	}
 	for id, sum := range st.loads {
 		ownLoad := ownLoads[id]
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,7 +93,7 @@
 		admit:    admit.New(),
 		drain:    drain.New(),
 		recov:    &recov.State{},
-		crash:    crash.New(),
+		crash:    crash.New(crash.PromptParts()),
 		daemons:  1,
 	}
 	for _, opt := range opts {
@@ -155,7 +155,7 @@
 		c.servers.Avoid(now.Add(layerChangeHold), in.Others.ReplacingLayers)
 		c.moveFromReplacing(now, in.Others.ReplacingLayers)
 		c.servers.MarkFull(now.Add(sharedFullDuration), in.Others.Full)
-		c.crash.Apply(now, crash.Report{Evidence: in.Others.CrashEvidence, Sound: in.Others.SoundParts, Blocks: in.Others.BlockedParts})
+		c.crash.Apply(now, in.Others.PromptParts.Report())
 		for _, id := range in.Others.Suspects {
 			c.recov.Avoid(now, id, in.OthersUntil.Sub(now), c.tables, out)
 			if s := c.servers.Get(id); s != nil {
--- a/internal/core/crash/changekind_enumer.go
+++ b/internal/core/crash/changekind_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _ChangeKindNoOp() {
 	var x [1]struct{}
-	_ = x[Suspected-(0)]
-	_ = x[Blocked-(1)]
-	_ = x[Unblocked-(2)]
+	_ = x[Suspected-0]
+	_ = x[Blocked-1]
+	_ = x[Unblocked-2]
 }
 
 var _ChangeKindValues = []ChangeKind{Suspected, Blocked, Unblocked}
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -2,6 +2,9 @@
 // request with such a part ends, whatever else the request holds. The daemons exchange which engines
 // ended under requests with which parts, and which parts were in requests that engines answered.
 // Each decides for itself, by the same rules, which parts to block.
+//
+// In the same way, it finds whole requests that crash servers and come again. In a State for these, a
+// part is the digest of a request.
 package crash
 
 import (
@@ -20,16 +23,15 @@
 	// SoundAfter is the time from its first output after which a stream shows that its prompt
 	// parts crash no engine.
 	SoundAfter = time.Second
-	// crashDistance is the time that must pass between the ends of two engines for them to count as
-	// two crashes. Engines that lose their power together end at one time, and a daemon learns of
-	// the ends that others saw up to two exchanges later than of those it saw itself.
-	crashDistance = 600 * time.Millisecond
-	// suspectCrashes is the number of crashes that make a part suspect, blockCrashes the number that
-	// gets it blocked, and tiedBlockCrashes the number that gets parts blocked which were in the
-	// same crashes.
-	suspectCrashes   = 2
-	blockCrashes     = 3
-	tiedBlockCrashes = 5
+	// suspectCrashes is the number of crashes that make a part suspect, and blockCrashes the number that
+	// gets it blocked.
+	suspectCrashes = 2
+	blockCrashes   = 3
+	// partCrashDistance is the CrashDistance for prompt parts. A daemon learns of the ends that others
+	// saw up to two exchanges later than of those it saw itself.
+	partCrashDistance = 600 * time.Millisecond
+	// partTiedBlockCrashes is the TiedBlockCrashes for prompt parts.
+	partTiedBlockCrashes = 5
 	// soundReportTime is how long a part must have been suspect before it is blocked. By then, all
 	// daemons that exchange reports have told whether they know it as sound.
 	soundReportTime = time.Second
@@ -53,6 +55,26 @@
 	maxSoundParts  = 4096
 )
 
+// Policy is how the ends of engines are counted.
+type Policy struct {
+	// CrashDistance is the time that must pass between the ends of two engines for them to count as
+	// two crashes. Engines that lose their power together end at one time, under many requests
+	// with common parts.
+	CrashDistance time.Duration
+	// TiedBlockCrashes is the number of crashes that gets parts blocked which were in the same
+	// crashes, at least blockCrashes.
+	TiedBlockCrashes int
+}
+
+// PromptParts returns the policy for prompt parts, which many requests share.
+func PromptParts() Policy {
+	return Policy{CrashDistance: partCrashDistance, TiedBlockCrashes: partTiedBlockCrashes}
+}
+
+// Requests returns the policy for whole requests. The same request is rarely at several servers at one
+// time, and what crashes beside it is another request.
+func Requests() Policy { return Policy{TiedBlockCrashes: blockCrashes} }
+
 // Evidence says that an engine ended when it began the answer to a request with a prompt part.
 type Evidence struct {
 	Server model.ServerID `cbor:"1,keyasint"`
@@ -78,10 +100,10 @@
 
 // Report is what one daemon tells the others, or the union of such reports. Its slices are sorted.
 type Report struct {
-	Evidence []Evidence
+	Evidence []Evidence `cbor:"1,keyasint,omitempty"`
 	// Sound holds the parts known as sound, of those that any daemon has evidence against.
-	Sound  []uint64
-	Blocks []Block
+	Sound  []uint64 `cbor:"2,keyasint,omitempty"`
+	Blocks []Block  `cbor:"3,keyasint,omitempty"`
 }
 
 // sighting is when a daemon learned of evidence, and until when it counts.
@@ -89,6 +111,7 @@
 
 // State is what one daemon knows about prompt parts.
 type State struct {
+	policy Policy
 	// own is the evidence from this daemon's streams with the time of the engine's end.
 	own map[Evidence]time.Time
 	// evidence is the evidence of all daemons. It includes own.
@@ -114,9 +137,10 @@
 }
 
 // New returns a state without evidence.
-func New() *State {
+func New(p Policy) *State {
 	return &State{
-		own: map[Evidence]time.Time{}, evidence: map[Evidence]sighting{}, sound: newSoundParts(maxSoundParts),
+		policy: p,
+		own:    map[Evidence]time.Time{}, evidence: map[Evidence]sighting{}, sound: newSoundParts(maxSoundParts),
 		soundElsewhere: map[uint64]time.Time{}, suspects: map[uint64]time.Time{}, blocks: map[uint64]time.Time{},
 		disputed: map[uint64]time.Time{},
 	}
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -32,7 +32,7 @@
 func newTestFleet(t assert.TestingT, daemons int) *testFleet {
 	f := &testFleet{t: t, now: time.Unix(1_000_000, 0)}
 	for range daemons {
-		f.daemons = append(f.daemons, New())
+		f.daemons = append(f.daemons, New(PromptParts()))
 	}
 	return f
 }
@@ -155,7 +155,7 @@
 		}, nil},
 		{"a daemon that has just started", func(f *testFleet) {
 			f.daemons[2].RecordSound(f.now, soundRequest)
-			f.daemons[0] = New()
+			f.daemons[0] = New(PromptParts())
 			crashes(f, 5, time.Second, soundRequest)
 		}, nil},
 		{"parts that always come together wait for a fifth crash", func(f *testFleet) {
@@ -272,7 +272,7 @@
 	}
 	want, blocked := f.daemons[1].Blocked(f.now, []uint64{bad})
 	assert.Assert(t, blocked)
-	f.daemons[0] = New()
+	f.daemons[0] = New(PromptParts())
 	f.pass(exchangeInterval)
 	until, _ := f.daemons[0].Blocked(f.now, []uint64{bad})
 	assert.Equal(t, until, want)
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -81,7 +81,17 @@
 
 // expire removes evidence and reports of soundness that no longer count.
 func (st *State) expire(now time.Time) {
-	maps.DeleteFunc(st.own, func(_ Evidence, at time.Time) bool { return now.Sub(at) >= evidenceTTL })
+	for e, at := range st.own {
+		switch {
+		case now.Sub(at) >= evidenceTTL:
+			delete(st.own, e)
+		case st.sound.has(now, e.Part):
+			// The part stays known as sound for longer than the evidence would count. The others are told
+			// until their copies of the evidence expire.
+			delete(st.own, e)
+			st.evidence[e] = sighting{firstAt: st.evidence[e].firstAt, expiresAt: now.Add(learnedEvidenceTTL)}
+		}
+	}
 	maps.DeleteFunc(st.evidence, func(_ Evidence, s sighting) bool { return !now.Before(s.expiresAt) })
 	maps.DeleteFunc(st.soundElsewhere, func(_ uint64, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(st.disputed, func(_ uint64, until time.Time) bool { return !now.Before(until) })
@@ -140,14 +150,14 @@
 
 // crashes is how often engines ended under requests with one part.
 type crashes struct {
-	// count leaves out ends that are not at least crashDistance after the one counted before.
+	// count leaves out ends that are not at least Policy.CrashDistance after the one counted before.
 	count     int
 	countedAt time.Time
 	servers   []model.ServerID
 }
 
 // countCrashes returns the crashes of each part.
-func countCrashes(ends []engineEnd) map[uint64]crashes {
+func (st *State) countCrashes(ends []engineEnd) map[uint64]crashes {
 	times := map[uint64][]time.Time{}
 	counts := map[uint64]crashes{}
 	for _, end := range ends {
@@ -161,7 +171,7 @@
 	for part, c := range counts {
 		slices.SortFunc(times[part], time.Time.Compare)
 		for _, at := range times[part] {
-			if c.count == 0 || at.Sub(c.countedAt) >= crashDistance {
+			if c.count == 0 || at.Sub(c.countedAt) >= st.policy.CrashDistance {
 				c.count++
 				c.countedAt = at
 			}
@@ -173,7 +183,7 @@
 
 // suspect updates the suspects.
 func (st *State) suspect(now time.Time, ends []engineEnd) []Change {
-	counts := countCrashes(ends)
+	counts := st.countCrashes(ends)
 	maps.DeleteFunc(st.suspects, func(part uint64, _ time.Time) bool { return counts[part].count < suspectCrashes })
 	var changes []Change
 	for _, part := range slices.Sorted(maps.Keys(counts)) {
@@ -187,13 +197,13 @@
 }
 
 // block blocks the suspect that explains the most crashes. Suspects that explain equally many wait
-// for more evidence, up to tiedBlockCrashes. A daemon that is cut off from the others blocks none, since
+// for more evidence, up to Policy.TiedBlockCrashes. A daemon that is cut off from the others blocks none, since
 // others may know the part as sound.
 func (st *State) block(now time.Time, ends []engineEnd) []Change {
 	if now.Sub(st.exchangedAt) > maxExchangeGap {
 		return nil
 	}
-	counts := countCrashes(ends)
+	counts := st.countCrashes(ends)
 	most := blockCrashes
 	var parts []uint64
 	for _, part := range slices.Sorted(maps.Keys(st.suspects)) {
@@ -205,7 +215,7 @@
 			parts = append(parts, part)
 		}
 	}
-	if len(parts) > 1 && most < tiedBlockCrashes {
+	if len(parts) > 1 && most < st.policy.TiedBlockCrashes {
 		return nil
 	}
 	var changes []Change
--- a/internal/core/crash/stored_test.go
+++ b/internal/core/crash/stored_test.go
@@ -32,7 +32,7 @@
 		{"sound", []Block{{bad, until}}, nil, []uint64{bad}, nil, true},
 	} {
 		t.Run(s.name, func(t *testing.T) {
-			st := New()
+			st := New(PromptParts())
 			st.ApplyStored(now, s.known)
 			st.RecordSound(now, s.sound)
 			blocks, changed := st.Stored(now, s.stored)
@@ -46,7 +46,7 @@
 // as sound, and that a block without a sensible end is bounded.
 func TestApplyStored(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	st := New()
+	st := New(PromptParts())
 	st.RecordSound(now, []uint64{subject})
 	st.ApplyStored(now, []Block{{bad, now.Add(time.Minute)}, {subject, now.Add(time.Minute)}, {caller, now}, {other, now.AddDate(9, 0, 0)}})
 	changes := st.Check(now)
--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -149,8 +149,7 @@
 
 // promptParts returns what this daemon tells the others about prompt parts.
 func (c *Core) promptParts(now time.Time) board.PromptParts {
-	r := c.crash.Report(now)
-	return board.PromptParts{CrashEvidence: r.Evidence, SoundParts: r.Sound, BlockedParts: r.Blocks}
+	return board.PromptPartsOf(c.crash.Report(now))
 }
 
 // StoredBlocks returns the blocked prompt parts to store, given those that are stored now; false if
