--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -246,6 +246,7 @@
 		in.Team = team
 	}
 	in.Priority = table.Priority(rule, in.Team)
+	in.Digest = engine.DigestOf(&in.Origin)
 	return rule, nil
 }
 
@@ -379,7 +380,7 @@
 		}
 		req.attempts, req.server = relayReq.Attempts, attempt.Server.ID
 		e.log.Info(evlog.RequestSent, "request", req.in.ID, "attempt", relayReq.Attempts, "server", attempt.Server.ID, "zone", attempt.Server.Zone,
-			"in_progress", attempt.InProgress, "left_ms", time.Until(req.deadline).Milliseconds())
+			"in_progress", attempt.InProgress, "left_ms", time.Until(req.deadline).Milliseconds(), "digest", crash.FormatPart(req.in.Digest))
 		var answer *engine.Answer
 		answer, failure, next = e.sendAttempt(ctx, req, rule, relayReq, attempt)
 		if answer != nil {
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -311,7 +311,7 @@
 		stream.Tokens = pending.tokens[:o.From:o.From]
 	}
 	if pending.origin != nil {
-		s.log.Info(evlog.StreamOpened, "request", pending.origin.ID, "epoch", o.Epoch, "from", o.From, "chain", formatRoute(o.Route))
+		s.log.Info(evlog.StreamOpened, "request", pending.origin.ID, "epoch", o.Epoch, "from", o.From, "chain", formatRoute(o.Route), "digest", crash.FormatPart(pending.origin.Digest))
 	}
 	s.wg.Go(func() {
 		defer cancel()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
@@ -51,6 +54,23 @@
 	Priority int
 	// AtMostOnce is set if the request must not be sent again after it may have run.
 	AtMostOnce bool
+	// Digest identifies what was asked: requests of one team with the same method, host, target and body have
+	// the same digest. 0 if it is not known.
+	Digest uint64
+}
+
+// DigestOf returns the digest of a request whose other fields are set.
+func DigestOf(o *Origin) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{o.Method, o.Host, o.Target, string(o.Team)} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		// Writes to a hash do not fail.
+		_, _ = h.Write(length[:])
+		_, _ = h.WriteString(part)
+	}
+	_, _ = h.Write(o.Body)
+	return max(1, h.Sum64())
 }
 
 // AnswerError is a failure together with the server's error response.
