--- a/internal/boot/edge_crash_request_test.go
+++ b/internal/boot/edge_crash_request_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/platform/fakes"
 )
 
@@ -106,3 +107,46 @@
 		})
 	}
 }
+
+// TestEdgeBlockedRequestOutlivesRestartOfAllDaemons guards against a loss of power that ends all daemons at one time,
+// after which they would let servers crash again to learn which request does it.
+func TestEdgeBlockedRequestOutlivesRestartOfAllDaemons(t *testing.T) {
+	type scenario struct{ name, method, path, body string }
+	for _, tc := range []scenario{
+		{"lookup", http.MethodGet, "/read/bad", ""},
+		{"stream", http.MethodPost, "/draft/bad", "draft 9"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			env := newTestEnvironment(t, 2)
+			_, err := env.platform.Start("b2", "a", "")
+			assert.NilError(t, err)
+			env.platform.CrashOnRequest(fakes.CrashingRequest{Path: tc.path, Team: "north", Body: tc.body, RestartDelay: repeatRestartDelay})
+			crashing := func(daemon int) response { return env.call(daemon, tc.method, tc.path, "key-n", tc.body) }
+			blocked := func(daemon int) bool {
+				refused, _ := env.daemons[daemon].edge.BlockedRequests()
+				env.daemons[daemon].streams.View(func(c *core.Core) { refused += c.CrashMetrics().RequestBlocksNow })
+				return refused == 1
+			}
+			env.waitUntil("the request is blocked", func() bool {
+				crashing(0)
+				time.Sleep(repeatInterval)
+				return blocked(0) && blocked(1)
+			})
+			// The block is stored within a second or two.
+			time.Sleep(learnBound)
+			for _, stop := range env.stops {
+				assert.NilError(t, stop())
+			}
+			before, _ := env.platform.CrashingArrivals()
+			env.daemons = nil
+			env.start(nil)
+			env.start(nil)
+			for i := range env.daemons {
+				env.waitUntil("a new daemon completes a stream", func() bool { return env.stream(i, "/draft/x").complete })
+				assert.Equal(t, crashing(i).code, http.StatusServiceUnavailable)
+			}
+			after, _ := env.platform.CrashingArrivals()
+			assert.Equal(t, len(after), len(before))
+		})
+	}
+}
--- a/internal/boot/edgeblocks.go
+++ b/internal/boot/edgeblocks.go
@@ -16,21 +16,24 @@
 )
 
 const (
-	// blocksKey is the key in the platform's key-value service that holds the blocked prompt parts,
-	// for daemons that start while no other one runs.
-	blocksKey = "bulrushpond/blocked_parts"
+	// partBlocksKey is the key in the platform's key-value service that holds the blocked prompt parts,
+	// for daemons that start while no other one runs. modelBlocksKey and plainBlocksKey hold the
+	// blocked requests to model engines and to plain services.
+	partBlocksKey  = "bulrushpond/blocked_parts"
+	modelBlocksKey = "bulrushpond/blocked_model_requests"
+	plainBlocksKey = "bulrushpond/blocked_plain_requests"
 	// blocksInterval is how often the owner of the placement compares the stored blocks with its own.
 	blocksInterval = time.Second
 )
 
-// storedBlock is a blocked prompt part in the value of blocksKey.
+// storedBlock is a blocked prompt part or request in the value of a key.
 type storedBlock struct {
 	// Part is hexadecimal.
 	Part  string    `json:"part"`
 	Until time.Time `json:"until"`
 }
 
-// encodeBlocks returns the value of blocksKey.
+// encodeBlocks returns the value of a key.
 func encodeBlocks(blocks []crash.Block) ([]byte, error) {
 	stored := make([]storedBlock, 0, len(blocks))
 	for _, b := range blocks {
@@ -40,7 +43,7 @@
 	return raw, trace.Wrap(err)
 }
 
-// decodeBlocks decodes the value of blocksKey.
+// decodeBlocks decodes the value of a key.
 func decodeBlocks(raw []byte) ([]crash.Block, error) {
 	var stored []storedBlock
 	if err := json.Unmarshal(raw, &stored); err != nil {
@@ -57,38 +60,69 @@
 	return blocks, nil
 }
 
-// applyStoredBlocks adopts the stored blocks.
-func (d *EdgeDaemon) applyStoredBlocks(item mirror.Item) {
-	if item.Removed {
-		return
+// blockList is one list of blocks in the key-value service.
+type blockList struct {
+	key string
+	// apply adopts stored blocks.
+	apply func([]crash.Block)
+	// wanted returns the blocks to store, given those that are stored now; false if these need no change.
+	wanted func(now time.Time, stored []crash.Block) ([]crash.Block, bool)
+}
+
+// blockLists returns the lists of blocks.
+func (d *EdgeDaemon) blockLists() []blockList {
+	// ofCore calls a method of the core between two ticks.
+	ofCore := func(method func(*core.Core, time.Time, []crash.Block) ([]crash.Block, bool)) func(time.Time, []crash.Block) ([]crash.Block, bool) {
+		return func(now time.Time, stored []crash.Block) (blocks []crash.Block, changed bool) {
+			d.streams.View(func(c *core.Core) { blocks, changed = method(c, now, stored) })
+			return blocks, changed
+		}
 	}
-	blocks, err := decodeBlocks(item.Value)
-	if err != nil {
-		d.deps.Log.Error(err, evlog.BlocksUnreadable, "revision", item.Revision)
-		return
+	return []blockList{
+		{partBlocksKey, d.streams.SetStoredBlocks, ofCore((*core.Core).StoredBlocks)},
+		{modelBlocksKey, d.streams.SetStoredRequestBlocks, ofCore((*core.Core).StoredRequestBlocks)},
+		{plainBlocksKey, d.edge.SetStoredBlocks, d.edge.StoredBlocks},
 	}
-	d.streams.SetStoredBlocks(blocks)
 }
 
-// storeBlocks writes the blocked prompt parts if this daemon owns the placement and they differ from
-// the stored ones.
+// applyStoredBlocks adopts stored blocks if the item holds some, and reports whether it does.
+func (d *EdgeDaemon) applyStoredBlocks(item mirror.Item) bool {
+	for _, list := range d.blockLists() {
+		if item.Key != list.key {
+			continue
+		}
+		if item.Removed {
+			return true
+		}
+		blocks, err := decodeBlocks(item.Value)
+		if err != nil {
+			d.deps.Log.Error(err, evlog.BlocksUnreadable, "key", item.Key, "revision", item.Revision)
+			return true
+		}
+		list.apply(blocks)
+		return true
+	}
+	return false
+}
+
+// storeBlocks writes the blocks if this daemon owns the placement and they differ from the stored ones.
 func (d *EdgeDaemon) storeBlocks(ctx context.Context) {
 	if d.duty.FencingToken() == 0 {
 		return
 	}
-	// A value that cannot be decoded is replaced.
-	item, _, _ := d.feed.Get(blocksKey)
-	stored, _ := decodeBlocks(item.Value)
-	var blocks []crash.Block
-	changed := false
-	d.streams.View(func(c *core.Core) { blocks, changed = c.StoredBlocks(time.Now(), stored) })
-	if !changed {
-		return
-	}
-	value, err := encodeBlocks(blocks)
-	if err != nil {
-		d.deps.Log.Error(err, evlog.BlocksUnreadable, "revision", item.Revision)
-		return
+	for _, list := range d.blockLists() {
+		// A value that cannot be decoded is replaced.
+		item, _, _ := d.feed.Get(list.key)
+		stored, _ := decodeBlocks(item.Value)
+		blocks, changed := list.wanted(time.Now(), stored)
+		if !changed {
+			continue
+		}
+		value, err := encodeBlocks(blocks)
+		if err != nil {
+			d.deps.Log.Error(err, evlog.BlocksUnreadable, "key", list.key, "revision", item.Revision)
+			continue
+		}
+		d.storeValue(ctx, model.CAS{Key: list.key, Value: value, Expect: item.Revision})
 	}
-	d.storeValue(ctx, model.CAS{Key: blocksKey, Value: value, Expect: item.Revision})
 }
--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -48,6 +48,7 @@
 func (d *EdgeDaemon) applyOthers(others board.View, source string) {
 	d.streams.SetOthers(others)
 	d.edge.ApplyLimits(others.Limits)
+	d.edge.ApplyCrashes(others.PlainRequests)
 	d.serversLeave(others.Leaving, source)
 }
 
@@ -133,6 +134,7 @@
 	d.streams.View(func(c *core.Core) { load = c.DaemonStatus(time.Now()) })
 	load.Address = d.vm.PeersAddress
 	load.Limits = append(load.Limits, d.edge.LimitReports(time.Now())...)
+	load.PlainRequests = d.edge.CrashReport(time.Now())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	load.Leaving = d.roster.SaidLeaving()
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -85,6 +85,9 @@
 	PartsBlocked    uint64 `json:"parts_blocked"`
 	PartsBlockedNow int    `json:"parts_blocked_now"`
 	RequestsBlocked uint64 `json:"requests_blocked"`
+	// RequestBlocksNow is the number of requests that are refused since servers crash on them.
+	// RequestsBlocked includes how often one was.
+	RequestBlocksNow int `json:"request_blocks_now"`
 }
 
 // publishEdgeMetrics publishes the metrics of a daemon at /debug/vars. It may be called
@@ -105,8 +108,12 @@
 			vars.ServersLimited += c.LimitedServers()
 			m := c.CrashMetrics()
 			vars.EngineCrashes, vars.PartsBlocked, vars.PartsBlockedNow, vars.RequestsBlocked = m.EngineCrashes, m.PartsBlocked, m.PartsBlockedNow, m.RequestsBlocked
+			vars.RequestBlocksNow = m.RequestBlocksNow
 			vars.StreamsRecovered, vars.TokensDropped, vars.EnginesKnown = c.RecoveredStreams(), c.DroppedTokens(), c.ServerCount()
 		})
+		blocked, refused := d.edge.BlockedRequests()
+		vars.RequestBlocksNow += blocked
+		vars.RequestsBlocked += refused
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		vars.Daemons = d.daemonCount
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -27,8 +27,7 @@
 			if d.applyRouting(item) {
 				serversChanged = true
 			}
-		case item.Key == blocksKey:
-			d.applyStoredBlocks(item)
+		case d.applyStoredBlocks(item):
 		case item.Key == fleetKey:
 			d.applyStoredFleet(item)
 		case strings.HasPrefix(item.Key, platform.ServerKeyPrefix):
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -205,7 +205,7 @@
 	addToCounts(st.suspects, status.Suspects, sign)
 	addToCounts(st.full, status.Full, sign)
 	addToCounts(st.leaving, status.Leaving, sign)
-	st.promptParts.add(status.PromptParts.Report(), sign)
+	st.promptParts.add(status.Report(), sign)
 	st.modelRequests.add(status.ModelRequests, sign)
 	st.plainRequests.add(status.PlainRequests, sign)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,7 +52,9 @@
 	tables recov.Tables
 	stall  *stall.State
 	crash  *crash.State
-	// crashMetrics.PartsBlockedNow is not kept here.
+	// requestCrash holds what is known of whole requests that crash engines.
+	requestCrash *crash.State
+	// crashMetrics.PartsBlockedNow and RequestBlocksNow are not kept here.
 	crashMetrics CrashMetrics
 	// budget bounds the retries of all requests; nil means that only each request's
 	// own limit applies.
@@ -87,14 +89,15 @@
 // New returns a core without servers and settings.
 func New(opts ...Option) *Core {
 	c := &Core{
-		servers:  table.NewServers(),
-		requests: table.NewRequests(),
-		picker:   route.NewFlow(1),
-		admit:    admit.New(),
-		drain:    drain.New(),
-		recov:    &recov.State{},
-		crash:    crash.New(crash.PromptParts()),
-		daemons:  1,
+		servers:      table.NewServers(),
+		requests:     table.NewRequests(),
+		picker:       route.NewFlow(1),
+		admit:        admit.New(),
+		drain:        drain.New(),
+		recov:        &recov.State{},
+		crash:        crash.New(crash.PromptParts()),
+		requestCrash: crash.New(crash.Requests()),
+		daemons:      1,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -155,7 +158,8 @@
 		c.servers.Avoid(now.Add(layerChangeHold), in.Others.ReplacingLayers)
 		c.moveFromReplacing(now, in.Others.ReplacingLayers)
 		c.servers.MarkFull(now.Add(sharedFullDuration), in.Others.Full)
-		c.crash.Apply(now, in.Others.PromptParts.Report())
+		c.crash.Apply(now, in.Others.Report())
+		c.requestCrash.Apply(now, in.Others.ModelRequests)
 		for _, id := range in.Others.Suspects {
 			c.recov.Avoid(now, id, in.OthersUntil.Sub(now), c.tables, out)
 			if s := c.servers.Get(id); s != nil {
@@ -164,6 +168,7 @@
 		}
 	}
 	c.crash.ApplyStored(now, in.StoredBlocks)
+	c.requestCrash.ApplyStored(now, in.StoredRequestBlocks)
 	if in.Stop {
 		c.admit.Stopping = true
 	}
@@ -478,7 +483,7 @@
 
 // nextWake returns the latest time for the next tick, or zero if none is needed.
 func (c *Core) nextWake(now time.Time) time.Time {
-	next := earliest(earliest(c.requests.NextDeadline(), c.drain.NextMove()), c.crash.NextCheck())
+	next := earliest(earliest(c.requests.NextDeadline(), c.drain.NextMove()), earliest(c.crash.NextCheck(), c.requestCrash.NextCheck()))
 	if c.blocked {
 		next = earliest(next, now.Add(dispatchRetryInterval))
 	}
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -23,10 +23,10 @@
 	// SoundAfter is the time from its first output after which a stream shows that its prompt
 	// parts crash no engine.
 	SoundAfter = time.Second
-	// suspectCrashes is the number of crashes that make a part suspect, and blockCrashes the number that
-	// gets it blocked.
-	suspectCrashes = 2
-	blockCrashes   = 3
+	// blockCrashes is the number of crashes that gets a part blocked.
+	blockCrashes = 3
+	// partSuspectCrashes is the SuspectCrashes for prompt parts.
+	partSuspectCrashes = 2
 	// partCrashDistance is the CrashDistance for prompt parts. A daemon learns of the ends that others
 	// saw up to two exchanges later than of those it saw itself.
 	partCrashDistance = 600 * time.Millisecond
@@ -61,6 +61,8 @@
 	// two crashes. Engines that lose their power together end at one time, under many requests
 	// with common parts.
 	CrashDistance time.Duration
+	// SuspectCrashes is the number of crashes that make a part suspect, at most blockCrashes.
+	SuspectCrashes int
 	// TiedBlockCrashes is the number of crashes that gets parts blocked which were in the same
 	// crashes, at least blockCrashes.
 	TiedBlockCrashes int
@@ -68,12 +70,16 @@
 
 // PromptParts returns the policy for prompt parts, which many requests share.
 func PromptParts() Policy {
-	return Policy{CrashDistance: partCrashDistance, TiedBlockCrashes: partTiedBlockCrashes}
+	return Policy{CrashDistance: partCrashDistance, SuspectCrashes: partSuspectCrashes, TiedBlockCrashes: partTiedBlockCrashes}
 }
 
 // Requests returns the policy for whole requests. The same request is rarely at several servers at one
-// time, and what crashes beside it is another request.
-func Requests() Policy { return Policy{TiedBlockCrashes: blockCrashes} }
+// time, and what crashes beside it is another request. A sound request may well lose two servers to that
+// one, and is sent to a third as ever.
+func Requests() Policy { return Policy{SuspectCrashes: blockCrashes, TiedBlockCrashes: blockCrashes} }
+
+// RequestBlockedMessage is sent to callers whose requests are refused because servers crash on them.
+const RequestBlockedMessage = "backend servers crash on this request"
 
 // Evidence says that an engine ended when it began the answer to a request with a prompt part.
 type Evidence struct {
@@ -129,6 +135,8 @@
 	// exchangedAt is when the reports of the others last came, and exchangingSince since when they
 	// come without a gap above maxExchangeGap.
 	exchangedAt, exchangingSince time.Time
+	// explained holds the engines whose ends something else explains.
+	explained map[model.ServerID]struct{}
 	// learned holds the parts blocked by other daemons since the last Check.
 	learned []uint64
 	// changed is set if Check has something to evaluate, and nextCheck is when it has otherwise.
@@ -311,7 +319,17 @@
 		if _, blocked := st.blocks[part]; blocked {
 			return true
 		}
-		if crashes >= suspectCrashes && !st.knownSound(now, part) {
+		if crashes >= st.policy.SuspectCrashes && !st.knownSound(now, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// HasEvidence reports whether any daemon saw an engine end under requests with a part.
+func (st *State) HasEvidence(part uint64) bool {
+	for e := range st.evidence {
+		if e.Part == part {
 			return true
 		}
 	}
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -34,6 +36,21 @@
 	Until time.Time
 }
 
+// Detail describes a change in the log: the engines that ended, and when a block ends.
+func (c Change) Detail() string {
+	var b strings.Builder
+	for i, id := range c.Servers {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(string(id))
+	}
+	if !c.Until.IsZero() {
+		fmt.Fprintf(&b, " until %s", c.Until.UTC().Format(time.RFC3339))
+	}
+	return strings.TrimSpace(b.String())
+}
+
 // engineEnd is the end of one engine under requests with some parts.
 type engineEnd struct {
 	server model.ServerID
@@ -133,7 +150,7 @@
 // to BlockDuration after the last of them.
 func (st *State) unexplained(ends []engineEnd) []engineEnd {
 	return slices.DeleteFunc(ends, func(end engineEnd) bool {
-		explained := false
+		_, explained := st.explained[end.server]
 		for _, p := range end.parts {
 			until, blocked := st.blocks[p.part]
 			if !blocked {
@@ -148,6 +165,23 @@
 	})
 }
 
+// Explained returns the engines that ended under requests with blocked parts.
+func (st *State) Explained() map[model.ServerID]struct{} {
+	if len(st.blocks) == 0 {
+		return nil
+	}
+	servers := map[model.ServerID]struct{}{}
+	for e := range st.evidence {
+		if _, blocked := st.blocks[e.Part]; blocked {
+			servers[e.Server] = struct{}{}
+		}
+	}
+	return servers
+}
+
+// SetExplained sets the engines whose ends something else explains, and which count for no part.
+func (st *State) SetExplained(servers map[model.ServerID]struct{}) { st.explained = servers }
+
 // crashes is how often engines ended under requests with one part.
 type crashes struct {
 	// count leaves out ends that are not at least Policy.CrashDistance after the one counted before.
@@ -184,10 +218,10 @@
 // suspect updates the suspects.
 func (st *State) suspect(now time.Time, ends []engineEnd) []Change {
 	counts := st.countCrashes(ends)
-	maps.DeleteFunc(st.suspects, func(part uint64, _ time.Time) bool { return counts[part].count < suspectCrashes })
+	maps.DeleteFunc(st.suspects, func(part uint64, _ time.Time) bool { return counts[part].count < st.policy.SuspectCrashes })
 	var changes []Change
 	for _, part := range slices.Sorted(maps.Keys(counts)) {
-		if _, known := st.suspects[part]; known || counts[part].count < suspectCrashes {
+		if _, known := st.suspects[part]; known || counts[part].count < st.policy.SuspectCrashes {
 			continue
 		}
 		st.suspects[part] = now
--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -1,9 +1,7 @@
 package core
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/board"
@@ -29,21 +27,36 @@
 	}
 	if tok.End {
 		if r.Next > r.OpenedFrom {
-			c.crash.RecordSound(now, r.Parts)
+			c.recordSound(now, r)
 		}
 		return
 	}
 	if r.OutputEpoch != r.Epoch {
 		r.OutputEpoch, r.OutputSince = r.Epoch, now
 		c.crash.RecordAlive(r.Route.Hops[0].Server, r.LastActivityAt)
+		c.requestCrash.RecordAlive(r.Route.Hops[0].Server, r.LastActivityAt)
 		return
 	}
 	// A stream that goes on past SoundAfter is recorded at its first token after that.
 	if r.LastActivityAt.Sub(r.OutputSince) < crash.SoundAfter && now.Sub(r.OutputSince) >= crash.SoundAfter {
-		c.crash.RecordSound(now, r.Parts)
+		c.recordSound(now, r)
 	}
 }
 
+// recordSound records that an engine answered a request.
+func (c *Core) recordSound(now time.Time, r *table.Request) {
+	c.crash.RecordSound(now, r.Parts)
+	c.requestCrash.RecordSound(now, digests(r.Digest))
+}
+
+// digests returns a digest as a key of requestCrash; empty if it is not known.
+func digests(digest uint64) []uint64 {
+	if digest == 0 {
+		return nil
+	}
+	return []uint64{digest}
+}
+
 // recordCrash records the end of a stream if its first engine ended when it began the answer,
 // and reports whether it did. It must be called before the end is handled.
 func (c *Core) recordCrash(now time.Time, e msgs.StreamEnd) bool {
@@ -61,38 +74,91 @@
 	}
 	r.Crashes++
 	c.crashMetrics.EngineCrashes++
-	c.crash.RecordCrash(now, server, r.Parts)
+	if !c.requestCrash.HasEvidence(r.Digest) {
+		// Only the crashes of different requests show which of their parts is to blame.
+		c.crash.RecordCrash(now, server, r.Parts)
+	}
+	c.requestCrash.RecordCrash(now, server, digests(r.Digest))
 	return true
 }
 
 // failIfMayCrash fails a request that lost its engine if it could crash the next one.
 func (c *Core) failIfMayCrash(now time.Time, id model.RequestID, out *msgs.Outbox) {
 	r := c.requests.Get(id)
-	if r != nil && r.Phase == table.Rerouting && c.crash.MayCrash(now, r.Parts, r.Crashes) {
+	if r != nil && r.Phase == table.Rerouting && c.mayCrash(now, r) {
 		c.giveUp(now, r, verdt.StageFailed, "backend servers ended when they began the answer", out)
 	}
 }
 
-// checkCrashes logs new decisions on prompt parts, and fails the requests that they concern.
+// mayCrash reports whether a request must not be sent again, since it could crash the next engine.
+func (c *Core) mayCrash(now time.Time, r *table.Request) bool {
+	return c.crash.MayCrash(now, r.Parts, r.Crashes) || c.requestCrash.MayCrash(now, digests(r.Digest), r.Crashes)
+}
+
+// crashSubject is one kind of what may crash engines.
+type crashSubject struct {
+	// suspected, blocked and unblocked are the notices on it.
+	suspected, blocked, unblocked msgs.NoticeKind
+	reason                        verdt.Reason
+	message                       string
+	// has reports whether a request has a part, or is the one with a digest.
+	has func(r *table.Request, part uint64) bool
+}
+
+// promptPartSubject returns the subject of prompt parts.
+func promptPartSubject() crashSubject {
+	return crashSubject{
+		suspected: msgs.PartSuspected, blocked: msgs.PartBlocked, unblocked: msgs.PartUnblocked, reason: verdt.PromptBlocked, message: blockedMessage,
+		has: func(r *table.Request, part uint64) bool { return slices.Contains(r.Parts, part) },
+	}
+}
+
+// requestSubject returns the subject of whole requests.
+func requestSubject() crashSubject {
+	return crashSubject{
+		suspected: msgs.RequestSuspected, blocked: msgs.RequestBlocked, unblocked: msgs.RequestUnblocked, reason: verdt.RequestBlocked, message: crash.RequestBlockedMessage,
+		has: func(r *table.Request, digest uint64) bool { return r.Digest == digest },
+	}
+}
+
+// checkCrashes logs new decisions on prompt parts and requests, and fails the requests that they concern.
 func (c *Core) checkCrashes(now time.Time, out *msgs.Outbox) {
 	for _, change := range c.crash.Check(now) {
-		out.Notify(msgs.Notice{Kind: noticeKindOf(change.Kind), Part: change.Part, Detail: changeDetail(change)})
-		switch change.Kind {
-		case crash.Blocked:
+		if change.Kind == crash.Blocked {
 			c.crashMetrics.PartsBlocked++
-			c.failAll(change.Until, out, func(r *table.Request) bool { return slices.Contains(r.Parts, change.Part) })
-		case crash.Suspected:
-			c.failAll(now.Add(suspectRetryAfter), out, func(r *table.Request) bool {
-				return r.Phase == table.Rerouting && r.Crashes > 0 && slices.Contains(r.Parts, change.Part)
-			})
-		case crash.Unblocked:
 		}
+		c.applyChange(now, change, promptPartSubject(), out)
+	}
+	c.requestCrash.SetExplained(c.crash.Explained())
+	for _, change := range c.requestCrash.Check(now) {
+		if change.Kind == crash.Blocked {
+			c.crashMetrics.RequestBlocks++
+		}
+		c.applyChange(now, change, requestSubject(), out)
 	}
 }
 
+// applyChange logs a new decision and fails the requests that it concerns.
+func (c *Core) applyChange(now time.Time, change crash.Change, subject crashSubject, out *msgs.Outbox) {
+	notice := msgs.Notice{Part: change.Part, Detail: change.Detail()}
+	switch change.Kind {
+	case crash.Blocked:
+		notice.Kind = subject.blocked
+		c.failAll(change.Until, subject, out, func(r *table.Request) bool { return subject.has(r, change.Part) })
+	case crash.Suspected:
+		notice.Kind = subject.suspected
+		c.failAll(now.Add(suspectRetryAfter), subject, out, func(r *table.Request) bool {
+			return r.Phase == table.Rerouting && r.Crashes > 0 && subject.has(r, change.Part)
+		})
+	case crash.Unblocked:
+		notice.Kind = subject.unblocked
+	}
+	out.Notify(notice)
+}
+
 // failAll fails the requests that match and have no output from their current engines. retryAt is
 // the time at which their callers may retry.
-func (c *Core) failAll(retryAt time.Time, out *msgs.Outbox, match func(*table.Request) bool) {
+func (c *Core) failAll(retryAt time.Time, subject crashSubject, out *msgs.Outbox, match func(*table.Request) bool) {
 	var ids []model.RequestID
 	for r := range c.requests.All() {
 		if (r.Phase != table.Running || r.Next == r.OpenedFrom) && match(r) {
@@ -106,39 +172,16 @@
 			c.admit.Withdraw(r)
 		}
 		c.crashMetrics.RequestsBlocked++
-		c.recov.FailRequestUntil(r, verdt.PromptBlocked, blockedMessage, retryAt, c.tables, out)
-	}
-}
-
-// noticeKindOf returns the kind of the notice on a change.
-func noticeKindOf(kind crash.ChangeKind) msgs.NoticeKind {
-	switch kind {
-	case crash.Suspected:
-		return msgs.PartSuspected
-	case crash.Blocked:
-		return msgs.PartBlocked
-	default:
-		return msgs.PartUnblocked
+		c.recov.FailRequestUntil(r, subject.reason, subject.message, retryAt, c.tables, out)
 	}
 }
 
-// changeDetail describes a change in the log.
-func changeDetail(change crash.Change) string {
-	var b strings.Builder
-	for i, id := range change.Servers {
-		if i > 0 {
-			b.WriteByte(' ')
-		}
-		b.WriteString(string(id))
-	}
-	if !change.Until.IsZero() {
-		fmt.Fprintf(&b, " until %s", change.Until.UTC().Format(time.RFC3339))
-	}
-	return strings.TrimSpace(b.String())
-}
-
-// refuseBlocked returns the failure of a new request with a blocked part, or nil.
+// refuseBlocked returns the failure of a new request that is blocked or has a blocked part, or nil.
 func (c *Core) refuseBlocked(now time.Time, a msgs.Arrival) *verdt.Error {
+	if until, blocked := c.requestCrash.Blocked(now, digests(a.Digest)); blocked {
+		c.crashMetrics.RequestsBlocked++
+		return verdt.New(verdt.NotRun, verdt.RequestBlocked, crash.RequestBlockedMessage, verdt.RetryAt(until))
+	}
 	until, blocked := c.crash.Blocked(now, a.Parts)
 	if !blocked {
 		return nil
@@ -158,6 +201,11 @@
 	return c.crash.Stored(now, stored)
 }
 
+// StoredRequestBlocks is StoredBlocks for blocked requests.
+func (c *Core) StoredRequestBlocks(now time.Time, stored []crash.Block) ([]crash.Block, bool) {
+	return c.requestCrash.Stored(now, stored)
+}
+
 // CrashMetrics are counters of engines that end when they begin an answer.
 type CrashMetrics struct {
 	// EngineCrashes counts the streams whose engine ended when it began the answer.
@@ -166,13 +214,17 @@
 	// PartsBlockedNow is the number in force.
 	PartsBlocked    uint64
 	PartsBlockedNow int
-	// RequestsBlocked counts the requests that were refused or failed because of a part.
+	// RequestBlocks counts the blocks of whole requests to model engines, those learned from others included.
+	// RequestBlocksNow is the number in force.
+	RequestBlocks    uint64
+	RequestBlocksNow int
+	// RequestsBlocked counts the requests that were refused or failed because of a block.
 	RequestsBlocked uint64
 }
 
 // CrashMetrics returns the counters.
 func (c *Core) CrashMetrics() CrashMetrics {
 	m := c.crashMetrics
-	m.PartsBlockedNow = c.crash.BlockedParts()
+	m.PartsBlockedNow, m.RequestBlocksNow = c.crash.BlockedParts(), c.requestCrash.BlockedParts()
 	return m
 }
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -37,6 +37,8 @@
 	FirstTokenDeadline time.Time
 	// Parts are the IDs of the prompt parts that the request shares with others.
 	Parts []uint64
+	// Digest identifies what was asked, for requests that come again; 0 if it is not known.
+	Digest uint64
 }
 
 // StreamEnd reports that the stream of one epoch has ended.
@@ -74,11 +76,12 @@
 	// valid until OthersUntil; a zero OthersUntil means unchanged.
 	Others      board.View
 	OthersUntil time.Time
-	// StoredBlocks are the blocked prompt parts in the key-value service; nil means unchanged.
-	StoredBlocks []crash.Block
-	Arrivals     []Arrival
-	Tokens       []model.Token
-	Ends         []StreamEnd
+	// StoredBlocks are the blocked prompt parts in the key-value service, and StoredRequestBlocks the
+	// blocked requests; nil means unchanged.
+	StoredBlocks, StoredRequestBlocks []crash.Block
+	Arrivals                          []Arrival
+	Tokens                            []model.Token
+	Ends                              []StreamEnd
 	// Pauses lists servers that want no requests from this daemon for a while.
 	Pauses []Pause
 	// Limits holds what servers said about their limits.
@@ -102,7 +105,7 @@
 
 // Empty reports whether the inbox holds no event.
 func (in *Inbox) Empty() bool {
-	return in.List == nil && in.StoredBlocks == nil && in.Settings == nil && in.Daemons == 0 && in.BudgetDaemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
+	return in.List == nil && in.StoredBlocks == nil && in.StoredRequestBlocks == nil && in.Settings == nil && in.Daemons == 0 && in.BudgetDaemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
 		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses)+len(in.Limits) == 0
 }
 
@@ -194,6 +197,13 @@
 	PartBlocked
 	// PartUnblocked means that requests with a prompt part are accepted again.
 	PartUnblocked
+	// RequestSuspected means that engines ended under a request that came again. Part is its digest, as
+	// in the next two.
+	RequestSuspected
+	// RequestBlocked means that a request that crashes engines is refused.
+	RequestBlocked
+	// RequestUnblocked means that a request that was blocked is accepted again.
+	RequestUnblocked
 )
 
 // Outbox holds the commands that result from a tick. They are to be executed in the
--- a/internal/core/msgs/noticekind_enumer.go
+++ b/internal/core/msgs/noticekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblocked"
+const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblockedrequest_suspectedrequest_blockedrequest_unblocked"
 
-var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115, 129, 143, 155, 169}
+var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115, 129, 143, 155, 169, 186, 201, 218}
 
-const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblocked"
+const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblockedrequest_suspectedrequest_blockedrequest_unblocked"
 
 func (i NoticeKind) String() string {
 	if i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -37,9 +37,12 @@
 	_ = x[PartSuspected-10]
 	_ = x[PartBlocked-11]
 	_ = x[PartUnblocked-12]
+	_ = x[RequestSuspected-13]
+	_ = x[RequestBlocked-14]
+	_ = x[RequestUnblocked-15]
 }
 
-var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, ServerLimited, StreamStalled, PartSuspected, PartBlocked, PartUnblocked}
+var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, ServerLimited, StreamStalled, PartSuspected, PartBlocked, PartUnblocked, RequestSuspected, RequestBlocked, RequestUnblocked}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
 	_NoticeKindName[0:14]:    ServerLeaving,
@@ -55,6 +58,9 @@
 	_NoticeKindName[129:143]: PartSuspected,
 	_NoticeKindName[143:155]: PartBlocked,
 	_NoticeKindName[155:169]: PartUnblocked,
+	_NoticeKindName[169:186]: RequestSuspected,
+	_NoticeKindName[186:201]: RequestBlocked,
+	_NoticeKindName[201:218]: RequestUnblocked,
 }
 
 var _NoticeKindLowerNameToValueMap = map[string]NoticeKind{
@@ -71,6 +77,9 @@
 	_NoticeKindLowerName[129:143]: PartSuspected,
 	_NoticeKindLowerName[143:155]: PartBlocked,
 	_NoticeKindLowerName[155:169]: PartUnblocked,
+	_NoticeKindLowerName[169:186]: RequestSuspected,
+	_NoticeKindLowerName[186:201]: RequestBlocked,
+	_NoticeKindLowerName[201:218]: RequestUnblocked,
 }
 
 var _NoticeKindNames = []string{
@@ -87,6 +96,9 @@
 	_NoticeKindName[129:143],
 	_NoticeKindName[143:155],
 	_NoticeKindName[155:169],
+	_NoticeKindName[169:186],
+	_NoticeKindName[186:201],
+	_NoticeKindName[201:218],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -60,6 +61,10 @@
 	Tried    []string
 	// Verdict is the combined verdict of the attempts that have ended.
 	Verdict verdt.Verdict
+	// Digest identifies what was asked, for requests that come again.
+	Digest uint64
+	// Crashes counts the servers that ended when they ran the request.
+	Crashes int
 }
 
 // Attempt is one attempt to send a request to a backend server.
@@ -76,6 +81,8 @@
 	Failure *verdt.Error
 	// Faulty is set for a response that indicates a fault of the server itself.
 	Faulty bool
+	// ConnectionLost is set if the server ended the connection before its response was complete.
+	ConnectionLost bool
 }
 
 // State holds the known backend servers and their statistics.
@@ -85,12 +92,15 @@
 	budget  *retry.Budget
 	servers map[string]*server
 	limits  *limit.State
+	// crash holds what is known of requests that crash servers, and blocked counts those that were refused.
+	crash   *crash.State
+	blocked uint64
 	rng     *rand.Rand
 }
 
 // New returns a state without servers.
 func New(zone string, budget *retry.Budget, seed uint64) *State {
-	return &State{Zone: zone, budget: budget, servers: map[string]*server{}, limits: limit.New(seed), rng: rand.New(rand.NewPCG(seed, 1))}
+	return &State{Zone: zone, budget: budget, servers: map[string]*server{}, limits: limit.New(seed), crash: crash.New(crash.Requests()), rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // RetainServers removes the servers whose IDs are not in ids.
@@ -127,6 +137,10 @@
 	if !now.Before(r.Deadline) {
 		return Attempt{}, verdt.New(r.Verdict, verdt.DeadlinePassed, "the deadline passed")
 	}
+	if until, blocked := st.crash.Blocked(now, []uint64{r.Digest}); blocked {
+		st.blocked++
+		return Attempt{}, verdt.New(r.Verdict, verdt.RequestBlocked, crash.RequestBlockedMessage, verdt.RetryAt(until))
+	}
 	best, wanted := st.chooseServer(now, r)
 	for _, s := range wanted {
 		st.limits.Want(now, s.id())
@@ -149,7 +163,7 @@
 
 // CanRetry reports whether a request in progress can be sent to a server that it has not been sent to.
 func (st *State) CanRetry(now time.Time, r *Request) bool {
-	if r.Attempts >= r.MaxAttempts || !st.budget.HasRoom(now, r.Service, 1) {
+	if st.mayCrash(now, r) || r.Attempts >= r.MaxAttempts || !st.budget.HasRoom(now, r.Service, 1) {
 		return false
 	}
 	s, _ := st.chooseServer(now, r)
@@ -283,13 +297,14 @@
 // retried; otherwise the outcome is final.
 func (st *State) RecordOutcome(now time.Time, r *Request, attempt Attempt, o Outcome) bool {
 	st.updateStats(now, attempt, o)
+	st.recordCrash(now, r, attempt, o)
 	if o.Failure == nil {
 		r.Verdict = verdt.Ran
 		return o.Faulty && r.Repeatable && r.Attempts < r.MaxAttempts
 	}
 	r.Verdict = r.Verdict.Merge(o.Failure.Verdict)
 	return r.Attempts < r.MaxAttempts && r.Verdict.Retryable(r.Repeatable) && o.Failure.Reason != verdt.DeadlinePassed &&
-		o.Failure.Reason != verdt.CallerGone
+		o.Failure.Reason != verdt.CallerGone && !st.mayCrash(now, r)
 }
 
 // updateStats updates a server's statistics after an attempt. An attempt that the caller
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -16,7 +16,7 @@
 func (c *Core) DaemonStatus(now time.Time) board.DaemonStatus {
 	return board.DaemonStatus{
 		Loads: c.servers.Loads(), Suspects: c.servers.Suspects(now), Pipes: c.servers.Pipes.Sent(now),
-		Full: c.servers.Declined(now.Add(-sharedFullDuration)), PromptParts: c.promptParts(now), Limits: c.servers.Limits.Reports(now),
+		Full: c.servers.Declined(now.Add(-sharedFullDuration)), PromptParts: c.promptParts(now), RequestCrashes: board.RequestCrashes{ModelRequests: c.requestCrash.Report(now)}, Limits: c.servers.Limits.Reports(now),
 	}
 }
 
--- a/internal/drive/attempt.go
+++ b/internal/drive/attempt.go
@@ -62,8 +62,8 @@
 
 // sendAttempt sends a request to one server. A slow attempt ends early if the request can be sent to
 // another server; next is the attempt there then, which is already counted. Otherwise the server's answer
-// is awaited.
-func (e *Edge) sendAttempt(ctx context.Context, req *requestState, rule *setts.RouteRule, relayReq *relay.Request, attempt relay.Attempt) (answer *engine.Answer, failure *verdt.Error, next *relay.Attempt) {
+// is awaited. connectionLost reports whether the server ended the connection within its answer.
+func (e *Edge) sendAttempt(ctx context.Context, req *requestState, rule *setts.RouteRule, relayReq *relay.Request, attempt relay.Attempt) (answer *engine.Answer, failure *verdt.Error, connectionLost bool, next *relay.Attempt) {
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	ctx, cancelSlow := context.WithCancelCause(ctx)
@@ -82,13 +82,17 @@
 	case err == nil && next != nil:
 		// The answer came while the attempt was replaced.
 		e.withdrawAttempt(relayReq, next)
-		return &received, nil, nil
+		return &received, nil, false, nil
 	case err == nil:
-		return &received, nil, nil
+		return &received, nil, false, nil
 	case next != nil:
-		return nil, verdt.New(verdt.MayHaveRun, verdt.StageFailed, errSlowAttempt.Error(), verdt.Server(attempt.Server.ID)), next
+		return nil, verdt.New(verdt.MayHaveRun, verdt.StageFailed, errSlowAttempt.Error(), verdt.Server(attempt.Server.ID)), false, next
 	}
-	return nil, verdt.AsError(err, verdt.MayHaveRun), nil
+	var answerErr *engine.AnswerError
+	if errors.As(err, &answerErr) {
+		connectionLost = answerErr.ConnectionLost
+	}
+	return nil, verdt.AsError(err, verdt.MayHaveRun), connectionLost, nil
 }
 
 // replaceSlowAttempt starts the next attempt of a request at the given time, or later as soon as there is
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -366,6 +366,7 @@
 	req.in.AtMostOnce = rule.Repetition != setts.Idempotent
 	relayReq := &relay.Request{
 		Service: req.service, Repeatable: rule.Repetition == setts.Idempotent, Deadline: req.deadline, MaxAttempts: rule.MaxAttempts,
+		Digest: req.in.Digest,
 	}
 	e.mu.Lock()
 	e.relayState.CountRequest(req.arrived, relayReq)
@@ -382,11 +383,12 @@
 		e.log.Info(evlog.RequestSent, "request", req.in.ID, "attempt", relayReq.Attempts, "server", attempt.Server.ID, "zone", attempt.Server.Zone,
 			"in_progress", attempt.InProgress, "left_ms", time.Until(req.deadline).Milliseconds(), "digest", crash.FormatPart(req.in.Digest))
 		var answer *engine.Answer
-		answer, failure, next = e.sendAttempt(ctx, req, rule, relayReq, attempt)
+		var connectionLost bool
+		answer, failure, connectionLost, next = e.sendAttempt(ctx, req, rule, relayReq, attempt)
 		if answer != nil {
 			lastAnswer = answer
 		}
-		outcome := relay.Outcome{Failure: failure, Faulty: answer != nil && answer.Status >= 500}
+		outcome := relay.Outcome{Failure: failure, Faulty: answer != nil && answer.Status >= 500, ConnectionLost: connectionLost}
 		retry := e.recordAttempt(relayReq, attempt, outcome) || next != nil
 		if ctx.Err() != nil {
 			e.withdrawAttempt(relayReq, next)
@@ -452,6 +454,9 @@
 		if f.Reason == verdt.PromptBlocked {
 			fields = append(fields, "parts", crash.FormatParts(req.in.Parts))
 		}
+		if f.Reason == verdt.RequestBlocked {
+			fields = append(fields, "digest", crash.FormatPart(req.in.Digest))
+		}
 	}
 	e.log.Info(evlog.RequestServed, fields...)
 }
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -120,6 +120,14 @@
 	Parts []uint64
 }
 
+// digest returns the digest of the caller's own request; 0 for a request that has only a prompt.
+func (a *ModelRequest) digest() uint64 {
+	if a.Origin == nil {
+		return 0
+	}
+	return a.Origin.Digest
+}
+
 // bytesPerToken is a typical token's length, used to estimate a prompt's size.
 const bytesPerToken = 4
 
@@ -138,7 +146,7 @@
 		in.Arrivals = append(in.Arrivals, msgs.Arrival{
 			ID: id, Team: a.Team, Model: a.Model, Prefix: a.Prefix,
 			PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Deadline: a.Deadline,
-			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline, Parts: a.Parts,
+			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline, Parts: a.Parts, Digest: a.digest(),
 		})
 	})
 	return id, pending.reply
@@ -194,6 +202,11 @@
 	s.loop.post(func(in *msgs.Inbox) { in.StoredBlocks = blocks })
 }
 
+// SetStoredRequestBlocks sets the blocked requests to model engines that are stored in the key-value service.
+func (s *StreamExecutor) SetStoredRequestBlocks(blocks []crash.Block) {
+	s.loop.post(func(in *msgs.Inbox) { in.StoredRequestBlocks = blocks })
+}
+
 // Stop makes the core refuse new requests.
 func (s *StreamExecutor) Stop() { s.loop.post(func(in *msgs.Inbox) { in.Stop = true }) }
 
@@ -409,6 +422,12 @@
 		s.log.Info(evlog.PartBlocked, "part", crash.FormatPart(n.Part), "detail", n.Detail)
 	case msgs.PartUnblocked:
 		s.log.Info(evlog.PartUnblocked, "part", crash.FormatPart(n.Part), "detail", n.Detail)
+	case msgs.RequestSuspected:
+		s.log.Info(evlog.RequestSuspected, "digest", crash.FormatPart(n.Part), "detail", n.Detail)
+	case msgs.RequestBlocked:
+		s.log.Info(evlog.RequestBlocked, "digest", crash.FormatPart(n.Part), "detail", n.Detail)
+	case msgs.RequestUnblocked:
+		s.log.Info(evlog.RequestUnblocked, "digest", crash.FormatPart(n.Part), "detail", n.Detail)
 	case msgs.ListEmpty:
 		s.log.Error(errors.New("the membership list names no engine"), evlog.ListEmptied)
 	}
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -12,8 +12,8 @@
 	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_dropped"
 	_EventName_1      = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
-	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalid"
-	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalid"
+	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblocked"
+	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblocked"
 	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
 	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
 	_EventName_4      = "peer_unreachable"
@@ -25,7 +25,7 @@
 var (
 	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
-	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314}
+	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314, 331, 346, 363}
 	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132}
 	_EventIndex_4 = [...]uint8{0, 16}
 	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96}
@@ -39,7 +39,7 @@
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _EventName_1[_EventIndex_1[i]:_EventIndex_1[i+1]]
-	case 300 <= i && i <= 321:
+	case 300 <= i && i <= 324:
 		i -= 300
 		return _EventName_2[_EventIndex_2[i]:_EventIndex_2[i+1]]
 	case 400 <= i && i <= 411:
@@ -94,6 +94,9 @@
 	_ = x[ValueNotStored-319]
 	_ = x[ServerLimited-320]
 	_ = x[HeaderInvalid-321]
+	_ = x[RequestSuspected-322]
+	_ = x[RequestBlocked-323]
+	_ = x[RequestUnblocked-324]
 	_ = x[ShardOwned-400]
 	_ = x[ShardLost-401]
 	_ = x[ShardReleased-402]
@@ -116,7 +119,7 @@
 	_ = x[StreamStalled-606]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:    DaemonStarted,
@@ -154,6 +157,9 @@
 	_EventName_2[270:286]: ValueNotStored,
 	_EventName_2[286:300]: ServerLimited,
 	_EventName_2[300:314]: HeaderInvalid,
+	_EventName_2[314:331]: RequestSuspected,
+	_EventName_2[331:346]: RequestBlocked,
+	_EventName_2[346:363]: RequestUnblocked,
 	_EventName_3[0:11]:    ShardOwned,
 	_EventName_3[11:21]:   ShardLost,
 	_EventName_3[21:35]:   ShardReleased,
@@ -212,6 +218,9 @@
 	_EventLowerName_2[270:286]: ValueNotStored,
 	_EventLowerName_2[286:300]: ServerLimited,
 	_EventLowerName_2[300:314]: HeaderInvalid,
+	_EventLowerName_2[314:331]: RequestSuspected,
+	_EventLowerName_2[331:346]: RequestBlocked,
+	_EventLowerName_2[346:363]: RequestUnblocked,
 	_EventLowerName_3[0:11]:    ShardOwned,
 	_EventLowerName_3[11:21]:   ShardLost,
 	_EventLowerName_3[21:35]:   ShardReleased,
@@ -270,6 +279,9 @@
 	_EventName_2[270:286],
 	_EventName_2[286:300],
 	_EventName_2[300:314],
+	_EventName_2[314:331],
+	_EventName_2[331:346],
+	_EventName_2[346:363],
 	_EventName_3[0:11],
 	_EventName_3[11:21],
 	_EventName_3[21:35],
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -91,6 +91,13 @@
 	ServerLimited Event = 320
 	// HeaderInvalid means that a server's answer had a header that cannot be used.
 	HeaderInvalid Event = 321
+	// RequestSuspected means that servers ended under a request that came again, and that none has
+	// answered it.
+	RequestSuspected Event = 322
+	// RequestBlocked means that a request is refused, since servers crash on it.
+	RequestBlocked Event = 323
+	// RequestUnblocked means that a request that was blocked is accepted again.
+	RequestUnblocked Event = 324
 	// ShardOwned means that this daemon became the owner of a journal shard.
 	ShardOwned Event = 400
 	// ShardLost means that this daemon lost the ownership of a shard.
--- a/pkg/verdt/failure.go
+++ b/pkg/verdt/failure.go
@@ -72,6 +72,8 @@
 	HeadersTooLarge
 	// PromptBlocked means that backend servers crash on a part of the prompt.
 	PromptBlocked
+	// RequestBlocked means that backend servers crash on this very request.
+	RequestBlocked
 )
 
 // Error is the router's error type. It always says whether the request may have
--- a/pkg/verdt/reason_enumer.go
+++ b/pkg/verdt/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_largeprompt_blocked"
+const _ReasonName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_largeprompt_blockedrequest_blocked"
 
-var _ReasonIndex = [...]uint16{0, 8, 19, 28, 40, 49, 62, 77, 87, 99, 107, 122, 134, 145, 153, 165, 177, 189, 199, 214, 229, 242, 251, 265, 278, 284, 301, 315}
+var _ReasonIndex = [...]uint16{0, 8, 19, 28, 40, 49, 62, 77, 87, 99, 107, 122, 134, 145, 153, 165, 177, 189, 199, 214, 229, 242, 251, 265, 278, 284, 301, 315, 330}
 
-const _ReasonLowerName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_largeprompt_blocked"
+const _ReasonLowerName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_largeprompt_blockedrequest_blocked"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -24,92 +24,98 @@
 // Re-run the stringer command to generate them again.
 func _ReasonNoOp() {
 	var x [1]struct{}
-	_ = x[Internal-(0)]
-	_ = x[BadRequest-(1)]
-	_ = x[TooLarge-(2)]
-	_ = x[Unauthorized-(3)]
-	_ = x[Forbidden-(4)]
-	_ = x[UnknownModel-(5)]
-	_ = x[UnknownService-(6)]
-	_ = x[Overloaded-(7)]
-	_ = x[RateLimited-(8)]
-	_ = x[NoRoute-(9)]
-	_ = x[DeadlinePassed-(10)]
-	_ = x[StageFailed-(11)]
-	_ = x[CallerGone-(12)]
-	_ = x[Stopping-(13)]
-	_ = x[JournalDown-(14)]
-	_ = x[JournalFull-(15)]
-	_ = x[KeyRequired-(16)]
-	_ = x[KeyReused-(17)]
-	_ = x[KeyInProgress-(18)]
-	_ = x[OutcomeUnknown-(19)]
-	_ = x[OwnerUnknown-(20)]
-	_ = x[PeerLost-(21)]
-	_ = x[SettingsStale-(22)]
-	_ = x[UnknownRoute-(23)]
-	_ = x[Fenced-(24)]
-	_ = x[HeadersTooLarge-(25)]
-	_ = x[PromptBlocked-(26)]
+	_ = x[Internal-0]
+	_ = x[BadRequest-1]
+	_ = x[TooLarge-2]
+	_ = x[Unauthorized-3]
+	_ = x[Forbidden-4]
+	_ = x[UnknownModel-5]
+	_ = x[UnknownService-6]
+	_ = x[Overloaded-7]
+	_ = x[RateLimited-8]
+	_ = x[NoRoute-9]
+	_ = x[DeadlinePassed-10]
+	_ = x[StageFailed-11]
+	_ = x[CallerGone-12]
+	_ = x[Stopping-13]
+	_ = x[JournalDown-14]
+	_ = x[JournalFull-15]
+	_ = x[KeyRequired-16]
+	_ = x[KeyReused-17]
+	_ = x[KeyInProgress-18]
+	_ = x[OutcomeUnknown-19]
+	_ = x[OwnerUnknown-20]
+	_ = x[PeerLost-21]
+	_ = x[SettingsStale-22]
+	_ = x[UnknownRoute-23]
+	_ = x[Fenced-24]
+	_ = x[HeadersTooLarge-25]
+	_ = x[PromptBlocked-26]
+	_ = x[RequestBlocked-27]
 }
 
-var _ReasonValues = []Reason{Internal, BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService, Overloaded, RateLimited, NoRoute, DeadlinePassed, StageFailed, CallerGone, Stopping, JournalDown, JournalFull, KeyRequired, KeyReused, KeyInProgress, OutcomeUnknown, OwnerUnknown, PeerLost, SettingsStale, UnknownRoute, Fenced, HeadersTooLarge, PromptBlocked}
+var _ReasonValues = []Reason{Internal, BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService, Overloaded, RateLimited, NoRoute, DeadlinePassed, StageFailed, CallerGone, Stopping, JournalDown, JournalFull, KeyRequired, KeyReused, KeyInProgress, OutcomeUnknown, OwnerUnknown, PeerLost, SettingsStale, UnknownRoute, Fenced, HeadersTooLarge, PromptBlocked, RequestBlocked}
 
 var _ReasonNameToValueMap = map[string]Reason{
-	_ReasonName[0:8]:          Internal,
+	_ReasonName[0:8]:     Internal,
+	_ReasonName[8:19]:    BadRequest,
+	_ReasonName[19:28]:   TooLarge,
+	_ReasonName[28:40]:   Unauthorized,
+	_ReasonName[40:49]:   Forbidden,
+	_ReasonName[49:62]:   UnknownModel,
+	_ReasonName[62:77]:   UnknownService,
+	_ReasonName[77:87]:   Overloaded,
+	_ReasonName[87:99]:   RateLimited,
+	_ReasonName[99:107]:  NoRoute,
+	_ReasonName[107:122]: DeadlinePassed,
+	_ReasonName[122:134]: StageFailed,
+	_ReasonName[134:145]: CallerGone,
+	_ReasonName[145:153]: Stopping,
+	_ReasonName[153:165]: JournalDown,
+	_ReasonName[165:177]: JournalFull,
+	_ReasonName[177:189]: KeyRequired,
+	_ReasonName[189:199]: KeyReused,
+	_ReasonName[199:214]: KeyInProgress,
+	_ReasonName[214:229]: OutcomeUnknown,
+	_ReasonName[229:242]: OwnerUnknown,
+	_ReasonName[242:251]: PeerLost,
+	_ReasonName[251:265]: SettingsStale,
+	_ReasonName[265:278]: UnknownRoute,
+	_ReasonName[278:284]: Fenced,
+	_ReasonName[284:301]: HeadersTooLarge,
+	_ReasonName[301:315]: PromptBlocked,
+	_ReasonName[315:330]: RequestBlocked,
+}
+
+var _ReasonLowerNameToValueMap = map[string]Reason{
 	_ReasonLowerName[0:8]:     Internal,
-	_ReasonName[8:19]:         BadRequest,
 	_ReasonLowerName[8:19]:    BadRequest,
-	_ReasonName[19:28]:        TooLarge,
 	_ReasonLowerName[19:28]:   TooLarge,
-	_ReasonName[28:40]:        Unauthorized,
 	_ReasonLowerName[28:40]:   Unauthorized,
-	_ReasonName[40:49]:        Forbidden,
 	_ReasonLowerName[40:49]:   Forbidden,
-	_ReasonName[49:62]:        UnknownModel,
 	_ReasonLowerName[49:62]:   UnknownModel,
-	_ReasonName[62:77]:        UnknownService,
 	_ReasonLowerName[62:77]:   UnknownService,
-	_ReasonName[77:87]:        Overloaded,
 	_ReasonLowerName[77:87]:   Overloaded,
-	_ReasonName[87:99]:        RateLimited,
 	_ReasonLowerName[87:99]:   RateLimited,
-	_ReasonName[99:107]:       NoRoute,
 	_ReasonLowerName[99:107]:  NoRoute,
-	_ReasonName[107:122]:      DeadlinePassed,
 	_ReasonLowerName[107:122]: DeadlinePassed,
-	_ReasonName[122:134]:      StageFailed,
 	_ReasonLowerName[122:134]: StageFailed,
-	_ReasonName[134:145]:      CallerGone,
 	_ReasonLowerName[134:145]: CallerGone,
-	_ReasonName[145:153]:      Stopping,
 	_ReasonLowerName[145:153]: Stopping,
-	_ReasonName[153:165]:      JournalDown,
 	_ReasonLowerName[153:165]: JournalDown,
-	_ReasonName[165:177]:      JournalFull,
 	_ReasonLowerName[165:177]: JournalFull,
-	_ReasonName[177:189]:      KeyRequired,
 	_ReasonLowerName[177:189]: KeyRequired,
-	_ReasonName[189:199]:      KeyReused,
 	_ReasonLowerName[189:199]: KeyReused,
-	_ReasonName[199:214]:      KeyInProgress,
 	_ReasonLowerName[199:214]: KeyInProgress,
-	_ReasonName[214:229]:      OutcomeUnknown,
 	_ReasonLowerName[214:229]: OutcomeUnknown,
-	_ReasonName[229:242]:      OwnerUnknown,
 	_ReasonLowerName[229:242]: OwnerUnknown,
-	_ReasonName[242:251]:      PeerLost,
 	_ReasonLowerName[242:251]: PeerLost,
-	_ReasonName[251:265]:      SettingsStale,
 	_ReasonLowerName[251:265]: SettingsStale,
-	_ReasonName[265:278]:      UnknownRoute,
 	_ReasonLowerName[265:278]: UnknownRoute,
-	_ReasonName[278:284]:      Fenced,
 	_ReasonLowerName[278:284]: Fenced,
-	_ReasonName[284:301]:      HeadersTooLarge,
 	_ReasonLowerName[284:301]: HeadersTooLarge,
-	_ReasonName[301:315]:      PromptBlocked,
 	_ReasonLowerName[301:315]: PromptBlocked,
+	_ReasonLowerName[315:330]: RequestBlocked,
 }
 
 var _ReasonNames = []string{
@@ -140,6 +146,7 @@
 	_ReasonName[278:284],
 	_ReasonName[284:301],
 	_ReasonName[301:315],
+	_ReasonName[315:330],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
@@ -149,7 +156,7 @@
 		return val, nil
 	}
 
-	if val, ok := _ReasonNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _ReasonLowerNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to Reason values", s)
