Let the soak name limits and send a request that crashes servers

Cause: the soak knew neither, so limits and crashing requests met no kills, pauses or cuts. Change: two faults, two checks of what servers saw, four rows of the oracle's own test.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -203,6 +203,8 @@
 			})
 		})
 	}},
+	{limitFault, func(tb *testbed, rnd *rand.Rand) { tb.nameLimit(rnd) }},
+	{crashingFault, func(tb *testbed, rnd *rand.Rand) { tb.crashServers(rnd) }},
 	{"engines added", func(tb *testbed, rnd *rand.Rand) {
 		for range 1 + rnd.IntN(2) {
 			tb.startServer(true)
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -63,6 +64,18 @@
 		{"run for another team", func(_ *request, h *history) { h.Teams["q1"] = "south" }, booking, "for the team"},
 		{"run without a request", func(_ *request, h *history) { h.Runs["q9"] = 1 }, booking, "no caller sent it"},
 		{"invalid chain", func(_ *request, h *history) { h.BadChains = []string{"x=0-4"} }, stream, "over the invalid chain x=0-4"},
+		{"server over its limit", func(_ *request, h *history) {
+			h.Limited = []limitedServer{{ID: "b0", PerSecond: 1, From: start, Arrivals: slices.Repeat([]time.Time{start.Add(5 * time.Second)}, 12)}}
+		}, booking, "b0 got 12 requests"},
+		{"server at its limit", func(_ *request, h *history) {
+			h.Limited = []limitedServer{{ID: "b0", PerSecond: 1, From: start, Arrivals: slices.Repeat([]time.Time{start.Add(5 * time.Second)}, 11)}}
+		}, booking, ""},
+		{"request that crashes servers again and again", func(_ *request, h *history) {
+			h.Crashing = crashingRequest{Crashes: slices.Repeat([]time.Time{start}, 3), Arrivals: slices.Repeat([]time.Time{start.Add(4 * time.Second)}, 4)}
+		}, booking, "reached servers 4 times"},
+		{"request that crashes servers, refused in time", func(_ *request, h *history) {
+			h.Crashing = crashingRequest{Crashes: slices.Repeat([]time.Time{start}, 3), Arrivals: slices.Repeat([]time.Time{start.Add(2 * time.Second)}, 4)}
+		}, booking, ""},
 		{"late response", func(r *request, _ *history) { r.EndedAt = r.SentAt.Add(deadline + time.Second) }, booking, "took"},
 		{"incomplete response", func(r *request, _ *history) { r.Complete = false }, stream, "no disruption"},
 		{"incomplete response during a planned stop", func(r *request, h *history) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -58,6 +59,11 @@
 	lastServer   int
 	configs      []configVersion
 	faultWindows []faultWindow
+	limited      []limitedServer
+	// limitNamed holds the IDs of the servers that have named a limit.
+	limitNamed []string
+	// crashing is set once a request that crashes servers was sent.
+	crashing atomic.Bool
 }
 
 // newTestbed starts the platform, the servers and the daemons of a run.
@@ -283,7 +289,9 @@
 	}
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	arrivals, crashes := tb.platform.CrashingArrivals()
 	seen := &history{
+		Limited: tb.limited, Crashing: crashingRequest{Arrivals: arrivals, Crashes: crashes},
 		Requests: tb.callers.records(), Runs: tb.platform.AllRuns(), Teams: map[string]string{}, BadChains: tb.platform.InvalidChains(),
 		Configs: tb.configs, FaultWindows: tb.faultWindows, StreamEvents: streamEvents, CheckTimes: tb.checkTimes,
 	}
