Test two allocators at once, and repeats of one request against its parts

Two of the new mutations were missed: without the part of the daemons that report to an allocator, two that do not know of each other hand out twice the limit, and each repeat of a request counted against its parts. Tests only; both are caught now.

--- a/internal/core/crashing_request_test.go
+++ b/internal/core/crashing_request_test.go
@@ -36,6 +36,11 @@
 	w.token(w.out.Opens[0], 0, false)
 	w.in.CallerGone = append(w.in.CallerGone, 1)
 	w.tick()
+	again := bad
+	again.ID = 2
+	w.crashFirstServer(w.submit(again))
+	w.in.CallerGone = append(w.in.CallerGone, 2)
+	w.tick()
 	assert.Equal(t, len(w.evidence()), 1)
 	for range 8 {
 		w.tellCrashes("x1", "x2")
@@ -43,14 +48,14 @@
 	}
 	assert.Equal(t, w.core.CrashMetrics().RequestBlocksNow, 1)
 	assert.Equal(t, w.core.CrashMetrics().PartsBlockedNow, 0)
-	w.in.Arrivals = append(w.in.Arrivals, msgs.Arrival{ID: 2, Model: "m", Deadline: w.now.Add(20 * time.Second), Digest: badDigest})
+	w.in.Arrivals = append(w.in.Arrivals, msgs.Arrival{ID: 3, Model: "m", Deadline: w.now.Add(20 * time.Second), Digest: badDigest})
 	w.tick()
-	f := w.finished(2)
+	f := w.finished(3)
 	assert.Assert(t, f != nil)
 	assert.Equal(t, f.Failure.Verdict, verdt.NotRun)
 	assert.Equal(t, f.Failure.Reason, verdt.RequestBlocked)
 	assert.Assert(t, f.Failure.RetryAt.Sub(w.now) > time.Minute)
-	w.submit(msgs.Arrival{ID: 3, Parts: []uint64{badPart}, Digest: badDigest + 1})
+	w.submit(msgs.Arrival{ID: 4, Parts: []uint64{badPart}, Digest: badDigest + 1})
 }
 
 // TestRequestIsSentToThirdEngine checks that a request of which nothing is known is sent to a third engine after two
--- a/internal/core/limit/fleet_test.go
+++ b/internal/core/limit/fleet_test.go
@@ -37,6 +37,8 @@
 	limit     Statement
 	daemons   []*State
 	allocator *Allocator
+	// second shares out the limit among every other daemon; nil while all report to allocator.
+	second *Allocator
 	// reachable reports whether a daemon reaches the allocator; nil for always.
 	reachable func(daemon int) bool
 	// weight is the daemon's part of the demand, relative to others; nil for 1.
@@ -86,7 +88,14 @@
 			phase := time.Duration(i) * testStep % testExchange
 			if f.now.Add(phase).UnixNano()%int64(testExchange) == 0 && (f.reachable == nil || f.reachable(i)) {
 				part := float64(reachable) / float64(len(f.daemons))
-				st.Apply(f.now, f.allocator.Exchange(f.now, model.DaemonID(strconv.Itoa(i)), st.Reports(f.now), part), known)
+				allocator := f.allocator
+				if f.second != nil {
+					part /= 2
+					if i%2 == 1 {
+						allocator = f.second
+					}
+				}
+				st.Apply(f.now, allocator.Exchange(f.now, model.DaemonID(strconv.Itoa(i)), st.Reports(f.now), part), known)
 			}
 			if f.rng.Float64() < demand*f.weightOf(i)/weights*testStep.Seconds() {
 				st.Want(f.now, testServer)
@@ -161,6 +170,11 @@
 			f.reachable = func(daemon int) bool { return daemon%3 != 0 }
 			f.run(15*time.Second, demand)
 		}, 0.25},
+		{"two allocators that do not know of each other", func(f *testFleet, demand float64) {
+			f.run(5*time.Second, demand)
+			f.second = NewAllocator(78)
+			f.run(15*time.Second, demand)
+		}, 0.25},
 		{"daemons start", func(f *testFleet, demand float64) {
 			for i := range 10 {
 				f.run(2*time.Second, demand)
