Look up explained ends of engines only where they count

Cause: each tick collected the engines that blocked prompt parts explain, whether or not a request was under suspicion. Change: the state of requests asks the state of parts when it counts ends.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,16 +89,16 @@
 // New returns a core without servers and settings.
 func New(opts ...Option) *Core {
 	c := &Core{
-		servers:      table.NewServers(),
-		requests:     table.NewRequests(),
-		picker:       route.NewFlow(1),
-		admit:        admit.New(),
-		drain:        drain.New(),
-		recov:        &recov.State{},
-		crash:        crash.New(crash.PromptParts()),
-		requestCrash: crash.New(crash.Requests()),
-		daemons:      1,
-	}
+		servers:  table.NewServers(),
+		requests: table.NewRequests(),
+		picker:   route.NewFlow(1),
+		admit:    admit.New(),
+		drain:    drain.New(),
+		recov:    &recov.State{},
+		crash:    crash.New(crash.PromptParts()),
+		daemons:  1,
+	}
+	c.requestCrash = crash.New(crash.Requests(), crash.WithExplanations(c.crash))
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -135,8 +135,9 @@
 	// exchangedAt is when the reports of the others last came, and exchangingSince since when they
 	// come without a gap above maxExchangeGap.
 	exchangedAt, exchangingSince time.Time
-	// explained holds the engines whose ends something else explains.
-	explained map[model.ServerID]struct{}
+	// explainedBy knows the engines whose ends something else explains, which count for no part here; nil
+	// for none.
+	explainedBy *State
 	// learned holds the parts blocked by other daemons since the last Check.
 	learned []uint64
 	// changed is set if Check has something to evaluate, and nextCheck is when it has otherwise.
@@ -144,14 +145,25 @@
 	nextCheck time.Time
 }
 
+// Option configures a State.
+type Option func(*State)
+
+// WithExplanations makes the ends of engines under requests with parts that another state blocks count for
+// no part.
+func WithExplanations(by *State) Option { return func(st *State) { st.explainedBy = by } }
+
 // New returns a state without evidence.
-func New(p Policy) *State {
-	return &State{
+func New(p Policy, opts ...Option) *State {
+	st := &State{
 		policy: p,
 		own:    map[Evidence]time.Time{}, evidence: map[Evidence]sighting{}, sound: newSoundParts(maxSoundParts),
 		soundElsewhere: map[uint64]time.Time{}, suspects: map[uint64]time.Time{}, blocks: map[uint64]time.Time{},
 		disputed: map[uint64]time.Time{},
 	}
+	for _, opt := range opts {
+		opt(st)
+	}
+	return st
 }
 
 // RecordSound records that an engine answered a request with these parts.
--- a/internal/core/crash/decide.go
+++ b/internal/core/crash/decide.go
@@ -150,7 +150,7 @@
 // to BlockDuration after the last of them.
 func (st *State) unexplained(ends []engineEnd) []engineEnd {
 	return slices.DeleteFunc(ends, func(end engineEnd) bool {
-		_, explained := st.explained[end.server]
+		explained := st.explainedBy != nil && st.explainedBy.explains(end.server)
 		for _, p := range end.parts {
 			until, blocked := st.blocks[p.part]
 			if !blocked {
@@ -165,23 +165,16 @@
 	})
 }
 
-// Explained returns the engines that ended under requests with blocked parts.
-func (st *State) Explained() map[model.ServerID]struct{} {
-	if len(st.blocks) == 0 {
-		return nil
-	}
-	servers := map[model.ServerID]struct{}{}
-	for e := range st.evidence {
-		if _, blocked := st.blocks[e.Part]; blocked {
-			servers[e.Server] = struct{}{}
+// explains reports whether an engine ended under a request with a blocked part.
+func (st *State) explains(id model.ServerID) bool {
+	for part := range st.blocks {
+		if _, ended := st.evidence[Evidence{Server: id, Part: part}]; ended {
+			return true
 		}
 	}
-	return servers
+	return false
 }
 
-// SetExplained sets the engines whose ends something else explains, and which count for no part.
-func (st *State) SetExplained(servers map[model.ServerID]struct{}) { st.explained = servers }
-
 // crashes is how often engines ended under requests with one part.
 type crashes struct {
 	// count leaves out ends that are not at least Policy.CrashDistance after the one counted before.
--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -129,7 +129,6 @@
 		}
 		c.applyChange(now, change, promptPartSubject(), out)
 	}
-	c.requestCrash.SetExplained(c.crash.Explained())
 	for _, change := range c.requestCrash.Check(now) {
 		if change.Kind == crash.Blocked {
 			c.crashMetrics.RequestBlocks++
