--- a/internal/core/crash/requests_test.go
+++ b/internal/core/crash/requests_test.go
@@ -108,3 +108,26 @@
 	r := f.daemons[0].Report(f.now)
 	assert.Equal(t, len(r.Evidence)+len(r.Sound), 0)
 }
+
+// TestRequestIsBlockedInTimeAtAnySize guards against a request that reaches servers again because the daemons, each of
+// which saw one end at most, learn of the others' too late.
+func TestRequestIsBlockedInTimeAtAnySize(t *testing.T) {
+	const learnBound = 3 * time.Second
+	for _, daemons := range []int{7, 195, 390} {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			f := newTestFleet(t, daemons)
+			for i := range f.daemons {
+				f.daemons[i] = New(Requests())
+			}
+			f.pass(time.Second)
+			for i, apart := range []time.Duration{0, 2 * time.Second, 0} {
+				f.daemons[(i*daemons)/3].RecordCrash(f.now, model.ServerID(strconv.Itoa(i)), []uint64{bad})
+				f.pass(apart)
+			}
+			f.pass(learnBound)
+			for i := range f.daemons {
+				assert.DeepEqual(t, f.blocked(i), []uint64{bad})
+			}
+		})
+	}
+}
