--- a/internal/core/limit/allocator.go
+++ b/internal/core/limit/allocator.go
@@ -88,7 +88,7 @@
 		al.accounts[r.Server] = a
 	}
 	if saidAt := now.Add(-r.Age); a.contradictedBy(saidAt, r.Statement) {
-		a.say(saidAt, r.Statement)
+		a.set(saidAt, r.Statement)
 	}
 	d := a.daemons[from]
 	if d == nil {
--- a/internal/core/limit/fleet_test.go
+++ b/internal/core/limit/fleet_test.go
@@ -98,7 +98,7 @@
 				st.Apply(f.now, allocator.Exchange(f.now, model.DaemonID(strconv.Itoa(i)), st.Reports(f.now), part), known)
 			}
 			if f.rng.Float64() < demand*f.weightOf(i)/weights*testStep.Seconds() {
-				st.Want(f.now, testServer)
+				st.CountDemand(f.now, testServer)
 				if st.HasRoom(f.now, testServer) {
 					st.Take(f.now, testServer)
 					f.sent = append(f.sent, f.now)
--- a/internal/core/limit/limit.go
+++ b/internal/core/limit/limit.go
@@ -133,11 +133,11 @@
 		known = &serverLimit{}
 		st.servers[s.Server] = known
 	}
-	return known.say(now, s)
+	return known.set(now, s)
 }
 
-// say sets the latest statement and reports whether it is news.
-func (l *serverLimit) say(at time.Time, s Statement) bool {
+// set sets the latest statement and reports whether it is news.
+func (l *serverLimit) set(at time.Time, s Statement) bool {
 	news := l.latest != s
 	if news && !s.Limited {
 		l.endedAt = at
@@ -201,7 +201,7 @@
 			l = &serverLimit{}
 			st.servers[g.Server] = l
 		}
-		if saidAt := now.Add(-g.Age); l.contradictedBy(saidAt, g.Statement) && l.say(saidAt, g.Statement) {
+		if saidAt := now.Add(-g.Age); l.contradictedBy(saidAt, g.Statement) && l.set(saidAt, g.Statement) {
 			news = append(news, g.Statement)
 		}
 		l.sharedAt, l.share, l.alone = now, g.Rate, nil
@@ -212,8 +212,8 @@
 	return news
 }
 
-// Want records that a request would be sent to a server if its limit allows.
-func (st *State) Want(now time.Time, id model.ServerID) {
+// CountDemand records that a request would be sent to a server if its limit allows.
+func (st *State) CountDemand(now time.Time, id model.ServerID) {
 	if l := st.servers[id]; l != nil && l.latest.Limited {
 		l.demand = l.currentDemand(now) + 1/demandPeriod.Seconds()
 		l.demandAt = now
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -143,7 +143,7 @@
 	}
 	best, wanted := st.chooseServer(now, r)
 	for _, s := range wanted {
-		st.limits.Want(now, s.id())
+		st.limits.CountDemand(now, s.id())
 	}
 	if best == nil && len(wanted) > 0 {
 		return Attempt{}, verdt.New(r.Verdict, verdt.Overloaded, "all backend servers of the service are at the limit that they named", verdt.RetryAt(st.RetryAt(now, r.Service)))
@@ -219,23 +219,6 @@
 	return true
 }
 
-// RecordLimit records what a server said about its limit, and reports whether that is news.
-func (st *State) RecordLimit(now time.Time, s limit.Statement) bool {
-	return st.servers[string(s.Server)] != nil && st.limits.Record(now, s)
-}
-
-// Limited returns the number of servers with a limit in force.
-func (st *State) Limited() int { return st.limits.Count() }
-
-// LimitReports returns what this daemon tells the others about the limits of servers.
-func (st *State) LimitReports(now time.Time) []limit.Report { return st.limits.Reports(now) }
-
-// ApplyLimits applies this daemon's shares of limits and what servers said to the others, and returns the
-// statements that are news.
-func (st *State) ApplyLimits(now time.Time, grants []limit.Grant) []limit.Statement {
-	return st.limits.Apply(now, grants, func(id model.ServerID) bool { return st.servers[string(id)] != nil })
-}
-
 // chooseServer returns the live server of the service with the lowest cost, or nil, and the servers with
 // limits for which there is demand. Paused servers and those whose limits allow no request now are left out.
 // Servers that are in cooldown come after the others, and servers that were tried before come last.
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -136,7 +136,7 @@
 // earlier search for the same stream.
 func (c *Chains) countDemand(now time.Time, servers *table.Servers, q Query, id model.ServerID) {
 	if !q.Request.LimitDemandCounted {
-		servers.Limits.Want(now, id)
+		servers.Limits.CountDemand(now, id)
 	}
 }
 
