--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -134,6 +134,8 @@
 	processID    string
 	// shutdownDelay is how long a stopping daemon still accepts new requests.
 	shutdownDelay time.Duration
+	// serverOptions configure the client for backend servers.
+	serverOptions []platform.EngineClientOption
 
 	callerListener, readinessListener, metricsListener net.Listener
 	stopping                                           atomic.Bool
@@ -173,6 +175,11 @@
 	return func(d *EdgeDaemon) { d.shutdownDelay = delay }
 }
 
+// WithServerDialer replaces how connections to backend servers are opened.
+func WithServerDialer(dial platform.DialFunc) EdgeDaemonOption {
+	return func(d *EdgeDaemon) { d.serverOptions = append(d.serverOptions, platform.WithDialer(dial)) }
+}
+
 // NewEdgeDaemon opens the listeners of a daemon and connects its components, which start
 // in Run.
 func NewEdgeDaemon(deps Dependencies, vm platform.VMSettings, metricsPort uint16, opts ...EdgeDaemonOption) (*EdgeDaemon, error) {
@@ -184,10 +191,10 @@
 		deps: deps, vm: vm, store: platform.NewStoreClient(vm.StoreAddress), processID: processID,
 		roster: roster.New(entryExpiryBeats*vm.HeartbeatInterval+entryExpiryMargin, lapsedEntryHold), loadBoard: board.New(), limits: limit.NewAllocator(base), daemonCount: 1, shutdownDelay: edgeShutdownDelay,
 	}
-	d.engines = platform.NewEngineClient(platform.WithObserver(d))
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d))...)
 	budget := func() *retry.Budget { return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow) }
 	d.streams = drive.NewStreamExecutor(deps.Log, d.engines, base,
 		core.WithPicker(route.NewChains(vm.Zone, base)), core.WithBudget(budget()), core.WithStallCheck(), core.WithLimitSeed(base))
--- a/internal/boot/edge_test.go
+++ b/internal/boot/edge_test.go
@@ -27,7 +27,7 @@
 }
 
 // newTestEnvironment starts a platform stand-in with 4 engines, 2 servers of a service without
-// a model and some daemons, and waits until a stream completes.
+// a model and some daemons, if any, and waits until a stream completes.
 func newTestEnvironment(t *testing.T, daemons int) *testEnvironment {
 	t.Helper()
 	t.Parallel()
@@ -47,7 +47,9 @@
 	for range daemons {
 		env.start(nil)
 	}
-	env.waitUntil("the first stream completes", func() bool { return env.stream(0, "/draft/x").complete })
+	if daemons > 0 {
+		env.waitUntil("the first stream completes", func() bool { return env.stream(0, "/draft/x").complete })
+	}
 	return env
 }
 
@@ -60,13 +62,13 @@
 }
 
 // start starts one more daemon, which stops at the end of the test.
-func (env *testEnvironment) start(seeds []string) *EdgeDaemon {
+func (env *testEnvironment) start(seeds []string, opts ...EdgeDaemonOption) *EdgeDaemon {
 	env.t.Helper()
 	daemon, err := NewEdgeDaemon(Dependencies{Log: NewLog(io.Discard, false), Out: io.Discard}, platform.VMSettings{
 		VMName: fmt.Sprintf("d%d", len(env.daemons)), Zone: "a", IP: "127.0.0.1",
 		CallersAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0", Seeds: seeds,
 		StoreAddress: env.platform.Address(), FleetStarts: true, HeartbeatInterval: 200 * time.Millisecond, Cores: 1, ShutdownTimeout: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryBurst: 200,
-	}, 0, WithEdgeShutdownDelay(50*time.Millisecond))
+	}, 0, append(opts, WithEdgeShutdownDelay(50*time.Millisecond))...)
 	assert.NilError(env.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	runErr := make(chan error, 1)
