--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -108,6 +108,8 @@
 	edgeShutdownDelay = 2500 * time.Millisecond
 	// shutdownMargin is subtracted from the VM's stop time to get the shutdown deadline.
 	shutdownMargin = 300 * time.Millisecond
+	// shutdownPollInterval is how often a stopping daemon checks whether requests of other daemons are in progress.
+	shutdownPollInterval = 20 * time.Millisecond
 )
 
 // claimDelay returns how long a daemon waits before it claims the vacant placement
@@ -197,9 +199,9 @@
 	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d))...)
 	budget := func() *retry.Budget { return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow) }
 	d.streams = drive.NewStreamExecutor(deps.Log, d.engines, base,
-		core.WithPicker(route.NewChains(vm.Zone, base)), core.WithBudget(budget()), core.WithStallCheck(), core.WithLimitSeed(base))
+		core.WithPicker(route.NewChains(vm.Zone, base)), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base))
 	d.burnRecorder = burn.NewRecorder(d.burnLimits)
-	d.edge = drive.NewEdge(deps.Log, d.streams, d.engines, relay.New(vm.Zone, budget(), base), base, d.burnRecorder)
+	d.edge = drive.NewEdge(deps.Log, d.streams, d.engines, relay.New(vm.Zone, budget(), base), base, d.burnRecorder, drive.WithProxies(d.engines, proxyClient{d}))
 	d.feed = drive.NewStoreMirror(deps.Log, d.store, d, d.applyStoreChanges)
 	if err := d.listen(metricsPort); err != nil {
 		return nil, err
@@ -211,6 +213,14 @@
 	return d, nil
 }
 
+// proxyClient sends requests to other daemons over a daemon's peer client, which is created after the Edge.
+type proxyClient struct{ daemon *EdgeDaemon }
+
+// OpenProxy implements drive.ProxyClient.
+func (p proxyClient) OpenProxy(ctx context.Context, address string, q drive.ProxyRequest) (drive.ProxyStream, error) {
+	return p.daemon.client.OpenProxy(ctx, address, q)
+}
+
 // listen opens the listeners and replaces the addresses in d.vm by the actual ones, since
 // a port may be 0.
 func (d *EdgeDaemon) listen(metricsPort uint16) error {
@@ -254,6 +264,7 @@
 	supervisor.Add(d.feed)
 	supervisor.Add(periodicTask{name: "hub", interval: drive.HubInterval, run: d.feed.AskHub})
 	supervisor.Add(d.duty)
+	supervisor.Add(periodicTask{name: "reach", interval: drive.ReachInterval, run: d.edge.CheckReach})
 	supervisor.Add(periodicTask{name: "board", interval: ownLoadInterval, run: d.recordOwnLoad})
 	supervisor.Add(periodicTask{name: "fleet", interval: fleetInterval, run: d.storeFleet})
 	supervisor.Add(periodicTask{name: "blocks", interval: blocksInterval, run: d.storeBlocks})
@@ -331,6 +342,10 @@
 		d.deps.Log.Error(trace.LimitExceeded("requests were still in flight at the shutdown deadline"), evlog.DaemonStopForced, "running", d.edge.InProgress())
 		return
 	}
+	// Requests of other daemons have no connection of a caller.
+	for d.edge.InProgress() > 0 && time.Now().Before(deadline) {
+		time.Sleep(shutdownPollInterval)
+	}
 	d.deps.Log.Info(evlog.DaemonStopped, "took_ms", time.Since(began).Milliseconds())
 }
 
--- a/internal/boot/edge_cut_test.go
+++ b/internal/boot/edge_cut_test.go
@@ -268,6 +268,16 @@
 			time.Sleep(2 * cutContact)
 			close(stop)
 			wg.Wait()
+			if tc.hub {
+				owners := 0
+				for i, d := range env.daemons {
+					if d.duty.FencingToken() > 0 {
+						owners++
+						assert.Check(t, i != cut, "the placement is still owned by the daemon that reaches no engine")
+					}
+				}
+				assert.Check(t, owners == 1, "the placement has %d owners", owners)
+			}
 			paths[cut].set(pathOpen, nil)
 			time.Sleep(cutContact)
 			stop = make(chan struct{})
--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -8,6 +8,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/mirror"
 	"bulrushpond.example/bulrushpond/internal/peer"
@@ -35,6 +36,7 @@
 		return mirror.Delta{}, 0, false
 	}
 	d.applyOthers(answer.Hub.Others, hub)
+	d.edge.SetProxies(answer.Hub.Proxies)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(answer.Hub.Peers) > 0 {
@@ -111,6 +113,11 @@
 	return peer.Answer{}
 }
 
+// ServeProxied implements peer.ProxyHandler.
+func (d *EdgeDaemon) ServeProxied(ctx context.Context, q *drive.ProxyRequest, write func(drive.ProxyFrame) error) {
+	d.edge.ServeProxied(ctx, q, write)
+}
+
 // changesSince returns the changes in the key-value service after a revision of an era. A
 // daemon that knows no eras gets those after the revision in the current era.
 func (d *EdgeDaemon) changesSince(revision uint64, era *uint64) mirror.Delta {
@@ -135,6 +142,7 @@
 	load.Address = d.vm.PeersAddress
 	load.Limits = append(load.Limits, d.edge.LimitReports(time.Now())...)
 	load.PlainRequests = d.edge.CrashReport(time.Now())
+	load.CutOff, load.ServesProxied = d.edge.CutOff(), !d.edge.Stopping()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	load.Leaving = d.roster.SaidLeaving()
@@ -148,6 +156,7 @@
 	}
 	answer := d.exchangeLoad(model.DaemonID(d.vm.VMName), d.ownLoad())
 	d.applyOthers(answer.Others, "other daemons")
+	d.edge.SetProxies(answer.Proxies)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers = answer.Peers
@@ -169,5 +178,6 @@
 	others.Limits = d.limits.Exchange(now, from, load.Limits, min(1, reporting))
 	return peer.HubAnswer{
 		Others: others, Daemons: d.loadBoard.Daemons(now), Peers: d.loadBoard.Peers(from, maxPeersPerAnswer),
+		Proxies: d.loadBoard.Proxies(from, maxPeersPerAnswer),
 	}
 }
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -184,6 +184,16 @@
 	return seen
 }
 
+// Yields implements drive.DutyView.
+func (d *EdgeDaemon) Yields() bool {
+	cutOff, hasProxies := d.edge.CutOff(), d.edge.HasProxies()
+	routing := d.edge.Routing()
+	return routing != nil && hasProxies && slices.ContainsFunc(cutOff, func(name string) bool {
+		service, known := routing.Services[name]
+		return known && service.Engine != nil
+	})
+}
+
 // Pools implements drive.DutyView. Suspected engines are marked as leaving.
 func (d *EdgeDaemon) Pools() []drive.Pool {
 	routing := d.edge.Routing()
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -67,6 +67,10 @@
 	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
 	// Limits are the limits that servers named, and the daemon's demand for these servers.
 	Limits []limit.Report `cbor:"7,keyasint,omitempty"`
+	// CutOff are the services whose servers the daemon does not reach, sorted.
+	CutOff []string `cbor:"8,keyasint,omitempty"`
+	// ServesProxied is set if the daemon serves requests of others. Daemons of earlier versions do not.
+	ServesProxied bool `cbor:"9,keyasint,omitempty"`
 	PromptParts
 	RequestCrashes
 }
@@ -163,8 +167,8 @@
 	// daemons holds the keys of reports, sorted.
 	daemons   []model.DaemonID
 	nextSweep time.Time
-	// nextPeer indexes daemons, so that Peers returns them round robin.
-	nextPeer int
+	// nextPeer and nextProxy index daemons, so that Peers and Proxies return them round robin.
+	nextPeer, nextProxy int
 }
 
 // New returns an empty board.
@@ -265,6 +269,30 @@
 	return slices.Compact(peers)
 }
 
+// Proxies returns the sorted addresses of up to n daemons that reach all services which a daemon does not
+// reach, chosen round robin. If the daemon reaches all services, so do the ones returned.
+func (st *State) Proxies(of model.DaemonID, n int) []string {
+	cutOff := st.reports[of].CutOff
+	var proxies []string
+	for range len(st.daemons) {
+		if len(proxies) == n {
+			break
+		}
+		st.nextProxy = (st.nextProxy + 1) % len(st.daemons)
+		id := st.daemons[st.nextProxy]
+		report := st.reports[id]
+		reaches := len(report.CutOff) == 0
+		if len(cutOff) > 0 {
+			reaches = !slices.ContainsFunc(cutOff, func(service string) bool { return slices.Contains(report.CutOff, service) })
+		}
+		if id != of && reaches && report.ServesProxied {
+			proxies = append(proxies, report.Address)
+		}
+	}
+	slices.Sort(proxies)
+	return slices.Compact(proxies)
+}
+
 // Others returns the sums over all daemons but one, sorted. Suspects, Full, Leaving,
 // PromptParts and RequestCrashes include that daemon's own.
 func (st *State) Others(now time.Time, except model.DaemonID) View {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/drain"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/reach"
 	"bulrushpond.example/bulrushpond/internal/core/recov"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/internal/core/route"
@@ -54,6 +55,11 @@
 	crash  *crash.State
 	// requestCrash holds what is known of whole requests that crash engines.
 	requestCrash *crash.State
+	reach        *reach.State
+	// heardAt is when a stream of each model last got a token.
+	heardAt map[string]time.Time
+	// hasProxies is set while other daemons serve the models that this one does not reach.
+	hasProxies bool
 	// crashMetrics.PartsBlockedNow and RequestBlocksNow are not kept here.
 	crashMetrics CrashMetrics
 	// budget bounds the retries of all requests; nil means that only each request's
@@ -81,9 +87,10 @@
 // engines must answer.
 func WithStallCheck() Option { return func(c *Core) { c.stall = stall.New() } }
 
-// WithLimitSeed seeds the times of this daemon's requests to servers with limits.
-func WithLimitSeed(seed uint64) Option {
-	return func(c *Core) { c.servers.Limits = limit.New(seed) }
+// WithSeed seeds the times of this daemon's requests to servers with limits, and the choice of the servers
+// that are probed.
+func WithSeed(seed uint64) Option {
+	return func(c *Core) { c.servers.Limits, c.reach = limit.New(seed), reach.New(seed) }
 }
 
 // New returns a core without servers and settings.
@@ -96,6 +103,8 @@
 		drain:    drain.New(),
 		recov:    &recov.State{},
 		crash:    crash.New(crash.PromptParts()),
+		reach:    reach.New(1),
+		heardAt:  map[string]time.Time{},
 		daemons:  1,
 	}
 	c.requestCrash = crash.New(crash.Requests(), crash.WithExplanations(c.crash))
@@ -108,16 +117,19 @@
 
 // Tick processes the events in the inbox and replaces the contents of out by the resulting
 // commands. The order is: settings and servers, streams, prompt parts that crash engines, new
-// requests, deadlines, leaving servers, stalled engines, and then the dispatch of requests that wait for a route.
+// requests, deadlines, leaving servers, stalled engines, requests for other daemons, and then the dispatch of
+// requests that wait for a route.
 func (c *Core) Tick(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	out.Reset()
 	c.applyState(now, in, out)
+	c.applyReach(now, in, out)
 	c.applyStreams(now, in, out)
 	c.checkCrashes(now, out)
 	c.applyArrivals(now, in, out)
 	c.expire(now, out)
 	c.moveFromLeaving(now)
 	c.checkStalls(now, in, out)
+	c.useProxies(now, out)
 	c.dispatch(now, out)
 	out.Wake = c.nextWake(now)
 }
@@ -198,10 +210,13 @@
 // applyArrivals admits or rejects new requests.
 func (c *Core) applyArrivals(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	for _, a := range in.Arrivals {
-		if c.budget != nil {
+		if c.budget != nil && !a.Proxied {
 			c.budget.CountRequest(now, a.Model)
 		}
-		f := c.refuseBlocked(now, a)
+		f := c.refuseProxied(now, a)
+		if f == nil {
+			f = c.refuseBlocked(now, a)
+		}
 		if f == nil {
 			f = c.refuseLimited(now, a)
 		}
@@ -312,7 +327,7 @@
 	}
 	if len(c.requests.Rerouting) > 0 {
 		for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
-			if r := c.requests.Get(id); !now.Before(r.TryAt) || r.TriedVersion != c.servers.Version {
+			if r := c.requests.Get(id); !c.usesProxies(r.Model) && (!now.Before(r.TryAt) || r.TriedVersion != c.servers.Version) {
 				switch c.startRequest(now, r, c.models[r.Model], out) {
 				case route.Paused:
 					c.failIfPausedBeyond(now, r, r.RerouteUntil, out)
--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -25,6 +25,7 @@
 	if r == nil || r.Phase != table.Running || tok.Epoch != r.Epoch || tok.Position != r.Next {
 		return
 	}
+	c.heardAt[r.Model] = now
 	if tok.End {
 		if r.Next > r.OpenedFrom {
 			c.recordSound(now, r)
--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -25,6 +25,9 @@
 	// suspensionThreshold is by how much the wall clock may advance more than the
 	// monotonic clock before the process counts as having been suspended.
 	suspensionThreshold = 500 * time.Millisecond
+	// yieldDelay is how much longer a duty must be unowned before a daemon claims it that should leave it to
+	// others.
+	yieldDelay = 2 * time.Second
 	// eraShift is the number of bits of a fencing token that hold the revision. Tokens stay
 	// exact in receivers that read numbers as float64 up to era 8191.
 	eraShift = 40
@@ -112,12 +115,30 @@
 	// rejectedFence is the highest fencing token that a receiver has rejected.
 	rejectedFence uint64
 	stopping      bool
-	lastNow       time.Time
+	// yielding is set while others should own the duty, and releasing from then on until the duty was released.
+	yielding, releasing bool
+	lastNow             time.Time
 }
 
 // Stop makes the daemon release the duty and not claim it again.
 func (st *State) Stop() { st.stopping = true }
 
+// Yield sets whether this daemon should leave the duty to others that can carry it out better. It then releases the
+// duty and sends no orders. It claims the duty only if no other daemon does, and keeps it then.
+func (st *State) Yield(yield bool) {
+	if yield != st.yielding {
+		st.yielding, st.releasing = yield, yield
+	}
+}
+
+// claimDelay returns how long the duty must be unowned before this daemon claims it.
+func (st *State) claimDelay() time.Duration {
+	if st.yielding {
+		return st.Wait + yieldDelay
+	}
+	return st.Wait
+}
+
 // Next returns the call to make now. It returns no other call until Result was called
 // with the call's result.
 func (st *State) Next(now time.Time, view OwnerView) Call {
@@ -195,7 +216,7 @@
 	case view.Era < st.era:
 		// The revision in the copy may be that of another daemon's key by now.
 		return Call{}
-	case (st.stopping || st.fenceRejected()) && st.ownsDuty(view):
+	case (st.stopping || st.releasing || st.fenceRejected()) && st.ownsDuty(view):
 		return Call{Kind: Release, CAS: model.CAS{Key: st.DutyKey, Expect: view.OwnerRevision, Delete: true}}
 	case !view.Known:
 		return Call{}
@@ -203,7 +224,7 @@
 		st.forgetLease()
 	case st.lease != 0 && st.ownsDuty(view) && !now.Before(st.renewAt):
 		return Call{Kind: Renew, Lease: st.lease}
-	case st.stopping || st.unownedSince.IsZero() || now.Sub(st.unownedSince) < st.Wait || now.Before(st.actsFrom):
+	case st.stopping || st.unownedSince.IsZero() || now.Sub(st.unownedSince) < st.claimDelay() || now.Before(st.actsFrom):
 	case st.lease == 0 || !now.Before(st.renewAt):
 		// A claim requires a lease with time left.
 		return Call{Kind: Grant}
@@ -247,6 +268,7 @@
 		}
 		if call.Kind == Release {
 			st.fence = 0
+			st.releasing = st.releasing && outcome != model.Done
 		}
 	case None:
 	}
@@ -278,7 +300,7 @@
 		// The restored service has lost the claim.
 		st.fence = 0
 	}
-	if st.fence == 0 || st.fence <= st.rejectedFence || st.stopping || st.lease == 0 || now.After(st.leaseExpiry.Add(-leaseSafetyMargin)) {
+	if st.fence == 0 || st.fence <= st.rejectedFence || st.stopping || st.yielding || st.lease == 0 || now.After(st.leaseExpiry.Add(-leaseSafetyMargin)) {
 		return 0, false
 	}
 	if view.Owner != "" && !st.ownsDuty(view) && fencingToken(model.Position{Era: view.Era, Revision: view.OwnerRevision}) > st.fence {
--- a/internal/core/elect/elect_test.go
+++ b/internal/core/elect/elect_test.go
@@ -359,3 +359,56 @@
 	st := &State{Process: "p", DutyKey: dutyKey}
 	assert.Equal(t, st.Next(time.Unix(1_000_000, 0), OwnerView{}).Kind, None)
 }
+
+// TestYieldingOwnerReleasesDuty guards against a duty that stays with a daemon which cannot carry it out. It takes the
+// duty again only if no other daemon does for a while, and sends no orders meanwhile.
+func TestYieldingOwnerReleasesDuty(t *testing.T) {
+	now := time.Unix(1000, 0)
+	st := &State{Process: "p", DutyKey: "k", Wait: 100 * time.Millisecond, FleetStarts: true}
+	view := OwnerView{Known: true}
+	revision := uint64(10)
+	step := func() {
+		now = now.Add(50 * time.Millisecond)
+		call := st.Next(now, view)
+		switch call.Kind {
+		case Grant:
+			st.Result(now, call, model.Done, 7, model.Position{Revision: revision})
+		case Claim:
+			revision++
+			view.Owner, view.OwnerRevision = string(call.CAS.Value), revision
+			st.Result(now, call, model.Done, 0, model.Position{Revision: revision})
+		case Release:
+			view.Owner, view.OwnerRevision = "", 0
+			st.Result(now, call, model.Done, 0, model.Position{Revision: revision})
+		case Renew:
+			st.Result(now, call, model.Done, 0, model.Position{Revision: revision})
+		case None:
+		}
+	}
+	owns := func() bool { _, ok := st.Owner(now, view); return ok }
+	for range 20 {
+		step()
+	}
+	assert.Assert(t, owns())
+	st.Yield(true)
+	assert.Assert(t, !owns())
+	released := now
+	for view.Owner != "" {
+		step()
+		assert.Assert(t, now.Sub(released) < time.Second, "not released")
+	}
+	released = now
+	for view.Owner == "" {
+		step()
+		assert.Assert(t, now.Sub(released) < 2*yieldDelay, "not claimed though no other daemon does")
+	}
+	assert.Assert(t, now.Sub(released) >= yieldDelay)
+	for range 40 {
+		step()
+		assert.Assert(t, view.Owner != "", "released again")
+	}
+	assert.Assert(t, !owns(), "a yielding daemon gives orders")
+	st.Yield(false)
+	step()
+	assert.Assert(t, owns())
+}
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -9,6 +9,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
+	"bulrushpond.example/bulrushpond/internal/core/reach"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -39,6 +40,9 @@
 	Parts []uint64
 	// Digest identifies what was asked, for requests that come again; 0 if it is not known.
 	Digest uint64
+	// Proxied is set for a request of another daemon, which cannot reach the servers itself. That
+	// daemon has counted it towards the retry budget.
+	Proxied bool
 }
 
 // StreamEnd reports that the stream of one epoch has ended.
@@ -52,6 +56,8 @@
 	Declined bool
 	// ConnectionLost is true if the first server ended the connection within the answer.
 	ConnectionLost bool
+	// NotConnected is true if no connection to the first server could be made.
+	NotConnected bool
 }
 
 // Pause reports that a server declined a request and wants none from this daemon until a time.
@@ -88,6 +94,10 @@
 	Limits []limit.Statement
 	// Diagnoses are the answers to Asks.
 	Diagnoses []Diagnosis
+	// ReachProbes are the results of the probes that Core.ReachProbes returned.
+	ReachProbes []reach.Result
+	// HasProxies is whether other daemons serve the models that this one does not reach; nil means unchanged.
+	HasProxies *bool
 	// CallerGone lists the requests whose callers closed their connections.
 	CallerGone []model.RequestID
 	// Stop makes the daemon accept no new requests from now on.
@@ -99,14 +109,14 @@
 	*in = Inbox{
 		Reports: in.Reports[:0], Arrivals: in.Arrivals[:0], Tokens: in.Tokens[:0],
 		Ends: in.Ends[:0], CallerGone: in.CallerGone[:0], Diagnoses: in.Diagnoses[:0],
-		Pauses: in.Pauses[:0], Limits: in.Limits[:0],
+		Pauses: in.Pauses[:0], Limits: in.Limits[:0], ReachProbes: in.ReachProbes[:0],
 	}
 }
 
 // Empty reports whether the inbox holds no event.
 func (in *Inbox) Empty() bool {
-	return in.List == nil && in.StoredBlocks == nil && in.StoredRequestBlocks == nil && in.Settings == nil && in.Daemons == 0 && in.BudgetDaemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
-		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses)+len(in.Limits) == 0
+	return in.List == nil && in.HasProxies == nil && in.StoredBlocks == nil && in.StoredRequestBlocks == nil && in.Settings == nil && in.Daemons == 0 && in.BudgetDaemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
+		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses)+len(in.Limits)+len(in.ReachProbes) == 0
 }
 
 // Open starts or resumes a stream.
@@ -152,6 +162,12 @@
 	Tokens int
 	// Failure is nil for a complete answer.
 	Failure *verdt.Error
+	// Proxy is set if another daemon has to serve the rest of the request, from position Next on.
+	// Failure is then that of a request that no other daemon takes.
+	Proxy bool
+	Next  int
+	// Attempts is how many servers the request was sent to, without those that are cut off.
+	Attempts int
 }
 
 // Notice is an event that is logged for operators.
@@ -204,6 +220,10 @@
 	RequestBlocked
 	// RequestUnblocked means that a request that was blocked is accepted again.
 	RequestUnblocked
+	// ServiceCutOff means that this daemon reaches no server of a service. Detail names the service.
+	ServiceCutOff
+	// ServiceReached means that this daemon reaches the servers of a service again.
+	ServiceReached
 )
 
 // Outbox holds the commands that result from a tick. They are to be executed in the
--- a/internal/core/msgs/noticekind_enumer.go
+++ b/internal/core/msgs/noticekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblockedrequest_suspectedrequest_blockedrequest_unblocked"
+const _NoticeKindName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblockedrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
 
-var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115, 129, 143, 155, 169, 186, 201, 218}
+var _NoticeKindIndex = [...]uint8{0, 14, 25, 39, 51, 64, 74, 88, 101, 115, 129, 143, 155, 169, 186, 201, 218, 233, 248}
 
-const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblockedrequest_suspectedrequest_blockedrequest_unblocked"
+const _NoticeKindLowerName = "server_leavingserver_backserver_avoidedstream_movedtoken_droppedlist_emptyserver_stalledserver_pausedserver_limitedstream_stalledpart_suspectedpart_blockedpart_unblockedrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
 
 func (i NoticeKind) String() string {
 	if i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -24,25 +24,27 @@
 // Re-run the stringer command to generate them again.
 func _NoticeKindNoOp() {
 	var x [1]struct{}
-	_ = x[ServerLeaving-0]
-	_ = x[ServerBack-1]
-	_ = x[ServerAvoided-2]
-	_ = x[StreamMoved-3]
-	_ = x[TokenDropped-4]
-	_ = x[ListEmpty-5]
-	_ = x[ServerStalled-6]
-	_ = x[ServerPaused-7]
-	_ = x[ServerLimited-8]
-	_ = x[StreamStalled-9]
-	_ = x[PartSuspected-10]
-	_ = x[PartBlocked-11]
-	_ = x[PartUnblocked-12]
-	_ = x[RequestSuspected-13]
-	_ = x[RequestBlocked-14]
-	_ = x[RequestUnblocked-15]
+	_ = x[ServerLeaving-(0)]
+	_ = x[ServerBack-(1)]
+	_ = x[ServerAvoided-(2)]
+	_ = x[StreamMoved-(3)]
+	_ = x[TokenDropped-(4)]
+	_ = x[ListEmpty-(5)]
+	_ = x[ServerStalled-(6)]
+	_ = x[ServerPaused-(7)]
+	_ = x[ServerLimited-(8)]
+	_ = x[StreamStalled-(9)]
+	_ = x[PartSuspected-(10)]
+	_ = x[PartBlocked-(11)]
+	_ = x[PartUnblocked-(12)]
+	_ = x[RequestSuspected-(13)]
+	_ = x[RequestBlocked-(14)]
+	_ = x[RequestUnblocked-(15)]
+	_ = x[ServiceCutOff-(16)]
+	_ = x[ServiceReached-(17)]
 }
 
-var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, ServerLimited, StreamStalled, PartSuspected, PartBlocked, PartUnblocked, RequestSuspected, RequestBlocked, RequestUnblocked}
+var _NoticeKindValues = []NoticeKind{ServerLeaving, ServerBack, ServerAvoided, StreamMoved, TokenDropped, ListEmpty, ServerStalled, ServerPaused, ServerLimited, StreamStalled, PartSuspected, PartBlocked, PartUnblocked, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
 	_NoticeKindName[0:14]:    ServerLeaving,
@@ -61,6 +63,8 @@
 	_NoticeKindName[169:186]: RequestSuspected,
 	_NoticeKindName[186:201]: RequestBlocked,
 	_NoticeKindName[201:218]: RequestUnblocked,
+	_NoticeKindName[218:233]: ServiceCutOff,
+	_NoticeKindName[233:248]: ServiceReached,
 }
 
 var _NoticeKindLowerNameToValueMap = map[string]NoticeKind{
@@ -80,6 +84,8 @@
 	_NoticeKindLowerName[169:186]: RequestSuspected,
 	_NoticeKindLowerName[186:201]: RequestBlocked,
 	_NoticeKindLowerName[201:218]: RequestUnblocked,
+	_NoticeKindLowerName[218:233]: ServiceCutOff,
+	_NoticeKindLowerName[233:248]: ServiceReached,
 }
 
 var _NoticeKindNames = []string{
@@ -99,6 +105,8 @@
 	_NoticeKindName[169:186],
 	_NoticeKindName[186:201],
 	_NoticeKindName[201:218],
+	_NoticeKindName[218:233],
+	_NoticeKindName[233:248],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
+	"bulrushpond.example/bulrushpond/internal/core/reach"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -65,6 +66,9 @@
 	Digest uint64
 	// Crashes counts the servers that ended when they ran the request.
 	Crashes int
+	// Proxied is set for a request of another daemon, which cannot reach the servers itself and has counted it
+	// towards the retry budget.
+	Proxied bool
 }
 
 // Attempt is one attempt to send a request to a backend server.
@@ -83,6 +87,8 @@
 	Faulty bool
 	// ConnectionLost is set if the server ended the connection before its response was complete.
 	ConnectionLost bool
+	// NotConnected is set if no connection to the server could be made.
+	NotConnected bool
 }
 
 // State holds the known backend servers and their statistics.
@@ -95,12 +101,21 @@
 	// crash holds what is known of requests that crash servers, and blocked counts those that were refused.
 	crash   *crash.State
 	blocked uint64
-	rng     *rand.Rand
+	reach   *reach.State
+	// heardAt is when a server of each service last answered, or when the oldest attempt began since none
+	// was in progress, if that is later.
+	heardAt map[string]time.Time
+	// HasProxies is set while other daemons serve the services that this one does not reach.
+	HasProxies bool
+	rng        *rand.Rand
 }
 
 // New returns a state without servers.
 func New(zone string, budget *retry.Budget, seed uint64) *State {
-	return &State{Zone: zone, budget: budget, servers: map[string]*server{}, limits: limit.New(seed), crash: crash.New(crash.Requests()), rng: rand.New(rand.NewPCG(seed, 1))}
+	return &State{
+		Zone: zone, budget: budget, servers: map[string]*server{}, limits: limit.New(seed), crash: crash.New(crash.Requests()),
+		reach: reach.New(seed), heardAt: map[string]time.Time{}, rng: rand.New(rand.NewPCG(seed, 1)),
+	}
 }
 
 // RetainServers removes the servers whose IDs are not in ids.
@@ -129,7 +144,11 @@
 }
 
 // CountRequest counts a new request towards the retry budget.
-func (st *State) CountRequest(now time.Time, r *Request) { st.budget.CountRequest(now, r.Service) }
+func (st *State) CountRequest(now time.Time, r *Request) {
+	if !r.Proxied {
+		st.budget.CountRequest(now, r.Service)
+	}
+}
 
 // Next starts a request's next attempt on the best server, or returns why there is none.
 // Only retries draw on the retry budget.
@@ -141,6 +160,9 @@
 		st.blocked++
 		return Attempt{}, verdt.New(r.Verdict, verdt.RequestBlocked, crash.RequestBlockedMessage, verdt.RetryAt(until))
 	}
+	if f := st.refuseCutOff(now, r); f != nil {
+		return Attempt{}, f
+	}
 	best, wanted := st.chooseServer(now, r)
 	for _, s := range wanted {
 		st.limits.CountDemand(now, s.id())
@@ -154,6 +176,9 @@
 	if r.Attempts > 0 && !st.budget.TryTake(now, r.Service, 1) {
 		return Attempt{}, verdt.New(r.Verdict, verdt.Overloaded, "too many requests are being sent again", verdt.RetryAt(now.Add(retryDelay)))
 	}
+	if st.inProgress(r.Service) == 0 {
+		st.heardAt[r.Service] = now
+	}
 	r.Attempts++
 	r.Tried = append(r.Tried, best.member.ID)
 	best.inFlight++
@@ -161,9 +186,16 @@
 	return Attempt{Server: best.member, Began: now, InProgress: best.inFlight - 1}, nil
 }
 
-// CanRetry reports whether a request in progress can be sent to a server that it has not been sent to.
+// CanRetry reports whether a request in progress can be sent to a server that it has not been sent to, or to
+// another daemon.
 func (st *State) CanRetry(now time.Time, r *Request) bool {
-	if st.mayCrash(now, r) || r.Attempts >= r.MaxAttempts || !st.budget.HasRoom(now, r.Service, 1) {
+	if st.mayCrash(now, r) || !st.budget.HasRoom(now, r.Service, 1) {
+		return false
+	}
+	if st.UsesProxy(r) {
+		return true
+	}
+	if r.Attempts >= r.MaxAttempts {
 		return false
 	}
 	s, _ := st.chooseServer(now, r)
@@ -280,13 +312,14 @@
 // retried; otherwise the outcome is final.
 func (st *State) RecordOutcome(now time.Time, r *Request, attempt Attempt, o Outcome) bool {
 	st.updateStats(now, attempt, o)
+	st.recordReach(now, r, o)
 	st.recordCrash(now, r, attempt, o)
 	if o.Failure == nil {
 		r.Verdict = verdt.Ran
 		return o.Faulty && r.Repeatable && r.Attempts < r.MaxAttempts
 	}
 	r.Verdict = r.Verdict.Merge(o.Failure.Verdict)
-	return r.Attempts < r.MaxAttempts && r.Verdict.Retryable(r.Repeatable) && o.Failure.Reason != verdt.DeadlinePassed &&
+	return (r.Attempts < r.MaxAttempts || st.UsesProxy(r)) && r.Verdict.Retryable(r.Repeatable) && o.Failure.Reason != verdt.DeadlinePassed &&
 		o.Failure.Reason != verdt.CallerGone && !st.mayCrash(now, r)
 }
 
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/board"
@@ -15,13 +16,18 @@
 // DaemonStatus returns this daemon's state for the exchange with the other daemons.
 func (c *Core) DaemonStatus(now time.Time) board.DaemonStatus {
 	return board.DaemonStatus{
-		Loads: c.servers.Loads(), Suspects: c.servers.Suspects(now), Pipes: c.servers.Pipes.Sent(now),
+		Loads: c.servers.Loads(), Suspects: c.Suspects(now), Pipes: c.servers.Pipes.Sent(now),
 		Full: c.servers.Declined(now.Add(-sharedFullDuration)), PromptParts: c.promptParts(now), RequestCrashes: board.RequestCrashes{ModelRequests: c.requestCrash.Report(now)}, Limits: c.servers.Limits.Reports(now),
 	}
 }
 
-// Suspects returns the engines that this daemon suspects to be dead.
-func (c *Core) Suspects(now time.Time) []model.ServerID { return c.servers.Suspects(now) }
+// Suspects returns the engines that this daemon suspects to be dead, without those of models that it does not
+// reach: only its path to them is known to be broken.
+func (c *Core) Suspects(now time.Time) []model.ServerID {
+	return slices.DeleteFunc(c.servers.Suspects(now), func(id model.ServerID) bool {
+		return c.reach.CutOff(c.servers.Get(id).Report.Model)
+	})
+}
 
 // ServerCount returns the number of known model engines.
 func (c *Core) ServerCount() int { return c.servers.Len() }
--- a/internal/core/switch.go
+++ b/internal/core/switch.go
@@ -47,7 +47,7 @@
 	})
 	failedSearches := 0
 	for _, r := range waiting {
-		if !recov.MaySwitch(r) || c.mayCrash(now, r) {
+		if !recov.MaySwitch(r) || c.mayCrash(now, r) || c.usesProxies(r.Model) {
 			continue
 		}
 		if failedSearches == maxFailedSearches || now.Before(r.TryAt) && r.TriedVersion == c.servers.Version {
--- a/internal/drive/attempt.go
+++ b/internal/drive/attempt.go
@@ -61,14 +61,14 @@
 }
 
 // sendAttempt sends a request to one server. A slow attempt ends early if the request can be sent to
-// another server; next is the attempt there then, which is already counted. Otherwise the server's answer
-// is awaited. connectionLost reports whether the server ended the connection within its answer.
-func (e *Edge) sendAttempt(ctx context.Context, req *requestState, rule *setts.RouteRule, relayReq *relay.Request, attempt relay.Attempt) (answer *engine.Answer, failure *verdt.Error, connectionLost bool, next *relay.Attempt) {
+// another server, or to another daemon because the service is cut off; next is the attempt at that server then, which
+// is already counted. Otherwise the server's answer is awaited.
+func (e *Edge) sendAttempt(ctx context.Context, req *requestState, rule *setts.RouteRule, relayReq *relay.Request, attempt relay.Attempt) (*engine.Answer, relay.Outcome, *relay.Attempt) {
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	ctx, cancelSlow := context.WithCancelCause(ctx)
 	replacement := make(chan *relay.Attempt, 1)
-	if relayReq.Repeatable && relayReq.Attempts < relayReq.MaxAttempts {
+	if relayReq.Repeatable {
 		go func() {
 			replacement <- e.replaceSlowAttempt(ctx, cancelSlow, relayReq, attempt.Began.Add(attemptTargetFactor*rule.TargetLatency))
 		}()
@@ -76,28 +76,30 @@
 		replacement <- nil
 	}
 	received, err := e.relaySender.Send(ctx, attempt.Server, req.in.Origin, req.deadline)
+	slow := errors.Is(context.Cause(ctx), errSlowAttempt)
 	cancelSlow(nil)
-	next = <-replacement
+	next := <-replacement
 	switch {
 	case err == nil && next != nil:
 		// The answer came while the attempt was replaced.
 		e.withdrawAttempt(relayReq, next)
-		return &received, nil, false, nil
+		return &received, relay.Outcome{Faulty: received.Status >= 500}, nil
 	case err == nil:
-		return &received, nil, false, nil
-	case next != nil:
-		return nil, verdt.New(verdt.MayHaveRun, verdt.StageFailed, errSlowAttempt.Error(), verdt.Server(attempt.Server.ID)), false, next
+		return &received, relay.Outcome{Faulty: received.Status >= 500}, nil
+	case next != nil || slow:
+		return nil, relay.Outcome{Failure: verdt.New(verdt.MayHaveRun, verdt.StageFailed, errSlowAttempt.Error(), verdt.Server(attempt.Server.ID))}, next
 	}
+	outcome := relay.Outcome{Failure: verdt.AsError(err, verdt.MayHaveRun)}
 	var answerErr *engine.AnswerError
 	if errors.As(err, &answerErr) {
-		connectionLost = answerErr.ConnectionLost
+		outcome.ConnectionLost, outcome.NotConnected = answerErr.ConnectionLost, answerErr.NotConnected
 	}
-	return nil, verdt.AsError(err, verdt.MayHaveRun), connectionLost, nil
+	return nil, outcome, nil
 }
 
 // replaceSlowAttempt starts the next attempt of a request at the given time, or later as soon as there is
 // another server and room in the retry budget, and cancels the slow one then. It returns nil if the
-// slow attempt ends before.
+// slow attempt ends before, or if another daemon has to serve the request.
 func (e *Edge) replaceSlowAttempt(ctx context.Context, cancel context.CancelCauseFunc, relayReq *relay.Request, at time.Time) *relay.Attempt {
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
@@ -107,7 +109,8 @@
 			return nil
 		case <-timer.C:
 		}
-		if next := e.replacement(relayReq); next != nil {
+		next, ok := e.replacement(relayReq)
+		if ok {
 			cancel(errSlowAttempt)
 			return next
 		}
@@ -115,18 +118,21 @@
 	}
 }
 
-// replacement starts the next attempt of a request at a server that it was not sent to, or returns nil if
-// that is not possible.
-func (e *Edge) replacement(relayReq *relay.Request) *relay.Attempt {
+// replacement starts the next attempt of a request at a server that it was not sent to. It returns false if
+// that is not possible, and no attempt if another daemon has to serve the request.
+func (e *Edge) replacement(relayReq *relay.Request) (next *relay.Attempt, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	if !e.relayState.CanRetry(now, relayReq) {
-		return nil
+		return nil, false
 	}
-	next, failure := e.relayState.Next(now, relayReq)
+	if e.relayState.UsesProxy(relayReq) {
+		return nil, true
+	}
+	started, failure := e.relayState.Next(now, relayReq)
 	if failure != nil {
-		return nil
+		return nil, false
 	}
-	return &next
+	return &started, true
 }
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -37,6 +37,8 @@
 	OwnerView() elect.OwnerView
 	// Pools returns the engines of each service that has model engines.
 	Pools() []Pool
+	// Yields reports whether other daemons reach engines that this one does not.
+	Yields() bool
 }
 
 // Pool is the model engines of one service.
@@ -114,8 +116,9 @@
 // resulting calls run in the background.
 func (d *Duty) tick(ctx context.Context) {
 	now := time.Now()
-	seen := d.view.OwnerView()
+	seen, yields := d.view.OwnerView(), d.view.Yields()
 	d.mu.Lock()
+	d.election.Yield(yields)
 	storeCall := d.election.Next(now, seen)
 	fence, owned := d.election.Owner(now, seen)
 	d.updateOwnership(fence, owned)
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -66,14 +66,29 @@
 
 	meter *Meter
 
+	connector engine.Connector
+	proxies   *proxies
+	// proxiedOut counts the requests sent to other daemons; proxiedIn is the number of theirs in progress here.
+	proxiedOut atomic.Uint64
+	proxiedIn  atomic.Int64
+
 	mu         sync.Mutex
 	relayState *relay.State
 	rng        *rand.Rand
+	// knownCutOff holds the services that were cut off at the last check; guarded by mu.
+	knownCutOff []string
 }
 
 // NewEdge returns an Edge without a routing, which refuses all requests.
-func NewEdge(log evlog.Log, streams *StreamExecutor, relaySender engine.Relay, relayState *relay.State, seed uint64, observer Observer) *Edge {
-	return &Edge{log: log, streams: streams, relaySender: relaySender, relayState: relayState, rng: rand.New(rand.NewPCG(seed, 2)), observer: observer, meter: NewMeter()}
+func NewEdge(log evlog.Log, streams *StreamExecutor, relaySender engine.Relay, relayState *relay.State, seed uint64, observer Observer, opts ...EdgeOption) *Edge {
+	e := &Edge{
+		log: log, streams: streams, relaySender: relaySender, relayState: relayState, rng: rand.New(rand.NewPCG(seed, 2)), observer: observer,
+		meter: NewMeter(), proxies: newProxies(),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
 }
 
 // SetRouting puts a routing in force and returns true, unless the one in force has the
@@ -195,6 +210,10 @@
 	// that the stream was assigned up to its last event.
 	longestPause time.Duration
 	epoch        model.Epoch
+	// proxied is set for a request of another daemon.
+	proxied bool
+	// ended is set once another daemon has served the request to its end.
+	ended bool
 }
 
 // elapsed returns the time since the request arrived.
@@ -246,10 +265,13 @@
 		in.Team = team
 	}
 	in.Priority = table.Priority(rule, in.Team)
-	in.Digest = engine.DigestOf(&in.Origin)
+	in.Digest = digestOf(in)
 	return rule, nil
 }
 
+// digestOf returns the digest of a request whose team is known.
+func digestOf(in *InboundRequest) uint64 { return engine.DigestOf(&in.Origin) }
+
 // pathOf returns the path of a request target, without its query.
 func pathOf(target string) string {
 	for i := range len(target) {
@@ -267,7 +289,7 @@
 		Team: req.in.Team, Model: req.service, MaxTokens: req.in.MaxTokens, PromptTokens: req.in.PromptTokens,
 		Origin: &req.in.Origin, Deadline: req.deadline, From: req.in.From, Parts: req.in.Parts,
 		AtMostOnce:  req.in.AtMostOnce,
-		MaxAttempts: rule.MaxAttempts, FirstTokenDeadline: req.arrived.Add(rule.TargetLatency),
+		MaxAttempts: rule.MaxAttempts, FirstTokenDeadline: req.arrived.Add(rule.TargetLatency), Proxied: req.proxied,
 	})
 	headSent := false
 	var lastEvent time.Time
@@ -287,6 +309,11 @@
 			}
 		}
 		buf = tokens
+		if finish != nil && finish.Proxy && sendErr == nil {
+			part := &proxiedPart{streamed: true, from: finish.Next, attempts: finish.Attempts, headSent: headSent, takeRetry: e.streamRetry(req.service)}
+			e.serveByProxies(ctx, req, rule, part, finish.Failure, out)
+			return
+		}
 		if finish != nil {
 			e.finishStream(req, finish, reply, headSent, out)
 			return
@@ -347,6 +374,9 @@
 	case f.Failure == nil:
 		e.recordOutcome(req, "whole", nil)
 		out.Complete()
+	case headSent && req.proxied:
+		// The other daemon decides whether the stream goes on elsewhere.
+		e.fail(req, out, f.Failure)
 	case headSent:
 		e.recordOutcome(req, outcomeCut, f.Failure)
 		out.Abort()
@@ -366,7 +396,7 @@
 	req.in.AtMostOnce = rule.Repetition != setts.Idempotent
 	relayReq := &relay.Request{
 		Service: req.service, Repeatable: rule.Repetition == setts.Idempotent, Deadline: req.deadline, MaxAttempts: rule.MaxAttempts,
-		Digest: req.in.Digest,
+		Digest: req.in.Digest, Proxied: req.proxied,
 	}
 	e.mu.Lock()
 	e.relayState.CountRequest(req.arrived, relayReq)
@@ -375,6 +405,10 @@
 	var next *relay.Attempt
 	for {
 		attempt, failure := e.startAttempt(relayReq, next)
+		if failure != nil && failure.Reason == verdt.Unreachable && !req.proxied {
+			e.serveByProxies(ctx, req, rule, &proxiedPart{takeRetry: e.relayRetry(relayReq)}, failure, out)
+			return
+		}
 		if failure != nil {
 			e.finishRelayed(req, lastAnswer, failure, out)
 			return
@@ -383,12 +417,12 @@
 		e.log.Info(evlog.RequestSent, "request", req.in.ID, "attempt", relayReq.Attempts, "server", attempt.Server.ID, "zone", attempt.Server.Zone,
 			"in_progress", attempt.InProgress, "left_ms", time.Until(req.deadline).Milliseconds(), "digest", crash.FormatPart(req.in.Digest))
 		var answer *engine.Answer
-		var connectionLost bool
-		answer, failure, connectionLost, next = e.sendAttempt(ctx, req, rule, relayReq, attempt)
+		var outcome relay.Outcome
+		answer, outcome, next = e.sendAttempt(ctx, req, rule, relayReq, attempt)
 		if answer != nil {
 			lastAnswer = answer
 		}
-		outcome := relay.Outcome{Failure: failure, Faulty: answer != nil && answer.Status >= 500, ConnectionLost: connectionLost}
+		failure = outcome.Failure
 		retry := e.recordAttempt(relayReq, attempt, outcome) || next != nil
 		if ctx.Err() != nil {
 			e.withdrawAttempt(relayReq, next)
@@ -444,7 +478,7 @@
 	e.observer.RequestEnded(req.in.Team, f)
 	e.meter.count(req, outcome, f)
 	fields := []any{
-		"request", req.in.ID, "outcome", outcome, "revision", uint64(req.revision), "route", req.route, "service", req.service, "team", string(req.in.Team),
+		"request", req.in.ID, "outcome", outcome, "proxied", req.proxied, "revision", uint64(req.revision), "route", req.route, "service", req.service, "team", string(req.in.Team),
 		"server", req.server, "attempts", req.attempts, "events", req.eventCount,
 		"routes", uint32(req.epoch),
 		"first_ms", req.firstEvent.Milliseconds(), "pause_ms", req.longestPause.Milliseconds(), "took_ms", req.elapsed().Milliseconds(),
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -118,6 +118,8 @@
 	FirstTokenDeadline time.Time
 	// Parts are the IDs of the prompt parts that the request shares with others, in order.
 	Parts []uint64
+	// Proxied is set for a request of another daemon.
+	Proxied bool
 }
 
 // digest returns the digest of the caller's own request; 0 for a request that has only a prompt.
@@ -146,7 +148,7 @@
 		in.Arrivals = append(in.Arrivals, msgs.Arrival{
 			ID: id, Team: a.Team, Model: a.Model, Prefix: a.Prefix,
 			PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Deadline: a.Deadline,
-			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline, Parts: a.Parts, Digest: a.digest(),
+			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline, Parts: a.Parts, Digest: a.digest(), Proxied: a.Proxied,
 		})
 	})
 	return id, pending.reply
@@ -364,7 +366,7 @@
 		end.Failure = verdt.AsError(err, verdt.MayHaveRun)
 		var answerErr *engine.AnswerError
 		if errors.As(err, &answerErr) {
-			end.Declined, end.ConnectionLost = answerErr.Declined, answerErr.ConnectionLost
+			end.Declined, end.ConnectionLost, end.NotConnected = answerErr.Declined, answerErr.ConnectionLost, answerErr.NotConnected
 			s.keepAnswer(stream.Request, answerErr.Answer)
 		}
 		if stream.Origin != nil && ctx.Err() == nil {
@@ -424,6 +426,10 @@
 		s.log.Info(evlog.PartUnblocked, "part", crash.FormatPart(n.Part), "detail", n.Detail)
 	case msgs.RequestSuspected:
 		s.log.Info(evlog.RequestSuspected, "digest", crash.FormatPart(n.Part), "detail", n.Detail)
+	case msgs.ServiceCutOff:
+		s.log.Info(evlog.ServiceCutOff, "service", n.Detail)
+	case msgs.ServiceReached:
+		s.log.Info(evlog.ServiceReached, "service", n.Detail)
 	case msgs.RequestBlocked:
 		s.log.Info(evlog.RequestBlocked, "digest", crash.FormatPart(n.Part), "detail", n.Detail)
 	case msgs.RequestUnblocked:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -83,6 +83,8 @@
 	Declined bool
 	// ConnectionLost means that the server ended the connection within its answer.
 	ConnectionLost bool
+	// NotConnected means that no connection to the server could be made.
+	NotConnected bool
 }
 
 // Error implements error.
@@ -162,6 +164,12 @@
 	BlockedBy(ctx context.Context, server string) ([]string, error)
 }
 
+// Connector checks whether servers accept connections.
+type Connector interface {
+	// Connect opens a connection to an address and closes it.
+	Connect(ctx context.Context, address string) error
+}
+
 // Observer learns what backend servers say about themselves in their answers. Its methods may be
 // called concurrently.
 type Observer interface {
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -12,23 +12,23 @@
 	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_dropped"
 	_EventName_1      = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
-	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblocked"
-	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblocked"
+	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
+	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
 	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
 	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restored"
 	_EventName_4      = "peer_unreachable"
 	_EventLowerName_4 = "peer_unreachable"
-	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalled"
-	_EventLowerName_5 = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalled"
+	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalledrequest_proxiedrequest_proxy_failed"
+	_EventLowerName_5 = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalledrequest_proxiedrequest_proxy_failed"
 )
 
 var (
 	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
-	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314, 331, 346, 363}
+	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314, 331, 346, 363, 378, 393}
 	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132}
 	_EventIndex_4 = [...]uint8{0, 16}
-	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96}
+	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96, 111, 131}
 )
 
 func (i Event) String() string {
@@ -39,7 +39,7 @@
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _EventName_1[_EventIndex_1[i]:_EventIndex_1[i+1]]
-	case 300 <= i && i <= 324:
+	case 300 <= i && i <= 326:
 		i -= 300
 		return _EventName_2[_EventIndex_2[i]:_EventIndex_2[i+1]]
 	case 400 <= i && i <= 411:
@@ -47,7 +47,7 @@
 		return _EventName_3[_EventIndex_3[i]:_EventIndex_3[i+1]]
 	case i == 500:
 		return _EventName_4
-	case 600 <= i && i <= 606:
+	case 600 <= i && i <= 608:
 		i -= 600
 		return _EventName_5[_EventIndex_5[i]:_EventIndex_5[i+1]]
 	default:
@@ -59,67 +59,71 @@
 // Re-run the stringer command to generate them again.
 func _EventNoOp() {
 	var x [1]struct{}
-	_ = x[DaemonStarted-100]
-	_ = x[DaemonStopping-101]
-	_ = x[DaemonStopped-102]
-	_ = x[DaemonStopForced-103]
-	_ = x[PartFailed-104]
-	_ = x[FileReloaded-105]
-	_ = x[FileUnreadable-106]
-	_ = x[LinesDropped-107]
-	_ = x[SettingsInForce-200]
-	_ = x[SettingsUnreadable-201]
-	_ = x[SettingsStale-202]
-	_ = x[SettingsCurrent-203]
-	_ = x[SettingsOlder-204]
-	_ = x[ListUnreachable-300]
-	_ = x[ListEmptied-301]
-	_ = x[ServerLeaves-302]
-	_ = x[ServerReturned-303]
-	_ = x[ServerAvoided-304]
-	_ = x[StreamMoved-305]
-	_ = x[TokenDropped-306]
-	_ = x[ServerStalled-307]
-	_ = x[MemberUnreadable-308]
-	_ = x[ServerSeen-309]
-	_ = x[ServerGone-310]
-	_ = x[ServerSaidLeaving-311]
-	_ = x[ServerPaused-312]
-	_ = x[ServerEntryHeld-313]
-	_ = x[PartSuspected-314]
-	_ = x[PartBlocked-315]
-	_ = x[PartUnblocked-316]
-	_ = x[BlocksUnreadable-317]
-	_ = x[FleetUnreadable-318]
-	_ = x[ValueNotStored-319]
-	_ = x[ServerLimited-320]
-	_ = x[HeaderInvalid-321]
-	_ = x[RequestSuspected-322]
-	_ = x[RequestBlocked-323]
-	_ = x[RequestUnblocked-324]
-	_ = x[ShardOwned-400]
-	_ = x[ShardLost-401]
-	_ = x[ShardReleased-402]
-	_ = x[ShardFull-403]
-	_ = x[ShardCorrupt-404]
-	_ = x[StoreDown-405]
-	_ = x[StoreUp-406]
-	_ = x[OrderGiven-407]
-	_ = x[OrderFailed-408]
-	_ = x[DutyOwned-409]
-	_ = x[DutyLost-410]
-	_ = x[StoreRestored-411]
-	_ = x[PeerUnreachable-500]
-	_ = x[RequestFailed-600]
-	_ = x[RequestServed-601]
-	_ = x[RequestRepeated-602]
-	_ = x[StreamOpened-603]
-	_ = x[StreamFailed-604]
-	_ = x[RequestSent-605]
-	_ = x[StreamStalled-606]
+	_ = x[DaemonStarted-(100)]
+	_ = x[DaemonStopping-(101)]
+	_ = x[DaemonStopped-(102)]
+	_ = x[DaemonStopForced-(103)]
+	_ = x[PartFailed-(104)]
+	_ = x[FileReloaded-(105)]
+	_ = x[FileUnreadable-(106)]
+	_ = x[LinesDropped-(107)]
+	_ = x[SettingsInForce-(200)]
+	_ = x[SettingsUnreadable-(201)]
+	_ = x[SettingsStale-(202)]
+	_ = x[SettingsCurrent-(203)]
+	_ = x[SettingsOlder-(204)]
+	_ = x[ListUnreachable-(300)]
+	_ = x[ListEmptied-(301)]
+	_ = x[ServerLeaves-(302)]
+	_ = x[ServerReturned-(303)]
+	_ = x[ServerAvoided-(304)]
+	_ = x[StreamMoved-(305)]
+	_ = x[TokenDropped-(306)]
+	_ = x[ServerStalled-(307)]
+	_ = x[MemberUnreadable-(308)]
+	_ = x[ServerSeen-(309)]
+	_ = x[ServerGone-(310)]
+	_ = x[ServerSaidLeaving-(311)]
+	_ = x[ServerPaused-(312)]
+	_ = x[ServerEntryHeld-(313)]
+	_ = x[PartSuspected-(314)]
+	_ = x[PartBlocked-(315)]
+	_ = x[PartUnblocked-(316)]
+	_ = x[BlocksUnreadable-(317)]
+	_ = x[FleetUnreadable-(318)]
+	_ = x[ValueNotStored-(319)]
+	_ = x[ServerLimited-(320)]
+	_ = x[HeaderInvalid-(321)]
+	_ = x[RequestSuspected-(322)]
+	_ = x[RequestBlocked-(323)]
+	_ = x[RequestUnblocked-(324)]
+	_ = x[ServiceCutOff-(325)]
+	_ = x[ServiceReached-(326)]
+	_ = x[ShardOwned-(400)]
+	_ = x[ShardLost-(401)]
+	_ = x[ShardReleased-(402)]
+	_ = x[ShardFull-(403)]
+	_ = x[ShardCorrupt-(404)]
+	_ = x[StoreDown-(405)]
+	_ = x[StoreUp-(406)]
+	_ = x[OrderGiven-(407)]
+	_ = x[OrderFailed-(408)]
+	_ = x[DutyOwned-(409)]
+	_ = x[DutyLost-(410)]
+	_ = x[StoreRestored-(411)]
+	_ = x[PeerUnreachable-(500)]
+	_ = x[RequestFailed-(600)]
+	_ = x[RequestServed-(601)]
+	_ = x[RequestRepeated-(602)]
+	_ = x[StreamOpened-(603)]
+	_ = x[StreamFailed-(604)]
+	_ = x[RequestSent-(605)]
+	_ = x[StreamStalled-(606)]
+	_ = x[RequestProxied-(607)]
+	_ = x[RequestProxyFailed-(608)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:    DaemonStarted,
@@ -160,6 +164,8 @@
 	_EventName_2[314:331]: RequestSuspected,
 	_EventName_2[331:346]: RequestBlocked,
 	_EventName_2[346:363]: RequestUnblocked,
+	_EventName_2[363:378]: ServiceCutOff,
+	_EventName_2[378:393]: ServiceReached,
 	_EventName_3[0:11]:    ShardOwned,
 	_EventName_3[11:21]:   ShardLost,
 	_EventName_3[21:35]:   ShardReleased,
@@ -180,6 +186,8 @@
 	_EventName_5[57:70]:   StreamFailed,
 	_EventName_5[70:82]:   RequestSent,
 	_EventName_5[82:96]:   StreamStalled,
+	_EventName_5[96:111]:  RequestProxied,
+	_EventName_5[111:131]: RequestProxyFailed,
 }
 
 var _EventLowerNameToValueMap = map[string]Event{
@@ -221,6 +229,8 @@
 	_EventLowerName_2[314:331]: RequestSuspected,
 	_EventLowerName_2[331:346]: RequestBlocked,
 	_EventLowerName_2[346:363]: RequestUnblocked,
+	_EventLowerName_2[363:378]: ServiceCutOff,
+	_EventLowerName_2[378:393]: ServiceReached,
 	_EventLowerName_3[0:11]:    ShardOwned,
 	_EventLowerName_3[11:21]:   ShardLost,
 	_EventLowerName_3[21:35]:   ShardReleased,
@@ -241,6 +251,8 @@
 	_EventLowerName_5[57:70]:   StreamFailed,
 	_EventLowerName_5[70:82]:   RequestSent,
 	_EventLowerName_5[82:96]:   StreamStalled,
+	_EventLowerName_5[96:111]:  RequestProxied,
+	_EventLowerName_5[111:131]: RequestProxyFailed,
 }
 
 var _EventNames = []string{
@@ -282,6 +294,8 @@
 	_EventName_2[314:331],
 	_EventName_2[331:346],
 	_EventName_2[346:363],
+	_EventName_2[363:378],
+	_EventName_2[378:393],
 	_EventName_3[0:11],
 	_EventName_3[11:21],
 	_EventName_3[21:35],
@@ -302,6 +316,8 @@
 	_EventName_5[57:70],
 	_EventName_5[70:82],
 	_EventName_5[82:96],
+	_EventName_5[96:111],
+	_EventName_5[111:131],
 }
 
 // EventString retrieves an enum value from the enum constants string name.
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -98,6 +98,10 @@
 	RequestBlocked Event = 323
 	// RequestUnblocked means that a request that was blocked is accepted again.
 	RequestUnblocked Event = 324
+	// ServiceCutOff means that this daemon reaches no server of a service.
+	ServiceCutOff Event = 325
+	// ServiceReached means that this daemon reaches the servers of a service again.
+	ServiceReached Event = 326
 	// ShardOwned means that this daemon became the owner of a journal shard.
 	ShardOwned Event = 400
 	// ShardLost means that this daemon lost the ownership of a shard.
@@ -138,6 +142,10 @@
 	RequestSent Event = 605
 	// StreamStalled says which server a stream in progress waits for.
 	StreamStalled Event = 606
+	// RequestProxied says which daemon serves a request whose servers this one does not reach.
+	RequestProxied Event = 607
+	// RequestProxyFailed says why another daemon did not serve a request to its end.
+	RequestProxyFailed Event = 608
 )
 
 // Log writes events to a logr.Logger.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -231,7 +231,7 @@
 	case verdt.StageFailed, verdt.PeerLost:
 		return http.StatusBadGateway
 	case verdt.Overloaded, verdt.NoRoute, verdt.Stopping, verdt.JournalDown, verdt.JournalFull,
-		verdt.OwnerUnknown, verdt.SettingsStale, verdt.PromptBlocked, verdt.RequestBlocked:
+		verdt.OwnerUnknown, verdt.SettingsStale, verdt.PromptBlocked, verdt.RequestBlocked, verdt.Unreachable:
 		return http.StatusServiceUnavailable
 	case verdt.Internal, verdt.CallerGone, verdt.Fenced, verdt.HeadersTooLarge:
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -1,5 +1,6 @@
 // Package peer is the request-response protocol between daemons: one request and one
-// response per QUIC stream, both in CBOR, over mutual TLS.
+// response per QUIC stream, both in CBOR, over mutual TLS. The response to a proxied request is a
+// sequence of frames.
 package peer
 
 import (
@@ -34,6 +35,9 @@
 	// Hub is for the hub: the daemon that reads the key-value service on behalf of
 	// the others.
 	Hub *HubRequest `cbor:"6,keyasint,omitempty"`
+	// Proxy is a caller's request whose servers the sender does not reach. The response is a sequence of
+	// drive.ProxyFrame instead of an Answer.
+	Proxy *drive.ProxyRequest `cbor:"7,keyasint,omitempty"`
 }
 
 // HubRequest requests the changes in the key-value service and the in-flight load of
@@ -60,6 +64,8 @@
 	Daemons int `cbor:"4,keyasint"`
 	// Peers are the addresses of a few of them, for use while the hub is unreachable.
 	Peers []string `cbor:"5,keyasint,omitempty"`
+	// Proxies are the addresses of daemons that serve the services which the requesting daemon does not reach.
+	Proxies []string `cbor:"6,keyasint,omitempty"`
 }
 
 // MirrorRequest requests the changes in the key-value service after a revision.
@@ -105,6 +111,12 @@
 	Answer(ctx context.Context, q Request) Answer
 }
 
+// ProxyHandler is a Handler that serves requests whose servers the sender does not reach.
+type ProxyHandler interface {
+	// ServeProxied serves a request and passes the frames of its answer to write, one at a time.
+	ServeProxied(ctx context.Context, q *drive.ProxyRequest, write func(drive.ProxyFrame) error)
+}
+
 // maxMessageBytes bounds one message: the largest settings tree or call body, plus
 // the other fields.
 const maxMessageBytes = 16 << 20
--- /dev/null
+++ b/internal/peer/proxy.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+
+	"bulrushpond.example/bulrushpond/internal/drive"
+)
+
+const (
+	// proxyOpenTimeout bounds the time to open a stream to another daemon, with a new connection if needed.
+	proxyOpenTimeout = 400 * time.Millisecond
+	// firstFrameTimeout is how long the first frame of an answer may take. The other daemon sends one as soon as it
+	// has the request, so that a connection to a daemon that has gone is noticed.
+	firstFrameTimeout = 500 * time.Millisecond
+	// lostConnProbeTimeout bounds the probe of a connection on which a daemon sent no frame.
+	lostConnProbeTimeout = 300 * time.Millisecond
+)
+
+// proxyStream is the answer to a proxied request. It implements drive.ProxyStream.
+type proxyStream struct {
+	client  *Client
+	address string
+	conn    *quic.Conn
+	stream  *quic.Stream
+	decoder *cbor.Decoder
+	// started is set once the first frame has come.
+	started bool
+	closing sync.Once
+}
+
+// OpenProxy implements drive.ProxyClient.
+func (c *Client) OpenProxy(ctx context.Context, address string, q drive.ProxyRequest) (drive.ProxyStream, error) {
+	openContext, cancel := context.WithTimeout(ctx, proxyOpenTimeout)
+	defer cancel()
+	stream, conn, err := c.openStream(openContext, address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	codec, err := sharedCodec()
+	if err != nil {
+		return nil, err
+	}
+	p := &proxyStream{client: c, address: address, conn: conn, stream: stream, decoder: codec.dec.NewDecoder(stream)}
+	if err := writeMessage(stream, Request{Proxy: &q}); err != nil {
+		// A request of which the end is missing is not run.
+		p.Close()
+		return nil, err
+	}
+	return p, trace.Wrap(stream.Close())
+}
+
+// Next implements drive.ProxyStream.
+func (p *proxyStream) Next(deadline time.Time) (drive.ProxyFrame, error) {
+	if limit := time.Now().Add(firstFrameTimeout); !p.started && limit.Before(deadline) {
+		deadline = limit
+	}
+	var frame drive.ProxyFrame
+	if err := p.stream.SetReadDeadline(deadline); err != nil {
+		return frame, trace.Wrap(err)
+	}
+	err := p.decoder.Decode(&frame)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		p.dropLostConn()
+	}
+	p.started = p.started || err == nil
+	return frame, trace.Wrap(err)
+}
+
+// dropLostConn closes the connection if the other daemon does not answer on it any more, as after a restart.
+func (p *proxyStream) dropLostConn() {
+	ctx, cancel := context.WithTimeout(p.conn.Context(), lostConnProbeTimeout)
+	defer cancel()
+	if probe(ctx, p.conn) != nil {
+		p.client.dropConn(p.address, p.conn)
+	}
+}
+
+// Close implements drive.ProxyStream.
+func (p *proxyStream) Close() {
+	p.closing.Do(func() {
+		p.stream.CancelRead(1)
+		p.stream.CancelWrite(1)
+	})
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
+
+	"bulrushpond.example/bulrushpond/internal/drive"
 )
 
 // alpnProtocol is the ALPN protocol ID with the protocol version; a daemon with another
@@ -110,5 +112,9 @@
 		return
 	}
 	// The stream's context ends when the requesting daemon cancels the stream.
+	if handler, ok := s.handler.(ProxyHandler); ok && q.Proxy != nil {
+		handler.ServeProxied(stream.Context(), q.Proxy, func(f drive.ProxyFrame) error { return writeMessage(stream, f) })
+		return
+	}
 	_ = writeMessage(stream, s.handler.Answer(stream.Context(), q))
 }
--- a/pkg/verdt/failure.go
+++ b/pkg/verdt/failure.go
@@ -74,6 +74,8 @@
 	PromptBlocked
 	// RequestBlocked means that backend servers crash on this very request.
 	RequestBlocked
+	// Unreachable means that this daemon has no connection to the backend servers.
+	Unreachable
 )
 
 // Error is the router's error type. It always says whether the request may have
--- a/pkg/verdt/reason_enumer.go
+++ b/pkg/verdt/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_largeprompt_blockedrequest_blocked"
+const _ReasonName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_largeprompt_blockedrequest_blockedunreachable"
 
-var _ReasonIndex = [...]uint16{0, 8, 19, 28, 40, 49, 62, 77, 87, 99, 107, 122, 134, 145, 153, 165, 177, 189, 199, 214, 229, 242, 251, 265, 278, 284, 301, 315, 330}
+var _ReasonIndex = [...]uint16{0, 8, 19, 28, 40, 49, 62, 77, 87, 99, 107, 122, 134, 145, 153, 165, 177, 189, 199, 214, 229, 242, 251, 265, 278, 284, 301, 315, 330, 341}
 
-const _ReasonLowerName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_largeprompt_blockedrequest_blocked"
+const _ReasonLowerName = "internalbad_requesttoo_largeunauthorizedforbiddenunknown_modelunknown_serviceoverloadedrate_limitedno_routedeadline_passedstage_failedcaller_gonestoppingjournal_downjournal_fullkey_requiredkey_reusedkey_in_progressoutcome_unknownowner_unknownpeer_lostsettings_staleunknown_routefencedheaders_too_largeprompt_blockedrequest_blockedunreachable"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -24,37 +24,38 @@
 // Re-run the stringer command to generate them again.
 func _ReasonNoOp() {
 	var x [1]struct{}
-	_ = x[Internal-0]
-	_ = x[BadRequest-1]
-	_ = x[TooLarge-2]
-	_ = x[Unauthorized-3]
-	_ = x[Forbidden-4]
-	_ = x[UnknownModel-5]
-	_ = x[UnknownService-6]
-	_ = x[Overloaded-7]
-	_ = x[RateLimited-8]
-	_ = x[NoRoute-9]
-	_ = x[DeadlinePassed-10]
-	_ = x[StageFailed-11]
-	_ = x[CallerGone-12]
-	_ = x[Stopping-13]
-	_ = x[JournalDown-14]
-	_ = x[JournalFull-15]
-	_ = x[KeyRequired-16]
-	_ = x[KeyReused-17]
-	_ = x[KeyInProgress-18]
-	_ = x[OutcomeUnknown-19]
-	_ = x[OwnerUnknown-20]
-	_ = x[PeerLost-21]
-	_ = x[SettingsStale-22]
-	_ = x[UnknownRoute-23]
-	_ = x[Fenced-24]
-	_ = x[HeadersTooLarge-25]
-	_ = x[PromptBlocked-26]
-	_ = x[RequestBlocked-27]
+	_ = x[Internal-(0)]
+	_ = x[BadRequest-(1)]
+	_ = x[TooLarge-(2)]
+	_ = x[Unauthorized-(3)]
+	_ = x[Forbidden-(4)]
+	_ = x[UnknownModel-(5)]
+	_ = x[UnknownService-(6)]
+	_ = x[Overloaded-(7)]
+	_ = x[RateLimited-(8)]
+	_ = x[NoRoute-(9)]
+	_ = x[DeadlinePassed-(10)]
+	_ = x[StageFailed-(11)]
+	_ = x[CallerGone-(12)]
+	_ = x[Stopping-(13)]
+	_ = x[JournalDown-(14)]
+	_ = x[JournalFull-(15)]
+	_ = x[KeyRequired-(16)]
+	_ = x[KeyReused-(17)]
+	_ = x[KeyInProgress-(18)]
+	_ = x[OutcomeUnknown-(19)]
+	_ = x[OwnerUnknown-(20)]
+	_ = x[PeerLost-(21)]
+	_ = x[SettingsStale-(22)]
+	_ = x[UnknownRoute-(23)]
+	_ = x[Fenced-(24)]
+	_ = x[HeadersTooLarge-(25)]
+	_ = x[PromptBlocked-(26)]
+	_ = x[RequestBlocked-(27)]
+	_ = x[Unreachable-(28)]
 }
 
-var _ReasonValues = []Reason{Internal, BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService, Overloaded, RateLimited, NoRoute, DeadlinePassed, StageFailed, CallerGone, Stopping, JournalDown, JournalFull, KeyRequired, KeyReused, KeyInProgress, OutcomeUnknown, OwnerUnknown, PeerLost, SettingsStale, UnknownRoute, Fenced, HeadersTooLarge, PromptBlocked, RequestBlocked}
+var _ReasonValues = []Reason{Internal, BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService, Overloaded, RateLimited, NoRoute, DeadlinePassed, StageFailed, CallerGone, Stopping, JournalDown, JournalFull, KeyRequired, KeyReused, KeyInProgress, OutcomeUnknown, OwnerUnknown, PeerLost, SettingsStale, UnknownRoute, Fenced, HeadersTooLarge, PromptBlocked, RequestBlocked, Unreachable}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:     Internal,
@@ -85,6 +86,7 @@
 	_ReasonName[284:301]: HeadersTooLarge,
 	_ReasonName[301:315]: PromptBlocked,
 	_ReasonName[315:330]: RequestBlocked,
+	_ReasonName[330:341]: Unreachable,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -116,6 +118,7 @@
 	_ReasonLowerName[284:301]: HeadersTooLarge,
 	_ReasonLowerName[301:315]: PromptBlocked,
 	_ReasonLowerName[315:330]: RequestBlocked,
+	_ReasonLowerName[330:341]: Unreachable,
 }
 
 var _ReasonNames = []string{
@@ -147,6 +150,7 @@
 	_ReasonName[284:301],
 	_ReasonName[301:315],
 	_ReasonName[315:330],
+	_ReasonName[330:341],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
