Give back retries that reached no server to the retry budget

Begun streams at a daemon of a large fleet were cut when their connections were reset and no server accepted a new one: each attempt drew on the daemon's part of the retry budget, three retries at 195 daemons, before the cut was known, and then none was left to go on elsewhere. Cause: the budget counts retries that no server can have got, although the promise to the servers is about what arrives. They also counted as recoveries.

An attempt without a connection is given back now, in the bucket in which it was taken, for streams and for plain services. Servers that failed a request are not tried again for it, so this ends.

--- a/internal/core/budget_test.go
+++ b/internal/core/budget_test.go
@@ -8,6 +8,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
 
 // TestBegunStreamsWaitForBudget: an engine cuts more streams at once than the retry budget has
@@ -56,3 +57,31 @@
 		})
 	}
 }
+
+// TestRetriesWithoutConnectionUseNoBudget guards against a retry budget that is used up by attempts which reached no
+// server: a begun stream tries server after server of which none accepts a connection, and is then cut for want of room.
+func TestRetriesWithoutConnectionUseNoBudget(t *testing.T) {
+	const pairs, window = 12, 10 * time.Second
+	budget := retry.New(0, 1, window)
+	w := newChainHarness(t, pairs, WithBudget(budget))
+	w.in.Daemons = 1
+	w.now = w.now.Add(2 * window)
+	w.tick()
+	w.now = w.now.Add(2 * window)
+	w.in.Daemons = 1
+	w.tick()
+	o := w.submit(msgs.Arrival{ID: 1})
+	w.deliverTokens(0, []msgs.Open{o})
+	w.tick()
+	w.endStream(o, resetError(o.Route.Hops[0].Server), false)
+	for n := range pairs - 2 {
+		assert.Equal(t, len(w.out.Opens), 1, "after %d servers: %v", n, w.out.Finishes)
+		o = w.out.Opens[0]
+		w.now = w.now.Add(300 * time.Millisecond)
+		f := verdt.New(verdt.NotRun, verdt.StageFailed, "no connection", verdt.Server(string(o.Route.Hops[0].Server)))
+		w.in.Ends = append(w.in.Ends, msgs.StreamEnd{Request: o.Request, Epoch: o.Epoch, Failure: f, Declined: true, NotConnected: true})
+		w.tick()
+	}
+	assert.Equal(t, len(w.out.Opens), 1)
+	assert.Assert(t, !budget.HasRoom(w.now, "m", 1), "the retry in progress is not counted")
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -194,6 +194,7 @@
 		c.recov.HandleToken(now, tok, t, out)
 	}
 	for _, e := range in.Ends {
+		c.giveBackRetry(now, e)
 		crashed := c.recordCrash(now, e)
 		c.recov.HandleStreamEnd(now, e, t, out)
 		if crashed {
@@ -207,6 +208,16 @@
 	}
 }
 
+// giveBackRetry takes a retry that reached no server out of the retry budget. It must be called before the end is
+// handled.
+func (c *Core) giveBackRetry(now time.Time, e msgs.StreamEnd) {
+	r := c.requests.Get(e.Request)
+	if c.budget == nil || !e.NotConnected || r == nil || r.Phase != table.Running || e.Epoch != r.Epoch || r.Epoch == 1 {
+		return
+	}
+	c.budget.GiveBack(now, r.Model, r.LastActivityAt)
+}
+
 // applyArrivals admits or rejects new requests.
 func (c *Core) applyArrivals(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	for _, a := range in.Arrivals {
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -157,6 +157,10 @@
 		f = verdt.New(verdt.MayHaveRun, verdt.StageFailed, "the stream ended without its last token")
 	}
 	st.blameServer(now, r, f, e.Declined, t, out)
+	if e.NotConnected && r.Recoveries > 0 {
+		// The request is sent to no server twice, so this ends.
+		r.Recoveries--
+	}
 	r.Switched = r.Switched && e.Declined
 	out.Cancels = append(out.Cancels, msgs.Cancel{Request: r.ID, Epoch: r.Epoch, Route: r.Route})
 	st.detach(now, r, t)
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -313,6 +313,9 @@
 func (st *State) RecordOutcome(now time.Time, r *Request, attempt Attempt, o Outcome) bool {
 	st.updateStats(now, attempt, o)
 	st.recordReach(now, r, o)
+	if o.NotConnected && r.Attempts > 1 {
+		st.budget.GiveBack(now, r.Service, attempt.Began)
+	}
 	st.recordCrash(now, r, attempt, o)
 	if o.Failure == nil {
 		r.Verdict = verdt.Ran
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -95,6 +95,16 @@
 	return true
 }
 
+// GiveBack takes back a retry that TryTake counted at a time, since it reached no server.
+func (b *Budget) GiveBack(now time.Time, service string, takenAt time.Time) {
+	w := b.windowAt(now, service)
+	age := w.newestBucket - takenAt.UnixNano()/max(1, int64(b.Window/bucketsPerWindow))
+	if age < 0 || age >= int64(len(w.retries)) {
+		return
+	}
+	w.retries[w.slot(age)] = max(0, w.retries[w.slot(age)]-1)
+}
+
 // HasRoom reports whether TryTake would return true.
 func (b *Budget) HasRoom(now time.Time, service string, share float64) bool {
 	w := b.windowAt(now, service)
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -189,3 +189,28 @@
 	}
 	assert.Assert(t, !b.TryTake(now, "s", 1))
 }
+
+// TestGiveBackReturnsOneRetry guards against a retry that is given back twice, to another window or below nothing.
+func TestGiveBackReturnsOneRetry(t *testing.T) {
+	const burst = 4
+	now := time.Unix(1_000_000, 0)
+	b := New(0, initialDaemons*burst, testWindow)
+	take := func() (n int) {
+		for b.TryTake(now, "s", 1) {
+			n++
+		}
+		return n
+	}
+	b.GiveBack(now, "s", now)
+	assert.Equal(t, take(), burst)
+	takenAt := now
+	now = now.Add(testWindow / 3)
+	b.GiveBack(now, "s", takenAt)
+	assert.Equal(t, take(), 1)
+	now = now.Add(testWindow / 3)
+	b.GiveBack(now, "s", now)
+	assert.Equal(t, take(), 0)
+	b.GiveBack(now, "s", now.Add(-10*testWindow))
+	b.GiveBack(now, "s", now.Add(testWindow))
+	assert.Equal(t, take(), 0)
+}
