--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -51,6 +51,7 @@
 	d.streams.SetOthers(others)
 	d.edge.ApplyLimits(others.Limits)
 	d.edge.ApplyCrashes(others.PlainRequests)
+	d.edge.ApplyOthersCutOff(others.CutOff)
 	d.serversLeave(others.Leaving, source)
 }
 
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -142,6 +142,8 @@
 	Leaving []model.ServerID `cbor:"6,keyasint,omitempty"`
 	// Limits are the daemon's shares of the limits that servers named.
 	Limits []limit.Grant `cbor:"7,keyasint,omitempty"`
+	// CutOff are the services that any daemon does not reach.
+	CutOff []string `cbor:"8,keyasint,omitempty"`
 	// PromptParts and RequestCrashes are the unions over all daemons.
 	PromptParts
 	RequestCrashes
@@ -156,13 +158,14 @@
 // State is the board of the daemon that keeps it.
 type State struct {
 	reports map[model.DaemonID]daemonReport
-	// loads, pipes, suspects, full and leaving are the sums over reports, without zero
+	// loads, pipes, suspects, full, leaving and cutOff are the sums over reports, without zero
 	// entries.
 	loads                                     map[model.ServerID]Load
 	pipes                                     map[Pipe]int
 	suspects                                  map[model.ServerID]int
 	full                                      map[model.ServerID]int
 	leaving                                   map[model.ServerID]int
+	cutOff                                    map[string]int
 	promptParts, modelRequests, plainRequests crashSums
 	// daemons holds the keys of reports, sorted.
 	daemons   []model.DaemonID
@@ -174,7 +177,7 @@
 // New returns an empty board.
 func New() *State {
 	return &State{
-		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{}, leaving: map[model.ServerID]int{},
+		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{}, leaving: map[model.ServerID]int{}, cutOff: map[string]int{},
 		promptParts: newCrashSums(), modelRequests: newCrashSums(), plainRequests: newCrashSums(),
 	}
 }
@@ -209,6 +212,7 @@
 	addToCounts(st.suspects, status.Suspects, sign)
 	addToCounts(st.full, status.Full, sign)
 	addToCounts(st.leaving, status.Leaving, sign)
+	addToCounts(st.cutOff, status.CutOff, sign)
 	st.promptParts.add(status.Report(), sign)
 	st.modelRequests.add(status.ModelRequests, sign)
 	st.plainRequests.add(status.PlainRequests, sign)
@@ -293,7 +297,7 @@
 	return slices.Compact(proxies)
 }
 
-// Others returns the sums over all daemons but one, sorted. Suspects, Full, Leaving,
+// Others returns the sums over all daemons but one, sorted. Suspects, Full, Leaving, CutOff,
 // PromptParts and RequestCrashes include that daemon's own.
 func (st *State) Others(now time.Time, except model.DaemonID) View {
 	st.sweep(now)
@@ -307,7 +311,7 @@
 		ownPipes[p.Pipe] = p.Tokens
 	}
 	v := View{
-		Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving)),
+		Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving)), CutOff: slices.Sorted(maps.Keys(st.cutOff)),
 		PromptParts:    PromptPartsOf(st.promptParts.union()),
 		RequestCrashes: RequestCrashes{ModelRequests: st.modelRequests.union(), PlainRequests: st.plainRequests.union()},
 	}
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -75,8 +75,9 @@
 	mu         sync.Mutex
 	relayState *relay.State
 	rng        *rand.Rand
-	// knownCutOff holds the services that were cut off at the last check; guarded by mu.
-	knownCutOff []string
+	// knownCutOff holds the services that were cut off at the last check, and othersCutOff those that any daemon
+	// does not reach; both guarded by mu.
+	knownCutOff, othersCutOff []string
 }
 
 // NewEdge returns an Edge without a routing, which refuses all requests.
--- a/internal/drive/reach.go
+++ b/internal/drive/reach.go
@@ -94,20 +94,42 @@
 	news := slices.ContainsFunc(cutOff, func(service string) bool { return !slices.Contains(e.knownCutOff, service) })
 	e.knownCutOff = cutOff
 	e.mu.Unlock()
+	if routing := e.Routing(); news && routing != nil {
+		for name := range routing.Services {
+			e.suspectCutOff(name)
+		}
+	}
+}
+
+// ApplyOthersCutOff applies which services other daemons do not reach. One that is new there is probed here, since
+// this daemon may be behind the same cut and have no requests that show it.
+func (e *Edge) ApplyOthersCutOff(services []string) {
+	e.mu.Lock()
+	known := e.othersCutOff
+	e.othersCutOff = services
+	e.mu.Unlock()
+	for _, name := range services {
+		if !slices.Contains(known, name) {
+			e.suspectCutOff(name)
+		}
+	}
+}
+
+// suspectCutOff lets a service be probed.
+func (e *Edge) suspectCutOff(name string) {
 	routing := e.Routing()
-	if !news || routing == nil {
+	if routing == nil {
 		return
 	}
-	for name, service := range routing.Services {
-		switch {
-		case slices.Contains(cutOff, name):
-		case service.Engine != nil:
-			e.streams.View(func(c *core.Core) { c.SuspectCutOff(name) })
-		default:
-			e.mu.Lock()
-			e.relayState.SuspectCutOff(name)
-			e.mu.Unlock()
-		}
+	service, known := routing.Services[name]
+	switch {
+	case !known:
+	case service.Engine != nil:
+		e.streams.View(func(c *core.Core) { c.SuspectCutOff(name) })
+	default:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.relayState.SuspectCutOff(name)
 	}
 }
 
