Refuse requests that would wait in vain for layers that are being loaded

The end of the load was known: the owner of the placement gave the orders.

The owner works out when the missing layers will be loaded and the hub tells all daemons. Where the end is not known, all wait as before.

--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -166,7 +166,7 @@
 
 // exchangeLoad records the load of one daemon and returns the load of the others.
 func (d *EdgeDaemon) exchangeLoad(from model.DaemonID, load board.DaemonStatus) peer.HubAnswer {
-	moving := d.duty.ReplacingLayers()
+	moving, outageEnds := d.duty.ReplacingLayers(), d.duty.OutageEnds()
 	sharing := 1
 	d.streams.View(func(c *core.Core) { sharing = max(1, c.BudgetDaemons()) })
 	d.mu.Lock()
@@ -175,6 +175,9 @@
 	d.loadBoard.Put(now, from, load)
 	others := d.loadBoard.Others(now, from)
 	others.ReplacingLayers = moving
+	for service, end := range outageEnds {
+		others.Outages = append(others.Outages, board.Outage{Service: service, Left: end.Sub(now)})
+	}
 	reporting := float64(d.loadBoard.Daemons(now)) / float64(sharing)
 	others.Limits = d.limits.Exchange(now, from, load.Limits, min(1, reporting))
 	return peer.HubAnswer{
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -208,7 +208,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		pool := drive.Pool{Profile: service.Engine}
+		pool := drive.Pool{Service: name, Profile: service.Engine}
 		for _, member := range d.roster.Members() {
 			if member.Service == name {
 				if slices.Contains(suspects, model.ServerID(member.ID)) {
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -144,11 +144,20 @@
 	Limits []limit.Grant `cbor:"7,keyasint,omitempty"`
 	// CutOff are the services that any daemon does not reach.
 	CutOff []string `cbor:"8,keyasint,omitempty"`
+	// Outages are the services whose model no chain of live engines covers and whose end is known.
+	Outages []Outage `cbor:"9,keyasint,omitempty"`
 	// PromptParts and RequestCrashes are the unions over all daemons.
 	PromptParts
 	RequestCrashes
 }
 
+// Outage says when a service's missing layers are expected to be loaded.
+type Outage struct {
+	Service string `cbor:"1,keyasint"`
+	// Left is the time until then, since daemons' clocks differ.
+	Left time.Duration `cbor:"2,keyasint"`
+}
+
 // daemonReport is a daemon's last report and when it expires.
 type daemonReport struct {
 	DaemonStatus
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,10 @@
 	reach        *reach.State
 	// heardAt is when a stream of each model last got a token.
 	heardAt map[string]time.Time
+	// outageEnds holds when models without a chain are expected to have one again, as far as that is known.
+	outageEnds map[string]time.Time
+	// outageRefusals counts the requests that were refused because an outage lasts too long for them.
+	outageRefusals int
 	// hasProxies is set while other daemons serve the models that this one does not reach.
 	hasProxies bool
 	// crashMetrics.PartsBlockedNow and RequestBlocksNow are not kept here.
@@ -169,6 +173,10 @@
 		c.servers.SetOthers(in.OthersUntil, in.Others)
 		c.servers.Avoid(now.Add(layerChangeHold), in.Others.ReplacingLayers)
 		c.moveFromReplacing(now, in.Others.ReplacingLayers)
+		c.outageEnds = map[string]time.Time{}
+		for _, o := range in.Others.Outages {
+			c.outageEnds[o.Service] = now.Add(o.Left)
+		}
 		c.servers.MarkFull(now.Add(sharedFullDuration), in.Others.Full)
 		c.crash.Apply(now, in.Others.Report())
 		c.requestCrash.Apply(now, in.Others.ModelRequests)
@@ -369,6 +377,9 @@
 			c.admit.RecordDispatch(now, q, dispatchCost(r))
 		case route.NoChain, route.Busy:
 			q.Outage = result == route.NoChain
+			if q.Outage {
+				c.refuseBeyondOutage(now, r.Model, out)
+			}
 			return
 		case route.Paused:
 			q.Outage = false
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -66,6 +66,8 @@
 	span model.Span
 	// replacesLayers is set if the engine unloads other layers for the new ones.
 	replacesLayers bool
+	// loadedAt is when the layers are expected to be loaded.
+	loadedAt time.Time
 	// expiresAt is when the order counts as lost and another may be given.
 	expiresAt time.Time
 }
@@ -143,6 +145,43 @@
 	return orders
 }
 
+// OutageEnd returns when all layers are expected to be held again by a live engine. It is zero if they are now, or if
+// that is not known: a missing layer was not ordered yet, or its order takes longer than expected.
+func (st *State) OutageEnd(now time.Time, p *setts.EngineProfile, members []model.Member) time.Time {
+	if p == nil || p.Layers == 0 {
+		return time.Time{}
+	}
+	held, loadedAt := make([]bool, p.Layers), make([]time.Time, p.Layers)
+	for _, m := range members {
+		if m.State != model.Live {
+			continue
+		}
+		for layer := m.Span.From; layer < min(m.Span.To, p.Layers); layer++ {
+			held[layer] = true
+		}
+		order, pending := st.orders[model.ServerID(m.ID)]
+		if !pending || !order.loadedAt.After(now) {
+			continue
+		}
+		for layer := order.span.From; layer < min(order.span.To, p.Layers); layer++ {
+			if loadedAt[layer].IsZero() || order.loadedAt.Before(loadedAt[layer]) {
+				loadedAt[layer] = order.loadedAt
+			}
+		}
+	}
+	var end time.Time
+	for layer := range p.Layers {
+		switch {
+		case held[layer]:
+		case loadedAt[layer].IsZero():
+			return time.Time{}
+		case loadedAt[layer].After(end):
+			end = loadedAt[layer]
+		}
+	}
+	return end
+}
+
 // liveEngines returns the live engines of a known kind, fastest first, and drops the
 // pending orders that were carried out or expired.
 func (st *State) liveEngines(now time.Time, p *setts.EngineProfile, members []model.Member) []engine {
@@ -314,7 +353,7 @@
 	loadTime := time.Duration(float64(p.LoadTime) * float64(span.To-span.From) / float64(p.Layers))
 	// The timeout allows three times the load time, because the weight store serves only
 	// so many loads at once and the others wait.
-	st.orders[e.id] = pendingOrder{span: span, replacesLayers: !e.empty(), expiresAt: now.Add(3*loadTime + orderTimeoutSlack)}
+	st.orders[e.id] = pendingOrder{span: span, replacesLayers: !e.empty(), loadedAt: now.Add(loadTime), expiresAt: now.Add(3*loadTime + orderTimeoutSlack)}
 	e.span, e.orderPending = span, true
 	return Order{Server: e.id, Address: e.member.Address, Span: span, MissingLayers: missing}
 }
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -284,3 +284,25 @@
 	}
 	return false
 }
+
+// TestOutageEndFollowsOrders guards against an outage of unknown length while the missing layers are being loaded, and
+// against an end that is told although no engine loads them.
+func TestOutageEndFollowsOrders(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := profile()
+	st := New()
+	members := []model.Member{{ID: "a", Span: model.Span{From: 40, To: 80}}, {ID: "b"}, {ID: "c"}}
+	assert.Assert(t, st.OutageEnd(now, p, members).IsZero())
+	st.orders["b"] = pendingOrder{span: model.Span{From: 0, To: 30}, loadedAt: now.Add(5 * time.Second)}
+	assert.Assert(t, st.OutageEnd(now, p, members).IsZero())
+	st.orders["c"] = pendingOrder{span: model.Span{From: 20, To: 45}, loadedAt: now.Add(3 * time.Second)}
+	assert.Equal(t, st.OutageEnd(now, p, members), now.Add(5*time.Second))
+	assert.Equal(t, st.OutageEnd(now.Add(4*time.Second), p, members), time.Time{})
+	members[2].Span = model.Span{From: 20, To: 45}
+	assert.Equal(t, st.OutageEnd(now.Add(4*time.Second), p, members), now.Add(5*time.Second))
+	members[1].Span = model.Span{From: 0, To: 30}
+	assert.Assert(t, st.OutageEnd(now, p, members).IsZero())
+	members[1].State = model.Leaving
+	delete(st.orders, "b")
+	assert.Assert(t, st.OutageEnd(now, p, members).IsZero())
+}
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -43,6 +43,7 @@
 
 // Pool is the model engines of one service.
 type Pool struct {
+	Service string
 	Profile *setts.EngineProfile
 	Members []model.Member
 }
@@ -60,6 +61,8 @@
 	placement *place.State
 	// ownedFence is the fencing token in use; 0 while this daemon does not own the duty.
 	ownedFence uint64
+	// outageEnds holds when the models of services without a whole chain are expected to be whole again.
+	outageEnds map[string]time.Time
 	wg         sync.WaitGroup
 }
 
@@ -112,6 +115,14 @@
 	return d.placement.ReplacingLayers()
 }
 
+// OutageEnds returns when the models of services without a whole chain are expected to be whole again, as far as
+// that is known here.
+func (d *Duty) OutageEnds() map[string]time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.outageEnds
+}
+
 // tick evaluates the election and, while this daemon owns the duty, the placement. The
 // resulting calls run in the background.
 func (d *Duty) tick(ctx context.Context) {
@@ -124,12 +135,16 @@
 	d.updateOwnership(fence, owned)
 	var orders []place.Order
 	members := map[model.ServerID]model.Member{}
+	d.outageEnds = map[string]time.Time{}
 	if owned {
 		for _, pool := range d.view.Pools() {
 			for _, m := range pool.Members {
 				members[model.ServerID(m.ID)] = m
 			}
 			orders = append(orders, d.placement.Tick(now, pool.Profile, pool.Members)...)
+			if end := d.placement.OutageEnd(now, pool.Profile, pool.Members); !end.IsZero() {
+				d.outageEnds[pool.Service] = end
+			}
 		}
 	}
 	d.mu.Unlock()
