--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -88,6 +88,12 @@
 	// RequestBlocksNow is the number of requests that are refused since servers crash on them.
 	// RequestsBlocked includes how often one was.
 	RequestBlocksNow int `json:"request_blocks_now"`
+	// ServicesCutOff are the services whose servers this daemon does not reach. RequestsProxied counts the requests of
+	// its callers that were sent to other daemons for that reason; ProxiedInProgress is the number of requests of other
+	// daemons in progress here.
+	ServicesCutOff    []string `json:"services_cut_off,omitempty"`
+	RequestsProxied   uint64   `json:"requests_proxied"`
+	ProxiedInProgress int64    `json:"proxied_in_progress"`
 }
 
 // publishEdgeMetrics publishes the metrics of a daemon at /debug/vars. It may be called
@@ -111,6 +117,8 @@
 			vars.RequestBlocksNow = m.RequestBlocksNow
 			vars.StreamsRecovered, vars.TokensDropped, vars.EnginesKnown = c.RecoveredStreams(), c.DroppedTokens(), c.ServerCount()
 		})
+		vars.ServicesCutOff = d.edge.CutOff()
+		vars.RequestsProxied, vars.ProxiedInProgress = d.edge.ProxiedRequests()
 		blocked, refused := d.edge.BlockedRequests()
 		vars.RequestBlocksNow += blocked
 		vars.RequestsBlocked += refused
--- a/internal/core/crash/trial_test.go
+++ b/internal/core/crash/trial_test.go
@@ -59,24 +59,28 @@
 				if f.now.Sub(third) < outage {
 					continue
 				}
+				resolved := !accepted.IsZero()
 				for _, d := range f.daemons {
-					if until, refused := d.BlockedUntil(f.now, crashing); !refused {
+					crashingUntil, crashingRefused := d.BlockedUntil(f.now, crashing)
+					soundUntil, soundRefused := d.BlockedUntil(f.now, sound)
+					assert.Assert(t, resolved || crashingRefused || soundRefused, "both are tried at one time")
+					if crashingRefused {
+						assert.Assert(t, crashingUntil.After(f.now))
+					} else {
 						d.RecordCrash(f.now, model.ServerID(strconv.Itoa(servers)), []uint64{crashing})
 						servers++
 						if f.now.Sub(third) > learnBound {
 							late++
 						}
-					} else {
-						assert.Assert(t, until.After(f.now))
 					}
-					if until, refused := d.BlockedUntil(f.now, sound); !refused {
-						d.RecordSound(f.now, []uint64{sound})
-						if accepted.IsZero() {
-							accepted = f.now
-						}
-					} else {
-						assert.Assert(t, until.After(f.now))
+					if soundRefused {
+						assert.Assert(t, soundUntil.After(f.now))
 						assert.Assert(t, f.now.Sub(third) < maxWait, "refused %s after the third crash", f.now.Sub(third))
+						continue
+					}
+					d.RecordSound(f.now, []uint64{sound})
+					if accepted.IsZero() {
+						accepted = f.now
 					}
 				}
 			}
@@ -89,3 +93,48 @@
 		})
 	}
 }
+
+// TestTriedRequestIsNotTriedAgain guards against a request that crashes a server in each of its turns, while the sound
+// one that is blocked with it does not come. That one is free again as soon as the other explains all its ends.
+func TestTriedRequestIsNotTriedAgain(t *testing.T) {
+	const maxLate = 3
+	for shared := 1; shared <= 3; shared++ {
+		t.Run(fmt.Sprintf("%d servers shared", shared), func(t *testing.T) {
+			f := newTestFleet(t, 3)
+			for i := range f.daemons {
+				f.daemons[i] = New(Requests())
+			}
+			f.pass(2 * time.Second)
+			for i, d := range f.daemons {
+				d.RecordCrash(f.now, model.ServerID(strconv.Itoa(i)), []uint64{bad})
+				soundServer := i
+				if i >= shared {
+					soundServer += 10
+				}
+				d.RecordCrash(f.now, model.ServerID(strconv.Itoa(soundServer)), []uint64{other})
+			}
+			third, servers, late := f.now, 20, 0
+			for f.now.Sub(third) < 30*time.Second {
+				f.pass(exchangeInterval)
+				if f.now.Sub(third) < 2*time.Second {
+					continue
+				}
+				for _, d := range f.daemons {
+					if _, refused := d.BlockedUntil(f.now, bad); !refused {
+						d.RecordCrash(f.now, model.ServerID(strconv.Itoa(servers)), []uint64{bad})
+						servers++
+						late++
+					}
+				}
+			}
+			assert.Assert(t, late > 0 && late <= maxLate, "tried %d times", late)
+			want := []uint64{bad, other}
+			if shared == 3 {
+				want = want[:1]
+			}
+			for i := range f.daemons {
+				assert.DeepEqual(t, f.blocked(i), want)
+			}
+		})
+	}
+}
--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -41,7 +41,7 @@
 		r := c.requests.Get(id)
 		c.admit.Withdraw(r)
 		c.outageRefusals++
-		returnAt := end.Add(outageReturnDelay + time.Duration(c.outageRefusals%outageReturnSteps) * outageReturnStep)
+		returnAt := end.Add(outageReturnDelay + time.Duration(c.outageRefusals%outageReturnSteps)*outageReturnStep)
 		c.recov.FailRequestUntil(r, verdt.NoRoute, "the model's layers are being loaded", returnAt, c.tables, out)
 	}
 }
--- a/internal/core/proxy_test.go
+++ b/internal/core/proxy_test.go
@@ -127,11 +127,13 @@
 	budget.SetDaemons(time.Unix(0, 0), 1)
 	w := newChainHarness(t, 4, WithBudget(budget))
 	w.in.Daemons = 1
-	for i := range 8 {
-		w.in.Arrivals = append(w.in.Arrivals, msgs.Arrival{ID: model.RequestID(i + 1), Model: "m", Deadline: w.now.Add(20 * time.Second), Proxied: true})
+	for i := range 80 {
+		id := model.RequestID(i + 1)
+		w.submit(msgs.Arrival{ID: id, Proxied: true})
+		w.in.CallerGone = append(w.in.CallerGone, id)
+		w.tick()
+		w.now = w.now.Add(250 * time.Millisecond)
 	}
-	w.tick()
-	assert.Equal(t, len(w.out.Opens), 8)
 	taken := 0
 	for budget.TryTake(w.now, "m", 1) {
 		taken++
--- /dev/null
+++ b/internal/drive/proxy_test.go
@@ -0,0 +1,164 @@
+package drive
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/internal/core/reach"
+	"bulrushpond.example/bulrushpond/internal/core/relay"
+	"bulrushpond.example/bulrushpond/internal/core/retry"
+	"bulrushpond.example/bulrushpond/internal/engine"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/setts"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
+)
+
+// scriptedProxies answers the n-th proxied request with the n-th script.
+type scriptedProxies struct {
+	scripts []proxyScript
+	sent    []ProxyRequest
+}
+
+// proxyScript is the answer of one daemon: frames, and then the loss of the connection.
+type proxyScript struct {
+	openFails bool
+	frames    []ProxyFrame
+}
+
+// OpenProxy implements ProxyClient.
+func (s *scriptedProxies) OpenProxy(_ context.Context, _ string, q ProxyRequest) (ProxyStream, error) {
+	script := s.scripts[len(s.sent)]
+	s.sent = append(s.sent, q)
+	if script.openFails {
+		return nil, errors.New("no connection")
+	}
+	return &scriptedStream{frames: script.frames}, nil
+}
+
+// scriptedStream implements ProxyStream.
+type scriptedStream struct{ frames []ProxyFrame }
+
+// Next implements ProxyStream.
+func (s *scriptedStream) Next(time.Time) (ProxyFrame, error) {
+	if len(s.frames) == 0 {
+		return ProxyFrame{}, errors.New("connection lost")
+	}
+	f := s.frames[0]
+	s.frames = s.frames[1:]
+	return f, nil
+}
+
+// Close implements ProxyStream.
+func (*scriptedStream) Close() {}
+
+// TestLostProxy guards against calls that run twice because the daemon which served them was lost, and against callers
+// that are told that a request has not run although another daemon may have sent it.
+func TestLostProxy(t *testing.T) {
+	refusal := ProxyFrame{Failure: &ProxyFailure{Verdict: verdt.NotRun, Reason: verdt.Stopping, Message: "stopping"}}
+	declined := ProxyFrame{Failure: &ProxyFailure{Verdict: verdt.NotRun, Reason: verdt.Overloaded, Message: "full", RetryAfter: 3 * time.Second}}
+	answer := ProxyFrame{Answer: &engine.Answer{Status: http.StatusOK}}
+	type scenario struct {
+		name       string
+		repetition setts.Repetition
+		burst      float64
+		scripts    []proxyScript
+		wantSent   int
+		// wantVerdict is that of the failure; nil for an answer.
+		wantVerdict *verdt.Verdict
+	}
+	notRun, mayHaveRun := verdt.NotRun, verdt.MayHaveRun
+	for _, tc := range []scenario{
+		{"answered", setts.Once, 100, []proxyScript{{frames: []ProxyFrame{{}, answer}}}, 1, nil},
+		{"no connection, then answered", setts.Once, 0, []proxyScript{{openFails: true}, {frames: []ProxyFrame{answer}}}, 2, nil},
+		{"refused, then answered", setts.Once, 0, []proxyScript{{frames: []ProxyFrame{refusal}}, {frames: []ProxyFrame{answer}}}, 2, nil},
+		{"lost, must not run twice", setts.Once, 100, []proxyScript{{frames: []ProxyFrame{{}}}}, 1, &mayHaveRun},
+		{"lost, repeatable", setts.Idempotent, 100, []proxyScript{{frames: []ProxyFrame{{}}}, {frames: []ProxyFrame{answer}}}, 2, nil},
+		{"lost, repeatable, retry budget used up", setts.Idempotent, 0, []proxyScript{{frames: []ProxyFrame{{}}}}, 1, &mayHaveRun},
+		{"lost, then declined", setts.Idempotent, 100, []proxyScript{{frames: []ProxyFrame{{}}}, {frames: []ProxyFrame{declined}}}, 2, &mayHaveRun},
+		{"declined", setts.Once, 100, []proxyScript{{frames: []ProxyFrame{declined}}}, 1, &notRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				state := relay.New("a", retry.New(0, tc.burst, 10*time.Second), 1)
+				state.UpsertServer(model.Member{ID: "s1", Service: "app", Zone: "a"})
+				state.ApplyReach(time.Now(), reach.Result{Service: "app", Tried: 1})
+				state.HasProxies = true
+				edge := newRelayEdge(&slowSender{}, state)
+				edge.table.Load().Routing.Routes[0].Repetition = tc.repetition
+				client := &scriptedProxies{scripts: tc.scripts}
+				edge.proxies.client = client
+				edge.proxies.set([]string{"p1", "p2", "p3"})
+				in := newLookup()
+				in.Header = http.Header{"X": {"y"}}
+				var out answerRecorder
+				edge.Serve(t.Context(), in, &out)
+				assert.Equal(t, len(client.sent), tc.wantSent)
+				assert.Equal(t, client.sent[0].AtMostOnce, tc.repetition == setts.Once)
+				assert.Equal(t, client.sent[0].Service, "app")
+				assert.DeepEqual(t, client.sent[0].Header, in.Header)
+				if tc.wantVerdict == nil {
+					assert.Assert(t, out.answer != nil, "%v", out.failure)
+					return
+				}
+				assert.Assert(t, out.failure != nil)
+				assert.Equal(t, out.failure.Verdict, *tc.wantVerdict)
+			})
+		})
+	}
+}
+
+// TestOthersCutRaisesSuspicion guards against a daemon with few requests that learns of a cut only when one of them
+// fails, though other daemons behind the same cut know it.
+func TestOthersCutRaisesSuspicion(t *testing.T) {
+	state := relay.New("a", retry.New(0, 100, 10*time.Second), 1)
+	state.UpsertServer(model.Member{ID: "s1", Service: "app", Zone: "a", Address: "s1:1"})
+	edge := newRelayEdge(&slowSender{}, state)
+	now := time.Now()
+	assert.Equal(t, len(state.ReachProbes(now)), 0)
+	for _, want := range []int{1, 0} {
+		edge.ApplyOthersCutOff([]string{"app", "unknown"})
+		probes := state.ReachProbes(now)
+		assert.Equal(t, len(probes), want)
+		for _, p := range probes {
+			state.ApplyReach(now, reach.Result{Service: p.Service, Tried: 1, Reached: 1})
+		}
+		now = now.Add(time.Minute)
+	}
+}
+
+// TestMalformedProxyRequestsAreRefused guards against malformed requests of other daemons.
+func TestMalformedProxyRequestsAreRefused(t *testing.T) {
+	state := relay.New("a", retry.New(0, 100, 10*time.Second), 1)
+	state.UpsertServer(model.Member{ID: "s1", Service: "app", Zone: "a"})
+	good := ProxyRequest{ID: "1", Method: "GET", Target: "/", Host: "h", Service: "app", MaxAttempts: 1, TimeLeft: time.Second}
+	type scenario struct {
+		name   string
+		change func(*ProxyRequest, *Edge)
+		want   verdt.Reason
+	}
+	for _, tc := range []scenario{
+		{"no time left", func(q *ProxyRequest, _ *Edge) { q.TimeLeft = 0 }, verdt.BadRequest},
+		{"no attempts", func(q *ProxyRequest, _ *Edge) { q.MaxAttempts = 0 }, verdt.BadRequest},
+		{"no service", func(q *ProxyRequest, _ *Edge) { q.Service = "" }, verdt.BadRequest},
+		{"unknown service", func(q *ProxyRequest, _ *Edge) { q.Service = "x" }, verdt.UnknownService},
+		{"a stream of a plain service", func(q *ProxyRequest, _ *Edge) { q.Streamed = true }, verdt.UnknownService},
+		{"a stopping daemon", func(_ *ProxyRequest, e *Edge) { e.Stop() }, verdt.Stopping},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			edge, q := newRelayEdge(&slowSender{}, state), good
+			tc.change(&q, edge)
+			var frames []ProxyFrame
+			edge.ServeProxied(t.Context(), &q, func(f ProxyFrame) error { frames = append(frames, f); return nil })
+			assert.Equal(t, len(frames), 1)
+			assert.Assert(t, frames[0].Failure != nil)
+			assert.Equal(t, frames[0].Failure.Verdict, verdt.NotRun)
+			assert.Equal(t, frames[0].Failure.Reason, tc.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/peer/proxy_test.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/internal/drive"
+	"bulrushpond.example/bulrushpond/internal/engine"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
+)
+
+// proxyHandler serves proxied requests only.
+type proxyHandler struct {
+	serve func(ctx context.Context, q *drive.ProxyRequest, write func(drive.ProxyFrame) error)
+}
+
+// Answer implements Handler.
+func (proxyHandler) Answer(context.Context, Request) Answer { return Answer{} }
+
+// ServeProxied implements ProxyHandler.
+func (h proxyHandler) ServeProxied(ctx context.Context, q *drive.ProxyRequest, write func(drive.ProxyFrame) error) {
+	h.serve(ctx, q, write)
+}
+
+// TestProxiedRequestAndFramesArriveUnchanged guards against fields that are lost between two daemons.
+func TestProxiedRequestAndFramesArriveUnchanged(t *testing.T) {
+	authority := newTestAuthority(t)
+	sent := drive.ProxyRequest{
+		ID: "1", Method: "POST", Target: "/a?b=c", Host: "h", Header: http.Header{"X": {"y", "z"}}, Body: []byte("body"), Team: "t", Priority: 3, AtMostOnce: true,
+		Service: "s", Streamed: true, PromptTokens: 4, MaxTokens: 5, Parts: []uint64{6}, From: 7, MaxAttempts: 2, TimeLeft: time.Second, TargetLatency: time.Millisecond, Route: "r",
+	}
+	frames := []drive.ProxyFrame{
+		{},
+		{Head: &drive.ProxyHead{Status: 200, Header: http.Header{"A": {"b"}}}, Events: []string{"id: 1\n\n", "id: 2\n\n"}},
+		{Events: []string{"id: 3\n\n"}},
+		{Answer: &engine.Answer{Status: 200, Header: http.Header{"C": {"d"}}, Body: []byte("e")}},
+		{Failure: &drive.ProxyFailure{Verdict: verdt.MayHaveRun, Reason: verdt.StageFailed, Message: "m", Server: "s", RetryAfter: time.Second}},
+		{Complete: true},
+	}
+	received := make(chan drive.ProxyRequest, 1)
+	address := startServer(t, issueKeys(t, authority, "d1"), proxyHandler{func(_ context.Context, q *drive.ProxyRequest, write func(drive.ProxyFrame) error) {
+		received <- *q
+		for _, f := range frames {
+			assert.Check(t, write(f))
+		}
+	}})
+	stream, err := newTestClient(t, issueKeys(t, authority, "d0"), address).OpenProxy(t.Context(), address, sent)
+	assert.NilError(t, err)
+	defer stream.Close()
+	assert.DeepEqual(t, <-received, sent)
+	for _, want := range frames {
+		got, err := stream.Next(time.Now().Add(5 * time.Second))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want)
+	}
+	_, err = stream.Next(time.Now().Add(5 * time.Second))
+	assert.Assert(t, err != nil, "a frame after the end")
+}
+
+// TestClosedProxyStreamEndsRequest guards against work that goes on at another daemon after the caller has left.
+func TestClosedProxyStreamEndsRequest(t *testing.T) {
+	authority := newTestAuthority(t)
+	ended := make(chan struct{})
+	address := startServer(t, issueKeys(t, authority, "d1"), proxyHandler{func(ctx context.Context, _ *drive.ProxyRequest, write func(drive.ProxyFrame) error) {
+		defer close(ended)
+		assert.Check(t, write(drive.ProxyFrame{}))
+		<-ctx.Done()
+	}})
+	stream, err := newTestClient(t, issueKeys(t, authority, "d0"), address).OpenProxy(t.Context(), address, drive.ProxyRequest{ID: "1"})
+	assert.NilError(t, err)
+	_, err = stream.Next(time.Now().Add(5 * time.Second))
+	assert.NilError(t, err)
+	stream.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request goes on")
+	}
+}
+
+// TestSilentProxyIsNoticed guards against requests that wait for a daemon which has the request and says nothing. Its
+// connection is kept if it answers a probe, as other requests use it.
+func TestSilentProxyIsNoticed(t *testing.T) {
+	authority := newTestAuthority(t)
+	address := startServer(t, issueKeys(t, authority, "d1"), proxyHandler{func(ctx context.Context, _ *drive.ProxyRequest, _ func(drive.ProxyFrame) error) { <-ctx.Done() }})
+	client := newTestClient(t, issueKeys(t, authority, "d0"), address)
+	began := time.Now()
+	stream, err := client.OpenProxy(t.Context(), address, drive.ProxyRequest{ID: "1"})
+	assert.NilError(t, err)
+	defer stream.Close()
+	_, err = stream.Next(time.Now().Add(time.Minute))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	assert.Equal(t, len(client.conns), 1)
+}
