Keep the options of an Edge beside it, and name what a proxied answer sets

Cause: read as a newcomer, the options stood in the file on probes, a one-line wrapper hid the digest, and 'ended' did not say by whom. Moves and names only; measured: the tests of drive, peer and core pass.

--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -66,6 +66,7 @@
 
 	meter *Meter
 
+	// connector probes servers, and proxies are the daemons that serve what this one does not reach.
 	connector engine.Connector
 	proxies   *proxies
 	// proxiedOut counts the requests sent to other daemons; proxiedIn is the number of theirs in progress here.
@@ -80,6 +81,14 @@
 	knownCutOff, othersCutOff []string
 }
 
+// EdgeOption configures an Edge.
+type EdgeOption func(*Edge)
+
+// WithProxies makes an Edge find out which services it cannot reach, and lets other daemons serve their requests.
+func WithProxies(connector engine.Connector, client ProxyClient) EdgeOption {
+	return func(e *Edge) { e.connector, e.proxies.client = connector, client }
+}
+
 // NewEdge returns an Edge without a routing, which refuses all requests.
 func NewEdge(log evlog.Log, streams *StreamExecutor, relaySender engine.Relay, relayState *relay.State, seed uint64, observer Observer, opts ...EdgeOption) *Edge {
 	e := &Edge{
@@ -213,8 +222,8 @@
 	epoch        model.Epoch
 	// proxied is set for a request of another daemon.
 	proxied bool
-	// ended is set once another daemon has served the request to its end.
-	ended bool
+	// answered is set once another daemon has answered the request completely.
+	answered bool
 }
 
 // elapsed returns the time since the request arrived.
@@ -266,13 +275,10 @@
 		in.Team = team
 	}
 	in.Priority = table.Priority(rule, in.Team)
-	in.Digest = digestOf(in)
+	in.Digest = engine.DigestOf(&in.Origin)
 	return rule, nil
 }
 
-// digestOf returns the digest of a request whose team is known.
-func digestOf(in *InboundRequest) uint64 { return engine.DigestOf(&in.Origin) }
-
 // pathOf returns the path of a request target, without its query.
 func pathOf(target string) string {
 	for i := range len(target) {
--- a/internal/drive/edgeproxy.go
+++ b/internal/drive/edgeproxy.go
@@ -6,6 +6,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/relay"
+	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
@@ -56,7 +57,7 @@
 		part.attempts++
 	}
 	switch {
-	case req.ended:
+	case req.answered:
 	case ctx.Err() != nil:
 		e.failCallerGone(req, out, part.headSent)
 	case part.headSent:
@@ -130,12 +131,12 @@
 		}
 		switch {
 		case frame.Complete:
-			req.ended = true
+			req.answered = true
 			e.recordOutcome(req, "whole", nil)
 			out.Complete()
 			return nil
 		case frame.Answer != nil:
-			req.ended = true
+			req.answered = true
 			e.recordOutcome(req, "answered", nil)
 			out.Answer(*frame.Answer)
 			return nil
@@ -197,7 +198,7 @@
 	in := &InboundRequest{PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, Parts: q.Parts, From: q.From}
 	in.ID, in.Method, in.Target, in.Host, in.Header, in.Body = q.ID, q.Method, q.Target, q.Host, q.Header, q.Body
 	in.Team, in.Priority = q.Team, q.Priority
-	in.Digest = digestOf(in)
+	in.Digest = engine.DigestOf(&in.Origin)
 	req := &requestState{in: in, arrived: now, revision: table.Routing.Revision, route: q.Route, service: q.Service, deadline: now.Add(q.TimeLeft), proxied: true}
 	rule := &setts.RouteRule{Name: q.Route, TargetLatency: q.TargetLatency, MaxAttempts: q.MaxAttempts, Repetition: setts.Idempotent, Resumable: true}
 	if q.AtMostOnce {
--- a/internal/drive/reach.go
+++ b/internal/drive/reach.go
@@ -9,7 +9,6 @@
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/reach"
-	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 )
 
@@ -167,11 +166,3 @@
 func (s *StreamExecutor) SetHasProxies(has bool) {
 	s.loop.post(func(in *msgs.Inbox) { in.HasProxies = &has })
 }
-
-// EdgeOption configures an Edge.
-type EdgeOption func(*Edge)
-
-// WithProxies makes an Edge find out which services it cannot reach, and lets other daemons serve their requests.
-func WithProxies(connector engine.Connector, client ProxyClient) EdgeOption {
-	return func(e *Edge) { e.connector, e.proxies.client = connector, client }
-}
