Cut a begun stream rather than append a server's error response to it

Found by reading the change: a stream that another daemon goes on with may get a complete response there instead, such as a 500. That daemon has sent no head, so it returned the response, and the daemon of the caller wrote it into the middle of the stream. Callers would have got a success whose body is not the server's. Class: two ends with different views of what was sent.

The caller's daemon now takes it as a failure of the stream, as it does for its own servers. TestBegunStreamGetsNoOtherAnswer failed before ("the caller got an answer within its stream") and passes.

--- a/internal/drive/edgeproxy.go
+++ b/internal/drive/edgeproxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core"
@@ -135,6 +136,8 @@
 			e.recordOutcome(req, "whole", nil)
 			out.Complete()
 			return nil
+		case frame.Answer != nil && part.headSent:
+			return verdt.New(verdt.Ran, verdt.StageFailed, "a server answered "+strconv.Itoa(frame.Answer.Status)+" instead of the rest of the stream")
 		case frame.Answer != nil:
 			req.answered = true
 			e.recordOutcome(req, "answered", nil)
--- a/internal/drive/proxy_test.go
+++ b/internal/drive/proxy_test.go
@@ -162,3 +162,32 @@
 		})
 	}
 }
+
+// streamRecorder records a streamed answer. It implements AnswerWriter.
+type streamRecorder struct {
+	answerRecorder
+	events  []string
+	aborted bool
+}
+
+func (r *streamRecorder) Event(text string) error { r.events = append(r.events, text); return nil }
+func (r *streamRecorder) Abort()                  { r.aborted = true }
+
+// TestBegunStreamGetsNoOtherAnswer guards against a caller that gets an engine's error response in the middle of a
+// stream: another daemon that goes on with the stream may get a complete answer instead of one.
+func TestBegunStreamGetsNoOtherAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		edge := newRelayEdge(&slowSender{}, relay.New("a", retry.New(0, 100, 10*time.Second), 1))
+		edge.proxies.client = &scriptedProxies{scripts: []proxyScript{{frames: []ProxyFrame{
+			{Events: []string{"3"}}, {Answer: &engine.Answer{Status: http.StatusInternalServerError, Body: []byte("error")}},
+		}}}}
+		edge.proxies.set([]string{"p1"})
+		req := &requestState{in: newLookup(), arrived: time.Now(), deadline: time.Now().Add(time.Second)}
+		part := &proxiedPart{streamed: true, from: 2, headSent: true, takeRetry: func(bool) bool { return false }}
+		var out streamRecorder
+		edge.serveByProxies(t.Context(), req, &setts.RouteRule{MaxAttempts: 2}, part, verdt.New(verdt.Ran, verdt.Unreachable, "cut off"), &out)
+		assert.Assert(t, out.answer == nil, "the caller got an answer within its stream")
+		assert.Assert(t, out.aborted)
+		assert.DeepEqual(t, out.events, []string{"3"})
+	})
+}
