End a proxied request at its deadline whatever the other daemon says

Found by reading the change: the daemon of the caller waited for the end of a proxied request as long as the other daemon sent heartbeats, which it does for any request that its core has not ended. A fault there would have kept callers beyond their deadline and the timeout of their route. The wait for a frame now ends 100 ms after the deadline, so that an answer which is ready is still delivered.

TestProxiedRequestKeepsItsDeadline failed before (the request took a minute with a deadline of two seconds) and passes. TestProxiedRequestIsGivenBack, for plain services, passed before too: only streams had such a test.

--- a/internal/drive/edgeproxy.go
+++ b/internal/drive/edgeproxy.go
@@ -117,7 +117,14 @@
 	defer stop()
 	var lastEvent time.Time
 	for {
-		frame, err := stream.Next(time.Now().Add(proxySilenceTimeout))
+		limit := time.Now().Add(proxySilenceTimeout)
+		if last := req.deadline.Add(proxyDeadlineSlack); last.Before(limit) {
+			limit = last
+		}
+		frame, err := stream.Next(limit)
+		if err != nil && !time.Now().Before(req.deadline) {
+			return verdt.New(verdt.MayHaveRun, verdt.DeadlinePassed, "the deadline passed")
+		}
 		if err != nil {
 			return verdt.New(verdt.MayHaveRun, verdt.PeerLost, "the daemon that served the request was lost: "+err.Error())
 		}
--- a/internal/drive/proxy.go
+++ b/internal/drive/proxy.go
@@ -25,6 +25,8 @@
 	// proxySilenceTimeout how long that daemon waits for one.
 	proxyHeartbeatInterval = 400 * time.Millisecond
 	proxySilenceTimeout    = 1500 * time.Millisecond
+	// proxyDeadlineSlack is how long after a request's deadline the daemon that serves it may still say how it ended.
+	proxyDeadlineSlack = 100 * time.Millisecond
 	// proxyRefusedPause is how long no requests are sent to a daemon that refused one because it reaches the servers
 	// no better, or that did not answer.
 	proxyRefusedPause = 500 * time.Millisecond
--- a/internal/drive/proxy_test.go
+++ b/internal/drive/proxy_test.go
@@ -191,3 +191,72 @@
 		assert.DeepEqual(t, out.events, []string{"3"})
 	})
 }
+
+// heartbeatProxies takes requests and does not answer them until its connection is lost. It implements ProxyClient and
+// ProxyStream.
+type heartbeatProxies struct{ lostAt time.Time }
+
+// OpenProxy implements ProxyClient.
+func (h heartbeatProxies) OpenProxy(context.Context, string, ProxyRequest) (ProxyStream, error) {
+	return h, nil
+}
+
+// Next implements ProxyStream.
+func (h heartbeatProxies) Next(deadline time.Time) (ProxyFrame, error) {
+	if time.Now().After(h.lostAt) {
+		return ProxyFrame{}, errors.New("connection lost")
+	}
+	if time.Until(deadline) < proxyHeartbeatInterval {
+		time.Sleep(time.Until(deadline))
+		return ProxyFrame{}, context.DeadlineExceeded
+	}
+	time.Sleep(proxyHeartbeatInterval)
+	return ProxyFrame{}, nil
+}
+
+// Close implements ProxyStream.
+func (heartbeatProxies) Close() {}
+
+// TestProxiedRequestKeepsItsDeadline guards against a request that outlives its deadline because the daemon that serves
+// it says that it is in progress.
+func TestProxiedRequestKeepsItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := relay.New("a", retry.New(0, 100, 10*time.Second), 1)
+		state.UpsertServer(model.Member{ID: "s1", Service: "app", Zone: "a"})
+		state.ApplyReach(time.Now(), reach.Result{Service: "app", Tried: 1})
+		state.HasProxies = true
+		edge := newRelayEdge(&slowSender{}, state)
+		edge.proxies.client = heartbeatProxies{lostAt: time.Now().Add(time.Minute)}
+		edge.proxies.set([]string{"p1"})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began := time.Now()
+		var out answerRecorder
+		edge.Serve(ctx, newLookup(), &out)
+		assert.Assert(t, time.Since(began) <= 2500*time.Millisecond, "took %s", time.Since(began))
+		assert.Equal(t, out.failure.Reason, verdt.DeadlinePassed)
+		assert.Equal(t, out.failure.Verdict, verdt.MayHaveRun)
+	})
+}
+
+// TestProxiedRequestIsGivenBack guards against requests to plain services that go from daemon to daemon in a circle.
+func TestProxiedRequestIsGivenBack(t *testing.T) {
+	state := relay.New("a", retry.New(0, 100, 10*time.Second), 1)
+	state.UpsertServer(model.Member{ID: "s1", Service: "app", Zone: "a"})
+	state.ApplyReach(time.Now(), reach.Result{Service: "app", Tried: 1})
+	state.HasProxies = true
+	edge := newRelayEdge(&slowSender{}, state)
+	client := &scriptedProxies{}
+	edge.proxies.client = client
+	edge.proxies.set([]string{"p1"})
+	var frames []ProxyFrame
+	edge.ServeProxied(t.Context(), &ProxyRequest{ID: "1", Method: "GET", Target: "/", Host: "h", Service: "app", MaxAttempts: 1, TimeLeft: time.Second}, func(f ProxyFrame) error {
+		frames = append(frames, f)
+		return nil
+	})
+	assert.Equal(t, len(client.sent), 0)
+	last := frames[len(frames)-1]
+	assert.Assert(t, last.Failure != nil)
+	assert.Equal(t, last.Failure.Reason, verdt.Unreachable)
+	assert.Equal(t, last.Failure.Verdict, verdt.NotRun)
+}
