Take the retry of a cut-off lookup before its attempt is given up

Found by reading the change: when a service was found cut off, all its slow lookups gave up their attempts because the retry budget had room for one, and then asked it; the others failed with "too many requests are being sent again" although their attempts could have been awaited. The same fault had been mended for other servers (TestSlowServersShareRetryBudget); the new way had it again. The retry is now taken in the step that gives the attempt up.

TestSlowRequestsForProxiesShareRetryBudget failed before (a request gave up after a second) and passes: with room for one retry, one of five is answered and four wait to their deadline.

--- a/internal/core/relay/reach.go
+++ b/internal/core/relay/reach.go
@@ -37,15 +37,23 @@
 	return !r.Proxied && st.HasProxies && st.reach.CutOff(r.Service)
 }
 
+// TakeProxyRetry takes the retry that sends a request in progress to another daemon from the retry budget, and reports
+// whether there is room. Next does not take it again.
+func (st *State) TakeProxyRetry(now time.Time, r *Request) bool {
+	r.retryTaken = r.retryTaken || st.budget.TryTake(now, r.Service, 1)
+	return r.retryTaken
+}
+
 // refuseCutOff returns the failure Unreachable for a request whose service is cut off and that another daemon has to
 // serve, or that came from another daemon; nil for others. A request that may have run draws on the retry budget.
 func (st *State) refuseCutOff(now time.Time, r *Request) *verdt.Error {
 	if !st.UsesProxy(r) && (!r.Proxied || !st.reach.CutOff(r.Service)) {
 		return nil
 	}
-	if !r.Proxied && r.Verdict != verdt.NotRun && !st.budget.TryTake(now, r.Service, 1) {
+	if !r.Proxied && r.Verdict != verdt.NotRun && !st.TakeProxyRetry(now, r) {
 		return verdt.New(r.Verdict, verdt.Overloaded, "too many requests are being sent again", verdt.RetryAt(now.Add(retryDelay)))
 	}
+	r.retryTaken = false
 	return verdt.New(r.Verdict, verdt.Unreachable, "this daemon has no connection to the servers", verdt.RetryAt(now.Add(cutOffRetryDelay)))
 }
 
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -66,6 +66,8 @@
 	Digest uint64
 	// Crashes counts the servers that ended when they ran the request.
 	Crashes int
+	// retryTaken is set while a retry that the retry budget has counted was not sent.
+	retryTaken bool
 	// Proxied is set for a request of another daemon, which cannot reach the servers itself and has counted it
 	// towards the retry budget.
 	Proxied bool
--- a/internal/drive/attempt.go
+++ b/internal/drive/attempt.go
@@ -128,7 +128,7 @@
 		return nil, false
 	}
 	if e.relayState.UsesProxy(relayReq) {
-		return nil, true
+		return nil, e.relayState.TakeProxyRetry(now, relayReq)
 	}
 	started, failure := e.relayState.Next(now, relayReq)
 	if failure != nil {
--- a/internal/drive/proxy_test.go
+++ b/internal/drive/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -260,3 +261,53 @@
 	assert.Equal(t, last.Failure.Reason, verdt.Unreachable)
 	assert.Equal(t, last.Failure.Verdict, verdt.NotRun)
 }
+
+// hangingSender does not answer before the context ends.
+type hangingSender struct{}
+
+// Send implements engine.Relay.
+func (hangingSender) Send(ctx context.Context, _ model.Member, _ engine.Origin, _ time.Time) (engine.Answer, error) {
+	<-ctx.Done()
+	return engine.Answer{}, &engine.AnswerError{Failure: verdt.New(verdt.MayHaveRun, verdt.DeadlinePassed, "the deadline passed")}
+}
+
+// TestSlowRequestsForProxiesShareRetryBudget guards against requests that give up their attempts because of the same
+// room in the retry budget when their service is found cut off, and fail because only one of them gets it.
+func TestSlowRequestsForProxiesShareRetryBudget(t *testing.T) {
+	const burstOfEight = 8
+	synctest.Test(t, func(t *testing.T) {
+		// Eight daemons are assumed, so that this one has room for one retry.
+		state := relay.New("a", retry.New(0, burstOfEight, 10*time.Second), 1)
+		state.UpsertServer(model.Member{ID: "s1", Service: "app", Zone: "a"})
+		state.HasProxies = true
+		edge := newRelayEdge(hangingSender{}, state)
+		answered := proxyScript{frames: []ProxyFrame{{Answer: &engine.Answer{Status: http.StatusOK}}}}
+		client := &scriptedProxies{scripts: []proxyScript{answered, answered, answered, answered, answered}}
+		edge.proxies.client = client
+		edge.proxies.set([]string{"p1"})
+		out := make([]answerRecorder, 5)
+		took := make([]time.Duration, len(out))
+		var requests sync.WaitGroup
+		began := time.Now()
+		for i := range out {
+			requests.Go(func() {
+				edge.Serve(t.Context(), newLookup(), &out[i])
+				took[i] = time.Since(began)
+			})
+		}
+		time.Sleep(time.Second)
+		edge.mu.Lock()
+		state.ApplyReach(time.Now(), reach.Result{Service: "app", Tried: 1})
+		edge.mu.Unlock()
+		requests.Wait()
+		answers := 0
+		for i := range out {
+			if out[i].answer != nil {
+				answers++
+				continue
+			}
+			assert.Assert(t, took[i] >= 2*time.Second, "gave up its attempt after %s: %v", took[i], out[i].failure)
+		}
+		assert.Equal(t, answers, 1)
+	})
+}
