Let probes that ran while the process stood still decide nothing

Found by reading the change: a daemon that was suspended for 250 ms while it probed saw all its connections time out, took itself for cut off from every service, sent its requests elsewhere and, as owner of the placement, released it. Diagnoses of engines guard against that already. Results that took 100 ms longer than the timeout are void now, and the probe is made again. Probes are also chosen in a fixed order: the core promises the same commands for the same events.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -4,6 +4,7 @@
 package reach
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -44,6 +45,8 @@
 	Service string
 	// Tried is the number of servers, and Reached how many of them accepted a connection.
 	Tried, Reached int
+	// Void is set if the result says nothing, as this process stood still meanwhile.
+	Void bool
 }
 
 // path is what is known of the way to one service.
@@ -93,7 +96,8 @@
 // Probes returns the probes that are due. servers returns the live servers of a service.
 func (st *State) Probes(now time.Time, servers func(service string) []model.Member) []Probe {
 	var probes []Probe
-	for service, p := range st.paths {
+	for _, service := range slices.Sorted(maps.Keys(st.paths)) {
+		p := st.paths[service]
 		if p.probing || now.Before(p.probeAt) || !p.suspect && !p.cutOff {
 			continue
 		}
@@ -127,6 +131,10 @@
 	p := st.path(r.Service)
 	before := p.cutOff
 	p.probing = false
+	if r.Void {
+		p.suspect = true
+		return false
+	}
 	share := float64(r.Reached) / float64(max(1, r.Tried))
 	switch {
 	case share <= maxCutOffShare:
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -113,3 +113,38 @@
 		assert.Equal(t, len(st.Probes(now, serversOf(1))) > 0, tc.suspect, "%+v", tc)
 	}
 }
+
+// TestVoidProbeDecidesNothing guards against a daemon that takes itself for cut off, and gives up the placement, because
+// its process stood still while it probed.
+func TestVoidProbeDecidesNothing(t *testing.T) {
+	for _, before := range []bool{false, true} {
+		now := time.Unix(1000, 0)
+		st := New(1)
+		if before {
+			st.Apply(now, Result{Service: "s", Tried: 1})
+		}
+		st.Suspect("s")
+		now = now.Add(time.Second)
+		assert.Equal(t, len(st.Probes(now, serversOf(9))), 1)
+		assert.Assert(t, !st.Apply(now, Result{Service: "s", Tried: 8, Void: true}))
+		assert.Equal(t, st.CutOff("s"), before)
+		assert.Equal(t, len(st.Probes(now, serversOf(9))), 1, "not probed again at once")
+	}
+}
+
+// TestProbesAreReproducible guards against choices that depend on the order of a map, since the decision core gives the
+// same commands for the same events.
+func TestProbesAreReproducible(t *testing.T) {
+	var want []Probe
+	for n := range 20 {
+		st := New(7)
+		for _, service := range []string{"a", "b", "c", "d"} {
+			st.Suspect(service)
+		}
+		probes := st.Probes(time.Unix(1000, 0), serversOf(30))
+		if n == 0 {
+			want = probes
+		}
+		assert.DeepEqual(t, probes, want)
+	}
+}
--- a/internal/core/relay/reach.go
+++ b/internal/core/relay/reach.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/reach"
@@ -64,8 +66,8 @@
 	}
 	return st.reach.Probes(now, func(service string) []model.Member {
 		var members []model.Member
-		for _, s := range st.servers {
-			if s.member.Service == service && s.member.State == model.Live {
+		for _, id := range slices.Sorted(maps.Keys(st.servers)) {
+			if s := st.servers[id]; s.member.Service == service && s.member.State == model.Live {
 				members = append(members, s.member)
 			}
 		}
--- a/internal/drive/reach.go
+++ b/internal/drive/reach.go
@@ -18,6 +18,10 @@
 // reachTimeout bounds a connection that is opened to learn whether a server can be reached.
 const reachTimeout = 250 * time.Millisecond
 
+// reachSlack is how much longer than reachTimeout the probes may take. If they take longer, this process itself was
+// suspended, and the results are void.
+const reachSlack = 100 * time.Millisecond
+
 // CheckReach probes the services that may be cut off. It is called every ReachInterval and waits for the probes, so
 // that it runs one at a time.
 func (e *Edge) CheckReach(ctx context.Context) {
@@ -46,6 +50,7 @@
 
 // probe makes probes and returns their results in the same order.
 func (e *Edge) probe(ctx context.Context, probes []reach.Probe) []reach.Result {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	results := make([]reach.Result, len(probes))
@@ -64,6 +69,9 @@
 		}
 	}
 	wg.Wait()
+	for i := range results {
+		results[i].Void = time.Since(began) > reachTimeout+reachSlack
+	}
 	return results
 }
 
