Hold no request for crashing servers because a cut reset its connections

Found by reading the change: a cut that resets connections looks like the end of every engine at which a stream was beginning. The daemon told the others that these engines ended under the requests and their prompt parts, for five minutes. Repeated cuts, or a request that comes often, would have got sound requests refused at all daemons.

When a service is found cut off, the daemon withdraws its evidence of the last 1.5 s, the time that finding a cut may take, and takes no lost connection for a crash while it lasts. TestCutThatResetsAccusesNoRequest, for streams, failed before (8 pieces of evidence) and passes; the one for plain services was written with the mend and not run without it.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -234,6 +234,18 @@
 	}
 }
 
+// WithdrawSince withdraws this daemon's evidence from after a time: its connections were broken, not the engines. Other
+// daemons forget it once it is no longer reported.
+func (st *State) WithdrawSince(since time.Time) {
+	for e, at := range st.own {
+		if at.After(since) {
+			delete(st.own, e)
+			delete(st.evidence, e)
+			st.changed = true
+		}
+	}
+}
+
 // Apply adds the reports of the other daemons. They may include this daemon's own.
 func (st *State) Apply(now time.Time, r Report) {
 	if now.Sub(st.exchangedAt) > maxExchangeGap {
--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -65,6 +65,10 @@
 	if r == nil || r.Phase != table.Running || e.Epoch != r.Epoch || !e.ConnectionLost || e.Declined || e.Failure == nil {
 		return false
 	}
+	if c.reach.CutOff(r.Model) {
+		// The path to the engine is broken.
+		return false
+	}
 	server := r.Route.Hops[0].Server
 	if r.StalledOn != "" && r.StalledOn != server {
 		// The first engine gave up its wait for another one.
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -75,6 +75,8 @@
 			kind := msgs.ServiceReached
 			if c.reach.CutOff(result.Service) {
 				kind = msgs.ServiceCutOff
+				c.crash.WithdrawSince(now.Add(-reach.DetectionTime))
+				c.requestCrash.WithdrawSince(now.Add(-reach.DetectionTime))
 			}
 			out.Notify(msgs.Notice{Kind: kind, Detail: result.Service})
 		}
--- a/internal/core/proxy_test.go
+++ b/internal/core/proxy_test.go
@@ -210,3 +210,22 @@
 	w.tick()
 	assert.Equal(t, len(w.out.Opens), 0)
 }
+
+// TestCutThatResetsAccusesNoRequest guards against requests and prompt parts that all daemons hold for crashing engines,
+// because a cut reset the streams of one daemon that were just beginning.
+func TestCutThatResetsAccusesNoRequest(t *testing.T) {
+	w := newChainHarness(t, 6)
+	w.tellCrashes()
+	for i := range 4 {
+		w.crashFirstServer(w.submit(msgs.Arrival{ID: model.RequestID(i + 1), Parts: []uint64{badPart}, Digest: uint64(100 + i)}))
+	}
+	status := func() (evidence int) {
+		s := w.core.DaemonStatus(w.now)
+		return len(s.CrashEvidence) + len(s.ModelRequests.Evidence)
+	}
+	assert.Assert(t, status() > 0)
+	w.now = w.now.Add(300 * time.Millisecond)
+	w.cutOff(true)
+	assert.Equal(t, status(), 0)
+	assert.Equal(t, w.core.CrashMetrics().PartsBlockedNow, 0)
+}
--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -21,6 +21,9 @@
 	fewRequestsSilenceTimeout = 600 * time.Millisecond
 	// minRequests is how many requests in progress are several.
 	minRequests = 3
+	// DetectionTime is the time from the start of a cut within which it is found: a silence or a failed connection, and
+	// a probe. What connections to the service suggested meanwhile is due to the cut.
+	DetectionTime = 1500 * time.Millisecond
 	// probeInterval is the time between two probes of a service that is reachable as far as is known, and
 	// cutOffProbeInterval of one that is not.
 	probeInterval       = time.Second
--- a/internal/core/relay/crashes.go
+++ b/internal/core/relay/crashes.go
@@ -14,7 +14,7 @@
 	case o.Failure == nil:
 		st.crash.RecordAlive(server, attempt.Began)
 		st.crash.RecordSound(now, digest)
-	case o.ConnectionLost:
+	case o.ConnectionLost && !st.reach.CutOff(r.Service):
 		r.Crashes++
 		st.crash.RecordCrash(now, server, digest)
 	}
--- a/internal/core/relay/crashes_test.go
+++ b/internal/core/relay/crashes_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"bulrushpond.example/bulrushpond/internal/core/crash"
+	"bulrushpond.example/bulrushpond/internal/core/reach"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
 
@@ -63,3 +64,25 @@
 	_, f = restarted.Next(now, &Request{Service: "app", Deadline: now.Add(time.Second), MaxAttempts: 2, Digest: bad})
 	assert.Equal(t, f.Reason, verdt.RequestBlocked)
 }
+
+// TestCutThatResetsAccusesNoRequest guards against requests that all daemons hold for crashing servers, because a cut
+// reset this daemon's connections.
+func TestCutThatResetsAccusesNoRequest(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	st := newState(3)
+	lost := Outcome{Failure: verdt.New(verdt.MayHaveRun, verdt.StageFailed, "reset"), ConnectionLost: true}
+	send := func(digest uint64) {
+		r := &Request{Service: "app", Deadline: now.Add(time.Second), MaxAttempts: 1, Digest: digest}
+		attempt, f := st.Next(now, r)
+		assert.Assert(t, f == nil)
+		st.RecordOutcome(now, r, attempt, lost)
+	}
+	send(1)
+	send(2)
+	assert.Equal(t, len(st.CrashReport(now).Evidence), 2)
+	now = now.Add(300 * time.Millisecond)
+	st.ApplyReach(now, reach.Result{Service: "app", Tried: 3})
+	assert.Equal(t, len(st.CrashReport(now).Evidence), 0)
+	send(3)
+	assert.Equal(t, len(st.CrashReport(now).Evidence), 0)
+}
--- a/internal/core/relay/reach.go
+++ b/internal/core/relay/reach.go
@@ -76,7 +76,13 @@
 }
 
 // ApplyReach applies the result of a probe and reports whether the service became cut off or reachable.
-func (st *State) ApplyReach(now time.Time, r reach.Result) bool { return st.reach.Apply(now, r) }
+func (st *State) ApplyReach(now time.Time, r reach.Result) bool {
+	changed := st.reach.Apply(now, r)
+	if changed && st.reach.CutOff(r.Service) {
+		st.crash.WithdrawSince(now.Add(-reach.DetectionTime))
+	}
+	return changed
+}
 
 // SuspectCutOff makes the next ReachProbes probe the servers of a service.
 func (st *State) SuspectCutOff(service string) { st.reach.Suspect(service) }
