Bound the bytes of proxied bodies, and refuse negative numbers in them

Found by reading the change: a daemon took up to 1,000 requests of others whatever their size, so that bodies of 4 MB could use up the memory of a VM of 184 MB, and passed a negative position or size on to the core. The bodies in progress are bounded at 32 MB; beyond that the request is refused as not run, and the other daemon tries another. What is read of a request before it is refused is bounded by the peer protocol as before, 16 MB each.

The scenarios for negative numbers and bytes failed with the two conditions left out, and pass.

--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -69,9 +69,11 @@
 	// connector probes servers, and proxies are the daemons that serve what this one does not reach.
 	connector engine.Connector
 	proxies   *proxies
-	// proxiedOut counts the requests sent to other daemons; proxiedIn is the number of theirs in progress here.
-	proxiedOut atomic.Uint64
-	proxiedIn  atomic.Int64
+	// proxiedOut counts the requests sent to other daemons; proxiedIn is the number of theirs in progress here, and
+	// proxiedBytes that of the bytes of their bodies.
+	proxiedOut   atomic.Uint64
+	proxiedIn    atomic.Int64
+	proxiedBytes atomic.Int64
 
 	mu         sync.Mutex
 	relayState *relay.State
--- a/internal/drive/edgeproxy.go
+++ b/internal/drive/edgeproxy.go
@@ -190,8 +190,8 @@
 	case table == nil:
 		refuse(verdt.SettingsStale, "this daemon has no settings yet")
 		return
-	case q.Service == "" || q.MaxAttempts < 1 || q.TimeLeft <= 0:
-		refuse(verdt.BadRequest, "the request lacks its service, attempts or time")
+	case q.Service == "" || q.MaxAttempts < 1 || q.TimeLeft <= 0 || q.From < 0 || q.PromptTokens < 0 || q.MaxTokens < 0:
+		refuse(verdt.BadRequest, "the request lacks its service, attempts or time, or has a negative number")
 		return
 	}
 	service, known := table.Routing.Services[q.Service]
@@ -199,12 +199,14 @@
 		refuse(verdt.UnknownService, "this daemon does not know the service")
 		return
 	}
-	if e.proxiedIn.Add(1) > maxProxiedRequests {
-		e.proxiedIn.Add(-1)
+	bodyBytes := int64(len(q.Body))
+	requests, bytes := e.proxiedIn.Add(1), e.proxiedBytes.Add(bodyBytes)
+	defer e.proxiedIn.Add(-1)
+	defer e.proxiedBytes.Add(-bodyBytes)
+	if requests > maxProxiedRequests || bytes > maxProxiedBytes {
 		refuse(verdt.Unreachable, "this daemon serves too many requests of others")
 		return
 	}
-	defer e.proxiedIn.Add(-1)
 	in := &InboundRequest{PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, Parts: q.Parts, From: q.From}
 	in.ID, in.Method, in.Target, in.Host, in.Header, in.Body = q.ID, q.Method, q.Target, q.Host, q.Header, q.Body
 	in.Team, in.Priority = q.Team, q.Priority
--- a/internal/drive/proxy.go
+++ b/internal/drive/proxy.go
@@ -30,8 +30,10 @@
 	// proxyRefusedPause is how long no requests are sent to a daemon that refused one because it reaches the servers
 	// no better, or that did not answer.
 	proxyRefusedPause = 500 * time.Millisecond
-	// maxProxiedRequests bounds the requests of other daemons that are in progress here.
+	// maxProxiedRequests bounds the requests of other daemons that are in progress here, and maxProxiedBytes the bytes
+	// of their bodies.
 	maxProxiedRequests = 1000
+	maxProxiedBytes    = 32 << 20
 )
 
 // ProxyRequest is a caller's request that another daemon admitted and cannot send to the servers. The other daemon has
--- a/internal/drive/proxy_test.go
+++ b/internal/drive/proxy_test.go
@@ -149,6 +149,10 @@
 		{"no service", func(q *ProxyRequest, _ *Edge) { q.Service = "" }, verdt.BadRequest},
 		{"unknown service", func(q *ProxyRequest, _ *Edge) { q.Service = "x" }, verdt.UnknownService},
 		{"a stream of a plain service", func(q *ProxyRequest, _ *Edge) { q.Streamed = true }, verdt.UnknownService},
+		{"a negative position", func(q *ProxyRequest, _ *Edge) { q.From = -1 }, verdt.BadRequest},
+		{"negative tokens", func(q *ProxyRequest, _ *Edge) { q.PromptTokens = -1 }, verdt.BadRequest},
+		{"too many requests in progress", func(_ *ProxyRequest, e *Edge) { e.proxiedIn.Store(maxProxiedRequests) }, verdt.Unreachable},
+		{"too many bytes in progress", func(q *ProxyRequest, e *Edge) { q.Body = make([]byte, 2); e.proxiedBytes.Store(maxProxiedBytes - 1) }, verdt.Unreachable},
 		{"a stopping daemon", func(_ *ProxyRequest, e *Edge) { e.Stop() }, verdt.Stopping},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -160,6 +164,7 @@
 			assert.Assert(t, frames[0].Failure != nil)
 			assert.Equal(t, frames[0].Failure.Verdict, verdt.NotRun)
 			assert.Equal(t, frames[0].Failure.Reason, tc.want)
+			assert.Assert(t, edge.proxiedIn.Load()%maxProxiedRequests == 0 && edge.proxiedBytes.Load()%(maxProxiedBytes-1) == 0, "not released")
 		})
 	}
 }
