Log a stop with proxied requests in flight as forced, and leave no stream open

Found by reading the change: a daemon that stopped while requests of other daemons were still in flight at its deadline logged that nothing was in progress, and a proxied request whose stream could not be ended left it open. Both were seen in the code only; no test makes a stream's end fail. The tests of peer, planned stops and cut-off daemons pass.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -346,6 +346,10 @@
 	for d.edge.InProgress() > 0 && time.Now().Before(deadline) {
 		time.Sleep(shutdownPollInterval)
 	}
+	if running := d.edge.InProgress(); running > 0 {
+		d.deps.Log.Error(trace.LimitExceeded("requests of other daemons were still in flight at the shutdown deadline"), evlog.DaemonStopForced, "running", running)
+		return
+	}
 	d.deps.Log.Info(evlog.DaemonStopped, "took_ms", time.Since(began).Milliseconds())
 }
 
--- a/internal/peer/proxy.go
+++ b/internal/peer/proxy.go
@@ -40,21 +40,24 @@
 func (c *Client) OpenProxy(ctx context.Context, address string, q drive.ProxyRequest) (drive.ProxyStream, error) {
 	openContext, cancel := context.WithTimeout(ctx, proxyOpenTimeout)
 	defer cancel()
-	stream, conn, err := c.openStream(openContext, address)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
 	codec, err := sharedCodec()
 	if err != nil {
 		return nil, err
 	}
+	stream, conn, err := c.openStream(openContext, address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	p := &proxyStream{client: c, address: address, conn: conn, stream: stream, decoder: codec.dec.NewDecoder(stream)}
-	if err := writeMessage(stream, Request{Proxy: &q}); err != nil {
+	if err = writeMessage(stream, Request{Proxy: &q}); err == nil {
+		err = trace.Wrap(stream.Close())
+	}
+	if err != nil {
 		// A request of which the end is missing is not run.
 		p.Close()
 		return nil, err
 	}
-	return p, trace.Wrap(stream.Close())
+	return p, nil
 }
 
 // Next implements drive.ProxyStream.
