Agree on the fields of the exchange for ranks, retries and lengths

Cause: three parts of the hard-load work extend what daemons report to the hub and get back. Older builds must read it, and no number may be used twice. Change: DaemonStatus and View get the keys 10 (loads by rank), 11 (retry demands and grants) and 12 (lengths of answers); all are left out while empty, and builds that do not know them ignore them. Arrivals carry the route's rank and name and the caller's length hint. Nothing uses them yet. Measured: the tests of internal/core, internal/peer and platform pass. No decision changes.

--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -11,7 +11,10 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/crash"
+	"bulrushpond.example/bulrushpond/internal/core/length"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
+	"bulrushpond.example/bulrushpond/internal/core/ranks"
+	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -71,6 +74,13 @@
 	CutOff []string `cbor:"8,keyasint,omitempty"`
 	// ServesProxied is set if the daemon serves requests of others. Daemons of earlier versions do not.
 	ServesProxied bool `cbor:"9,keyasint,omitempty"`
+	// Ranks are the loads of the services whose requests have different ranks, sorted by service.
+	Ranks []ranks.ServiceLoads `cbor:"10,keyasint,omitempty"`
+	// Retries are the daemon's demands for the services' retry budgets, sorted by service. Daemons of
+	// earlier versions report none, and use even shares.
+	Retries []retry.Demand `cbor:"11,keyasint,omitempty"`
+	// Lengths are the lengths of the answers of late, sorted by service.
+	Lengths []length.Sketch `cbor:"12,keyasint,omitempty"`
 	PromptParts
 	RequestCrashes
 }
@@ -146,6 +156,11 @@
 	CutOff []string `cbor:"8,keyasint,omitempty"`
 	// Outages are the services whose model no chain of live engines covers and whose end is known.
 	Outages []Outage `cbor:"9,keyasint,omitempty"`
+	// Ranks and Lengths are the sums over the other daemons, sorted by service.
+	Ranks   []ranks.ServiceLoads `cbor:"10,keyasint,omitempty"`
+	Lengths []length.Sketch      `cbor:"12,keyasint,omitempty"`
+	// Retries are the daemon's shares of the services' retry budgets.
+	Retries []retry.Grant `cbor:"11,keyasint,omitempty"`
 	// PromptParts and RequestCrashes are the unions over all daemons.
 	PromptParts
 	RequestCrashes
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -43,6 +43,12 @@
 	// Proxied is set for a request of another daemon, which cannot reach the servers itself. That
 	// daemon has counted it towards the retry budget.
 	Proxied bool
+	// Rank is the request's priority in the routing, 0 for the most important requests.
+	Rank int
+	// LengthHint is the caller's estimate of the tokens of the answer; 0 if it gave none.
+	LengthHint int
+	// Route is the name of the request's route; empty if it has none.
+	Route string
 }
 
 // StreamEnd reports that the stream of one epoch has ended.
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -28,6 +28,8 @@
 	Deadline time.Time
 	// PromptTokens and MaxTokens are 0 for requests without a prompt.
 	PromptTokens, MaxTokens int
+	// LengthHint is the caller's estimate of the tokens of the answer; 0 if it gave none.
+	LengthHint int
 	// From is the position of the first event to send; the caller has all before it.
 	From int
 	// Parts are the IDs of the prompt parts that the request shares with others, in order.
@@ -299,6 +301,7 @@
 		Origin: &req.in.Origin, Deadline: req.deadline, From: req.in.From, Parts: req.in.Parts,
 		AtMostOnce:  req.in.AtMostOnce,
 		MaxAttempts: rule.MaxAttempts, FirstTokenDeadline: req.arrived.Add(rule.TargetLatency), Proxied: req.proxied,
+		Rank: req.in.Priority, LengthHint: req.in.LengthHint, Route: rule.Name,
 	})
 	headSent := false
 	var lastEvent time.Time
--- a/internal/drive/edgeproxy.go
+++ b/internal/drive/edgeproxy.go
@@ -108,6 +108,7 @@
 		Priority: req.in.Priority, AtMostOnce: req.in.AtMostOnce, Service: req.service, Streamed: part.streamed, PromptTokens: req.in.PromptTokens,
 		MaxTokens: req.in.MaxTokens, Parts: req.in.Parts, From: part.from, MaxAttempts: max(1, rule.MaxAttempts-part.attempts),
 		TimeLeft: req.deadline.Sub(now), TargetLatency: rule.TargetLatency, Route: rule.Name,
+		LengthHint: req.in.LengthHint,
 	})
 	if err != nil {
 		return verdt.New(verdt.NotRun, verdt.PeerLost, err.Error())
@@ -207,7 +208,7 @@
 		refuse(verdt.Unreachable, "this daemon serves too many requests of others")
 		return
 	}
-	in := &InboundRequest{PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, Parts: q.Parts, From: q.From}
+	in := &InboundRequest{PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, Parts: q.Parts, From: q.From, LengthHint: q.LengthHint}
 	in.ID, in.Method, in.Target, in.Host, in.Header, in.Body = q.ID, q.Method, q.Target, q.Host, q.Header, q.Body
 	in.Team, in.Priority = q.Team, q.Priority
 	in.Digest = engine.DigestOf(&in.Origin)
--- a/internal/drive/proxy.go
+++ b/internal/drive/proxy.go
@@ -65,6 +65,8 @@
 	TargetLatency time.Duration `cbor:"18,keyasint,omitempty"`
 	// Route is the name of the route, for the log.
 	Route string `cbor:"19,keyasint,omitempty"`
+	// LengthHint is the caller's estimate of the tokens of the answer; 0 if it gave none.
+	LengthHint int `cbor:"20,keyasint,omitempty"`
 }
 
 // ProxyFrame is one part of the answer to a ProxyRequest. A frame without any field shows that the request is in
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -120,6 +120,10 @@
 	Parts []uint64
 	// Proxied is set for a request of another daemon.
 	Proxied bool
+	// Rank, LengthHint and Route have the meaning they have in msgs.Arrival.
+	Rank       int
+	LengthHint int
+	Route      string
 }
 
 // digest returns the digest of the caller's own request; 0 for a request that has only a prompt.
@@ -149,6 +153,7 @@
 			ID: id, Team: a.Team, Model: a.Model, Prefix: a.Prefix,
 			PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Deadline: a.Deadline,
 			From: a.From, AtMostOnce: a.AtMostOnce, MaxAttempts: a.MaxAttempts, FirstTokenDeadline: a.FirstTokenDeadline, Parts: a.Parts, Digest: a.digest(), Proxied: a.Proxied,
+			Rank: a.Rank, LengthHint: a.LengthHint, Route: a.Route,
 		})
 	})
 	return id, pending.reply
