Try requests that are blocked because of the same four servers or more

Parts under which more than three servers ended were never tried, and neither explains the other's ends, so the sound one stayed refused for ten minutes. Change: parts under which the very same servers ended take turns too, however many these are. TestSoundRequestBesideCrashingOneIsFreed covers four and five shared servers; both failed before ("refused 8s after the third crash").

--- a/internal/core/crash/trial.go
+++ b/internal/core/crash/trial.go
@@ -29,15 +29,15 @@
 }
 
 // tied returns the blocked parts that may be tried in turn with a part, itself included, sorted: a server that ended
-// under one also ended under another, and no more servers ended under them than it takes for a block. Only one of
-// them need crash servers. Once another server ends in a trial, its part is to blame. Empty if the part is not
-// one of them.
+// under one also ended under another, and either no more servers ended under them than it takes for a block or the
+// same ones did. Only one of them need crash servers. Once another server ends in a trial, its part is to blame.
+// Empty if the part is not one of them.
 func (st *State) tied(part uint64) []uint64 {
 	servers := st.serversUnder(part)
-	if len(servers) == 0 || len(servers) > blockCrashes {
+	if len(servers) == 0 {
 		return nil
 	}
-	shared := false
+	undecided, shared := len(servers) <= blockCrashes, false
 	parts := []uint64{part}
 	for other := range st.blocks {
 		otherServers := st.serversUnder(other)
@@ -45,11 +45,13 @@
 			continue
 		}
 		shared = true
-		if len(otherServers) <= blockCrashes {
+		same := slices.Equal(otherServers, servers)
+		undecided = undecided || same
+		if same || len(otherServers) <= blockCrashes {
 			parts = append(parts, other)
 		}
 	}
-	if !shared {
+	if !shared || !undecided {
 		return nil
 	}
 	slices.Sort(parts)
--- a/internal/core/crash/trial_test.go
+++ b/internal/core/crash/trial_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestSoundRequestBesideCrashingOneIsFreed guards against a sound request that comes again and is refused for ten
-// minutes, because it was sent to the same three servers as one that crashes them and no other server was left to answer it.
+// minutes, because it was sent to the same three servers or more as one that crashes them and no other server was left to answer
+// it.
 // Both come at all daemons all the time; the one that crashes reaches servers at most three times later than three seconds after the
 // third crash.
 func TestSoundRequestBesideCrashingOneIsFreed(t *testing.T) {
@@ -22,12 +23,12 @@
 		name            string
 		daemons         int
 		crashing, sound uint64
-		// shared is how many of the three servers ended under both.
+		// shared is how many servers ended under both, of three or of as many.
 		shared int
 	}
 	var scenarios []scenario
 	for _, daemons := range []int{1, 3, 7} {
-		for shared := 1; shared <= 3; shared++ {
+		for shared := 1; shared <= 5; shared++ {
 			for _, digests := range [][2]uint64{{bad, other}, {other, bad}} {
 				name := fmt.Sprintf("%d daemons, crashing %x, %d servers shared", daemons, digests[0], shared)
 				scenarios = append(scenarios, scenario{name: name, daemons: daemons, crashing: digests[0], sound: digests[1], shared: shared})
@@ -43,7 +44,7 @@
 			}
 			f.pass(2 * time.Second)
 			servers := 0
-			for i := range 3 {
+			for i := range max(3, tc.shared) {
 				d := f.daemons[i%daemons]
 				d.RecordCrash(f.now, model.ServerID(strconv.Itoa(servers)), []uint64{crashing})
 				if i >= tc.shared {
