Share the burst of the retry budget by demand over the fleet

Change: daemons report what they want, use and hold of each burst; the hub grants shares by demand. A share is lowered first and given on when a report confirms it; daemons that do not report keep their parts, new hubs give on only what the daemons bring. A daemon without grants uses a twentieth of an even part, or an even one if its hubs grant none.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -167,6 +167,13 @@
 	loadBoard *board.State
 	// limits shares out the limits of servers, while this daemon is the hub; guarded by mu.
 	limits *limit.Allocator
+	// retries shares out the retry budgets, while this daemon is the hub; guarded by mu.
+	retries *retry.Allocator
+	// run identifies this run in the reports to the hub and, as the hub, in its answers.
+	run uint64
+	// retryReports is the number of reports to hubs, and retryHub the run of the hub whose shares this daemon
+	// holds; both guarded by mu.
+	retryReports, retryHub uint64
 }
 
 // EdgeDaemonOption configures an EdgeDaemon.
@@ -192,12 +199,16 @@
 	d := &EdgeDaemon{
 		deps: deps, vm: vm, store: platform.NewStoreClient(vm.StoreAddress), processID: processID,
 		roster: roster.New(entryExpiryBeats*vm.HeartbeatInterval+entryExpiryMargin, lapsedEntryHold), loadBoard: board.New(), limits: limit.NewAllocator(base), daemonCount: 1, shutdownDelay: edgeShutdownDelay,
+		run: uint64(time.Now().UnixNano()),
 	}
+	d.retries = retry.NewAllocator(d.run, vm.RetryBurst, vm.RetryWindow)
 	for _, opt := range opts {
 		opt(d)
 	}
 	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d))...)
-	budget := func() *retry.Budget { return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow) }
+	budget := func() *retry.Budget {
+		return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow, retry.WithShares())
+	}
 	d.streams = drive.NewStreamExecutor(deps.Log, d.engines, base,
 		core.WithPicker(route.NewChains(vm.Zone, base)), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base))
 	d.burnRecorder = burn.NewRecorder(d.burnLimits)
--- a/internal/boot/edgefleet.go
+++ b/internal/boot/edgefleet.go
@@ -45,15 +45,24 @@
 	d.mu.Lock()
 	daemons := d.daemonCount
 	d.mu.Unlock()
-	item, _, _ := d.feed.Get(fleetKey)
-	// A value that cannot be decoded counts as 0 and is replaced.
-	stored, _ := strconv.Atoi(string(item.Value))
+	item, stored := d.storedFleet()
 	if !d.fleetSize.NeedsUpdate(time.Now(), daemons, stored) {
 		return
 	}
 	d.storeValue(ctx, model.CAS{Key: fleetKey, Value: []byte(strconv.Itoa(daemons)), Expect: item.Revision})
 }
 
+// storedFleet returns the stored number of daemons and the item that holds it. A value that cannot be decoded counts
+// as 0.
+func (d *EdgeDaemon) storedFleet() (mirror.Item, int) {
+	item, _, _ := d.feed.Get(fleetKey)
+	stored, err := strconv.Atoi(string(item.Value))
+	if err != nil || stored < 0 || stored > maxStoredDaemons {
+		return item, 0
+	}
+	return item, stored
+}
+
 // storeValue writes a value that daemons which start read from the key-value service. A write that fails is
 // logged; the caller tries it again at its next interval.
 func (d *EdgeDaemon) storeValue(ctx context.Context, write model.CAS) {
--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -8,6 +8,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/board"
+	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/mirror"
@@ -29,13 +30,14 @@
 	if hub == "" || hub == d.vm.PeersAddress {
 		return mirror.Delta{}, 0, false
 	}
+	reportedAt := time.Now()
 	request := peer.HubRequest{From: model.DaemonID(d.vm.VMName), Status: d.ownLoad(), After: after.Revision, Era: &after.Era}
 	answer, err := d.client.AskAddress(ctx, hub, peer.Request{Hub: &request})
 	if err != nil || answer.Hub == nil {
 		d.deps.Log.Info(evlog.PeerUnreachable, "peer", hub, "error", hubErrorText(err))
 		return mirror.Delta{}, 0, false
 	}
-	d.applyOthers(answer.Hub.Others, hub)
+	d.applyOthers(reportedAt, answer.Hub.Others, hub)
 	d.edge.SetProxies(answer.Hub.Proxies)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -46,15 +48,27 @@
 	return answer.Hub.Delta, answer.Hub.Age, true
 }
 
-// applyOthers takes over what the other daemons reported. source is logged.
-func (d *EdgeDaemon) applyOthers(others board.View, source string) {
+// applyOthers takes over what the other daemons reported, in answer to this daemon's report made at a time. source is
+// logged.
+func (d *EdgeDaemon) applyOthers(reportedAt time.Time, others board.View, source string) {
 	d.streams.SetOthers(others)
+	d.applyRetryGrants(reportedAt, others.Retries)
 	d.edge.ApplyLimits(others.Limits)
 	d.edge.ApplyCrashes(others.PlainRequests)
 	d.edge.ApplyOthersCutOff(others.CutOff)
 	d.serversLeave(others.Leaving, source)
 }
 
+// applyRetryGrants applies the hub's answer to a report made at a time.
+func (d *EdgeDaemon) applyRetryGrants(reportedAt time.Time, g retry.Grants) {
+	d.edge.ApplyRetryGrants(reportedAt, g)
+	if g.Shared {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.retryHub = g.Hub
+	}
+}
+
 // hubErrorText returns the log text of a failed hub request; err is nil if the answer has no
 // hub data.
 func hubErrorText(err error) string {
@@ -144,8 +158,11 @@
 	load.Limits = append(load.Limits, d.edge.LimitReports(time.Now())...)
 	load.PlainRequests = d.edge.CrashReport(time.Now())
 	load.CutOff, load.ServesProxied = d.edge.CutOff(), !d.edge.Stopping()
+	demands := d.edge.RetryDemands(time.Now())
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.retryReports++
+	load.Retries = retry.Report{Start: d.run, Seq: d.retryReports, Demands: demands, Hub: d.retryHub}
 	load.Leaving = d.roster.SaidLeaving()
 	return load
 }
@@ -155,8 +172,9 @@
 	if d.hubAddress() != d.vm.PeersAddress {
 		return
 	}
+	reportedAt := time.Now()
 	answer := d.exchangeLoad(model.DaemonID(d.vm.VMName), d.ownLoad())
-	d.applyOthers(answer.Others, "other daemons")
+	d.applyOthers(reportedAt, answer.Others, "other daemons")
 	d.edge.SetProxies(answer.Proxies)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -180,6 +198,8 @@
 	}
 	reporting := float64(d.loadBoard.Daemons(now)) / float64(sharing)
 	others.Limits = d.limits.Exchange(now, from, load.Limits, min(1, reporting))
+	_, stored := d.storedFleet()
+	others.Retries = d.retries.Exchange(now, from, load.Retries, max(sharing, stored))
 	return peer.HubAnswer{
 		Others: others, Daemons: d.loadBoard.Daemons(now), Peers: d.loadBoard.Peers(from, maxPeersPerAnswer),
 		Proxies: d.loadBoard.Proxies(from, maxPeersPerAnswer),
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -78,6 +79,8 @@
 	ServersLimited int    `json:"servers_limited"`
 	// BudgetDaemons is the number of daemons that the retry budget is shared by.
 	BudgetDaemons int `json:"budget_daemons"`
+	// RetryBudgets is how the services' retry budgets were used.
+	RetryBudgets map[string]retry.Usage `json:"retry_budgets,omitempty"`
 	// EngineCrashes counts the streams whose engine ended when it began the answer.
 	// PartsBlocked counts the prompt parts that were blocked, PartsBlockedNow those that are, and
 	// RequestsBlocked the requests that were refused or failed because of one.
@@ -117,6 +120,7 @@
 			vars.RequestBlocksNow = m.RequestBlocksNow
 			vars.StreamsRecovered, vars.TokensDropped, vars.EnginesKnown = c.RecoveredStreams(), c.DroppedTokens(), c.ServerCount()
 		})
+		vars.RetryBudgets = d.edge.RetryUsage(time.Now())
 		vars.ServicesCutOff = d.edge.CutOff()
 		vars.RequestsProxied, vars.ProxiedInProgress = d.edge.ProxiedRequests()
 		blocked, refused := d.edge.BlockedRequests()
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -76,9 +76,9 @@
 	ServesProxied bool `cbor:"9,keyasint,omitempty"`
 	// Ranks are the loads of the services whose requests have different ranks, sorted by service.
 	Ranks []ranks.ServiceLoads `cbor:"10,keyasint,omitempty"`
-	// Retries are the daemon's demands for the services' retry budgets, sorted by service. Daemons of
-	// earlier versions report none, and use even shares.
-	Retries []retry.Demand `cbor:"11,keyasint,omitempty"`
+	// Retries are the daemon's demands for the services' retry budgets. Daemons of earlier versions report
+	// none, and use even shares.
+	Retries retry.Report `cbor:"11,keyasint,omitzero"`
 	// Lengths are the lengths of the answers of late, sorted by service.
 	Lengths []length.Sketch `cbor:"12,keyasint,omitempty"`
 	PromptParts
@@ -160,7 +160,7 @@
 	Ranks   []ranks.ServiceLoads `cbor:"10,keyasint,omitempty"`
 	Lengths []length.Sketch      `cbor:"12,keyasint,omitempty"`
 	// Retries are the daemon's shares of the services' retry budgets.
-	Retries []retry.Grant `cbor:"11,keyasint,omitempty"`
+	Retries retry.Grants `cbor:"11,keyasint,omitzero"`
 	// PromptParts and RequestCrashes are the unions over all daemons.
 	PromptParts
 	RequestCrashes
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -1,6 +1,7 @@
 // Package retry bounds the retries that all daemons together send to a service by
-// a budget over a sliding window. Daemons do not coordinate: each may use an equal
-// share of the burst, plus a ratio of the requests of its own callers.
+// a budget over a sliding window. Each daemon may use a ratio of the requests of its own
+// callers, plus a share of the burst: an even one, or one that the daemon to which all
+// report grants by demand (Allocator).
 package retry
 
 import "time"
@@ -21,6 +22,8 @@
 	loweredSince time.Time
 	// windows holds one window for each service.
 	windows map[string]*window
+	// shares is nil if the daemons share Burst evenly.
+	shares *shares
 }
 
 // SetDaemons sets the number of daemons that share the burst. A lower number takes
@@ -48,6 +51,10 @@
 // the last two windows.
 type window struct {
 	requests, retries [2 * bucketsPerWindow]float64
+	// refused counts the retries for which there was no room.
+	refused [2 * bucketsPerWindow]float64
+	// totalRetries and totalRefused count since the start.
+	totalRetries, totalRefused uint64
 	// newestBucket is the index of the newest bucket, counted from the Unix epoch.
 	newestBucket int64
 }
@@ -68,8 +75,12 @@
 }
 
 // New returns the budget of one daemon; length is that of the sliding window.
-func New(ratio, burst float64, length time.Duration) *Budget {
-	return &Budget{Ratio: ratio, Burst: burst, Window: length, daemons: initialDaemons, windows: map[string]*window{}}
+func New(ratio, burst float64, length time.Duration, opts ...Option) *Budget {
+	b := &Budget{Ratio: ratio, Burst: burst, Window: length, daemons: initialDaemons, windows: map[string]*window{}}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
 }
 
 // CountRequest counts a caller's request to a service.
@@ -92,6 +103,7 @@
 	}
 	w := b.windowAt(now, service)
 	w.retries[w.slot(0)]++
+	w.totalRetries++
 	return true
 }
 
@@ -105,21 +117,27 @@
 	w.retries[w.slot(age)] = max(0, w.retries[w.slot(age)]-1)
 }
 
-// HasRoom reports whether TryTake would return true.
+// HasRoom reports whether TryTake would return true. A retry without room counts as wanted.
 func (b *Budget) HasRoom(now time.Time, service string, share float64) bool {
 	w := b.windowAt(now, service)
-	burst := b.Burst / float64(max(1, b.daemons))
+	burst := b.ownShare() + b.granted(now, service)
 	retries := 0.0
 	for age := range bucketsPerWindow + 1 {
 		retries += w.retries[w.slot(int64(age))]
-		earned := (w.sum(age+1, age+bucketsPerWindow) + w.sum(age-bucketsPerWindow/2+1, age+bucketsPerWindow/2)) / 2
-		if retries+1 > share*(b.Ratio*earned+burst) {
+		if retries+1 > share*(b.Ratio*w.earned(age)+burst) {
+			w.refused[w.slot(0)]++
+			w.totalRefused++
 			return false
 		}
 	}
 	return true
 }
 
+// earned returns the number of requests that earn retries for the window that begins with the bucket of an age.
+func (w *window) earned(age int) float64 {
+	return (w.sum(age+1, age+bucketsPerWindow) + w.sum(age-bucketsPerWindow/2+1, age+bucketsPerWindow/2)) / 2
+}
+
 // sum returns the requests in the buckets whose age is at least from and less than to,
 // where the newest bucket has age 0.
 func (w *window) sum(from, to int) float64 {
@@ -144,7 +162,7 @@
 	}
 	for steps := min(newest-w.newestBucket, 2*bucketsPerWindow); steps > 0; steps-- {
 		w.newestBucket = newest - steps + 1
-		w.requests[w.slot(0)], w.retries[w.slot(0)] = 0, 0
+		w.requests[w.slot(0)], w.retries[w.slot(0)], w.refused[w.slot(0)] = 0, 0, 0
 	}
 	w.newestBucket = newest
 	return w
