Find slow engines from the gaps between tokens, and send them the share of their pace

Cause: the cost of an engine used the nominal pace of its kind, so an engine that turned 12 times slower kept getting as much work as a sound one. A slow engine is left out of a search except with a probability of one by its factor. Without the flag nothing changes.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -26,7 +26,6 @@
 	"bulrushpond.example/bulrushpond/internal/core/relay"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/internal/core/roster"
-	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/peer"
@@ -38,6 +37,7 @@
 type EdgeCmd struct {
 	MetricsPort uint16 `default:"0" help:"${help_metrics_port}"`
 	Debug       bool   `name:"debug-log" help:"${help_debug}"`
+	Balance     string `enum:"cheapest,even" default:"cheapest" help:"${help_balance}"`
 }
 
 // Run implements the command.
@@ -55,7 +55,7 @@
 		<-writer.Ended()
 	}()
 	deps.Log = NewLog(writer, c.Debug)
-	daemon, err := NewEdgeDaemon(deps, vm, c.MetricsPort)
+	daemon, err := NewEdgeDaemon(deps, vm, c.MetricsPort, c.options()...)
 	if err != nil {
 		return err
 	}
@@ -138,6 +138,8 @@
 	shutdownDelay time.Duration
 	// serverOptions configure the client for backend servers.
 	serverOptions []platform.EngineClientOption
+	// evenLoad is set by WithEvenLoad.
+	evenLoad bool
 
 	callerListener, readinessListener, metricsListener net.Listener
 	stopping                                           atomic.Bool
@@ -199,7 +201,7 @@
 	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d))...)
 	budget := func() *retry.Budget { return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow) }
 	d.streams = drive.NewStreamExecutor(deps.Log, d.engines, base,
-		core.WithPicker(route.NewChains(vm.Zone, base)), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base))
+		append(d.routing(base), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base))...)
 	d.burnRecorder = burn.NewRecorder(d.burnLimits)
 	d.edge = drive.NewEdge(deps.Log, d.streams, d.engines, relay.New(vm.Zone, budget(), base), base, d.burnRecorder, drive.WithProxies(d.engines, proxyClient{d}))
 	d.feed = drive.NewStoreMirror(deps.Log, d.store, d, d.applyStoreChanges)
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/crash"
+	"bulrushpond.example/bulrushpond/internal/core/even"
 	"bulrushpond.example/bulrushpond/internal/core/length"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/ranks"
@@ -81,6 +82,8 @@
 	Retries []retry.Demand `cbor:"11,keyasint,omitempty"`
 	// Lengths are the lengths of the answers of late, sorted by service.
 	Lengths []length.Sketch `cbor:"12,keyasint,omitempty"`
+	// Slow are the engines that the daemon saw to be slow, or to be sound although others report them.
+	Slow []even.Pace `cbor:"13,keyasint,omitempty"`
 	PromptParts
 	RequestCrashes
 }
@@ -161,6 +164,8 @@
 	Lengths []length.Sketch      `cbor:"12,keyasint,omitempty"`
 	// Retries are the daemon's shares of the services' retry budgets.
 	Retries []retry.Grant `cbor:"11,keyasint,omitempty"`
+	// Slow are the engines that any daemon reported as slow, with the factor that the daemons agree on.
+	Slow []even.Pace `cbor:"13,keyasint,omitempty"`
 	// PromptParts and RequestCrashes are the unions over all daemons.
 	PromptParts
 	RequestCrashes
@@ -191,6 +196,7 @@
 	leaving                                   map[model.ServerID]int
 	cutOff                                    map[string]int
 	promptParts, modelRequests, plainRequests crashSums
+	slow                                      paceSums
 	// daemons holds the keys of reports, sorted.
 	daemons   []model.DaemonID
 	nextSweep time.Time
@@ -203,6 +209,7 @@
 	return &State{
 		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{}, leaving: map[model.ServerID]int{}, cutOff: map[string]int{},
 		promptParts: newCrashSums(), modelRequests: newCrashSums(), plainRequests: newCrashSums(),
+		slow: paceSums{},
 	}
 }
 
@@ -237,6 +244,7 @@
 	addToCounts(st.full, status.Full, sign)
 	addToCounts(st.leaving, status.Leaving, sign)
 	addToCounts(st.cutOff, status.CutOff, sign)
+	st.slow.add(status.Slow, sign)
 	st.promptParts.add(status.Report(), sign)
 	st.modelRequests.add(status.ModelRequests, sign)
 	st.plainRequests.add(status.PlainRequests, sign)
@@ -338,6 +346,7 @@
 		Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving)), CutOff: slices.Sorted(maps.Keys(st.cutOff)),
 		PromptParts:    PromptPartsOf(st.promptParts.union()),
 		RequestCrashes: RequestCrashes{ModelRequests: st.modelRequests.union(), PlainRequests: st.plainRequests.union()},
+		Slow:           st.slow.agreed(),
 	}
 	for id, sum := range st.loads {
 		ownLoad := ownLoads[id]
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/admit"
 	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/drain"
+	"bulrushpond.example/bulrushpond/internal/core/even"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/reach"
@@ -69,6 +70,8 @@
 	// budget bounds the retries of all requests; nil means that only each request's
 	// own limit applies.
 	budget *retry.Budget
+	// paces finds slow engines; nil means that none is looked for.
+	paces *even.Paces
 	// daemons is the number of daemons that currently send work to the servers.
 	daemons int
 	// nextSwitchAt is the earliest time at which routes are searched again for stalled streams.
@@ -171,6 +174,9 @@
 	c.servers.Limits.SetDaemons(max(c.daemons, c.BudgetDaemons()))
 	if !in.OthersUntil.IsZero() {
 		c.servers.SetOthers(in.OthersUntil, in.Others)
+		if c.paces != nil {
+			c.paces.ApplyOthers(in.OthersUntil, in.Others.Slow)
+		}
 		c.servers.Avoid(now.Add(layerChangeHold), in.Others.ReplacingLayers)
 		c.moveFromReplacing(now, in.Others.ReplacingLayers)
 		c.outageEnds = map[string]time.Time{}
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -70,6 +70,7 @@
 	}
 	r.Verdict = verdt.Ran
 	recordToken(now, r)
+	observeGap(now, r, t)
 	t.Requests.SetStalled(r, "")
 	r.Switched = false
 	if tok.End {
@@ -97,6 +98,13 @@
 	r.LastActivityAt = now
 }
 
+// observeGap reports the smoothed gap of a stream to a picker that observes each token.
+func observeGap(now time.Time, r *table.Request, t Tables) {
+	if o, ok := t.Picker.(route.GapObserver); ok && r.Gap > 0 {
+		o.ObserveGap(now, t.Servers, r)
+	}
+}
+
 // rejectReason returns why a token must not be accepted, or an empty string if it may be.
 func rejectReason(r *table.Request, tok model.Token) string {
 	switch {
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -62,12 +62,21 @@
 	// jitter holds the factors by which the costs of the usable servers are multiplied in
 	// the current pick.
 	jitter []float64
+	// even is nil unless WithPaces is set.
+	even *evenLoad
 }
 
+// ChainsOption configures a Chains.
+type ChainsOption func(*Chains)
+
 // NewChains returns a picker for a daemon in an availability zone. Each daemon should use
 // a different seed, so that their costs vary independently.
-func NewChains(zone string, seed uint64) *Chains {
-	return &Chains{Zone: zone, rng: rand.New(rand.NewPCG(seed, 3))}
+func NewChains(zone string, seed uint64, opts ...ChainsOption) *Chains {
+	c := &Chains{Zone: zone, rng: rand.New(rand.NewPCG(seed, 3))}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // partialChain is the cheapest chain found so far that ends at a layer, in a zone. It is
@@ -96,9 +105,15 @@
 	for range c.usable {
 		c.jitter = append(c.jitter, 1+costJitter*(2*c.rng.Float64()-1))
 	}
+	c.withholdSlow(now, q)
 	if route, ok := c.search(now, servers, q, requirements{room: true, pauses: true}); ok {
 		return c.pickWithinLimits(now, servers, q, route)
 	}
+	if c.allowWithheld() {
+		if route, ok := c.search(now, servers, q, requirements{room: true, pauses: true}); ok {
+			return c.pickWithinLimits(now, servers, q, route)
+		}
+	}
 	if _, ok := c.search(now, servers, q, requirements{pauses: true}); ok {
 		return model.Route{}, Busy
 	}
@@ -203,7 +218,7 @@
 		for i, s := range c.usable {
 			span := s.Report.Span
 			if span.From > layer || span.To <= layer || span.To > layers || !c.admits(now, servers, need, s, layer, q.Daemons, float64(tokens)) ||
-				!allowed(q, s.ID, layer) {
+				!allowed(q, s.ID, layer) || c.isWithheld(i) {
 				continue
 			}
 			c.extend(best, layer, i, slices.Index(zones, s.Zone), zones, pipeOpen, q)
@@ -226,7 +241,7 @@
 // that runs from this layer to the end of the server's span.
 func (c *Chains) extend(best [][]partialChain, layer, serverIndex, zoneIndex int, zones []string, pipeOpen [][]bool, q Query) {
 	s := c.usable[serverIndex]
-	cost := c.stageCost(s, layer, q) * c.jitter[serverIndex]
+	cost := c.stageCost(s, layer, q) * c.jitter[serverIndex] * c.slowness(serverIndex)
 	to := &best[s.Report.Span.To][zoneIndex]
 	if layer == 0 {
 		if zones[zoneIndex] != c.Zone {
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -48,6 +48,12 @@
 	Learn(prefix uint64, r model.Route)
 }
 
+// GapObserver is a Picker that learns from each token of a stream.
+type GapObserver interface {
+	// ObserveGap records the smoothed gap between the tokens of a running request.
+	ObserveGap(now time.Time, servers *table.Servers, r *table.Request)
+}
+
 // hop returns the stage of a route that runs all layers of a server.
 func hop(s *table.Server) model.Hop {
 	return model.Hop{Server: s.ID, Address: s.Address, Span: s.Report.Span}
