Give the engines' room to the most important requests, over all daemons

A route's or team's priority decided nothing: in a burst all ranks were refused alike. Where a routing names several priorities for a service, the queue serves the more important ranks first, and daemons exchange what runs, waits, started and was refused by rank. From the sums each daemon gates and reserves room for those above, with a floor, and the engines get the rank as their priority.

--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/core/ranks"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -45,7 +46,9 @@
 		teams[team] = root
 	}
 	teams[""] = root
-	return setts.EffectiveSettingsOf(routing.Revision, root, teams)
+	settings := setts.EffectiveSettingsOf(routing.Revision, root, teams)
+	settings.Ranks = ranks.Of(routing)
+	return settings
 }
 
 // EdgeVars are the metrics of an EdgeDaemon.
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -191,6 +191,7 @@
 	leaving                                   map[model.ServerID]int
 	cutOff                                    map[string]int
 	promptParts, modelRequests, plainRequests crashSums
+	ranks                                     rankSums
 	// daemons holds the keys of reports, sorted.
 	daemons   []model.DaemonID
 	nextSweep time.Time
@@ -202,7 +203,7 @@
 func New() *State {
 	return &State{
 		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{}, leaving: map[model.ServerID]int{}, cutOff: map[string]int{},
-		promptParts: newCrashSums(), modelRequests: newCrashSums(), plainRequests: newCrashSums(),
+		promptParts: newCrashSums(), modelRequests: newCrashSums(), plainRequests: newCrashSums(), ranks: rankSums{},
 	}
 }
 
@@ -237,6 +238,7 @@
 	addToCounts(st.full, status.Full, sign)
 	addToCounts(st.leaving, status.Leaving, sign)
 	addToCounts(st.cutOff, status.CutOff, sign)
+	st.ranks.add(status.Ranks, sign)
 	st.promptParts.add(status.Report(), sign)
 	st.modelRequests.add(status.ModelRequests, sign)
 	st.plainRequests.add(status.PlainRequests, sign)
@@ -337,6 +339,7 @@
 	v := View{
 		Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving)), CutOff: slices.Sorted(maps.Keys(st.cutOff)),
 		PromptParts:    PromptPartsOf(st.promptParts.union()),
+		Ranks:          st.ranks.without(own.Ranks),
 		RequestCrashes: RequestCrashes{ModelRequests: st.modelRequests.union(), PlainRequests: st.plainRequests.union()},
 	}
 	for id, sum := range st.loads {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/drain"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/ranks"
 	"bulrushpond.example/bulrushpond/internal/core/reach"
 	"bulrushpond.example/bulrushpond/internal/core/recov"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
@@ -91,10 +92,12 @@
 // engines must answer.
 func WithStallCheck() Option { return func(c *Core) { c.stall = stall.New() } }
 
-// WithSeed seeds the times of this daemon's requests to servers with limits, and the choice of the servers
-// that are probed.
+// WithSeed seeds the times of this daemon's requests to servers with limits, the choice of the servers
+// that are probed, and the times at which refused requests come back by rank.
 func WithSeed(seed uint64) Option {
-	return func(c *Core) { c.servers.Limits, c.reach = limit.New(seed), reach.New(seed) }
+	return func(c *Core) {
+		c.servers.Limits, c.reach, c.admit.Ranks = limit.New(seed), reach.New(seed), ranks.New(seed)
+	}
 }
 
 // New returns a core without servers and settings.
@@ -143,6 +146,7 @@
 	if in.Settings != nil && (c.settings == nil || in.Settings.Revision >= c.settings.Revision) {
 		c.settings = in.Settings
 		c.models = in.Settings.At(setts.Root).Models
+		c.admit.Ranks.SetServices(in.Settings.Ranks)
 		c.drain.ApplySettings(now, in.Settings, c.servers, out)
 	}
 	if in.List != nil {
@@ -171,6 +175,7 @@
 	c.servers.Limits.SetDaemons(max(c.daemons, c.BudgetDaemons()))
 	if !in.OthersUntil.IsZero() {
 		c.servers.SetOthers(in.OthersUntil, in.Others)
+		c.admit.Ranks.SetOthers(now, in.OthersUntil, in.Others.Ranks)
 		c.servers.Avoid(now.Add(layerChangeHold), in.Others.ReplacingLayers)
 		c.moveFromReplacing(now, in.Others.ReplacingLayers)
 		c.outageEnds = map[string]time.Time{}
@@ -269,7 +274,7 @@
 				c.failLimited(now, r, ids, out)
 				continue
 			}
-			c.giveUp(now, r, verdt.Overloaded, "the first token would come too late", out)
+			c.refuseLate(now, r, out)
 			continue
 		}
 		c.giveUp(now, r, verdt.DeadlinePassed, "the deadline passed", out)
@@ -345,8 +350,8 @@
 		return
 	}
 	if len(c.requests.Rerouting) > 0 {
-		for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
-			if r := c.requests.Get(id); !c.usesProxies(r.Model) && (!now.Before(r.TryAt) || r.TriedVersion != c.servers.Version) {
+		for _, r := range c.reroutingByRank() {
+			if !c.usesProxies(r.Model) && (!now.Before(r.TryAt) || r.TriedVersion != c.servers.Version) {
 				switch c.startRequest(now, r, c.models[r.Model], out) {
 				case route.Paused:
 					c.failIfPausedBeyond(now, r, r.RerouteUntil, out)
@@ -374,7 +379,7 @@
 		switch result {
 		case route.Found:
 			q.Outage = false
-			c.admit.RecordDispatch(now, q, dispatchCost(r))
+			c.admit.RecordDispatch(now, q, r, dispatchCost(r))
 		case route.NoChain, route.Busy:
 			q.Outage = result == route.NoChain
 			if q.Outage {
@@ -405,7 +410,8 @@
 	if r.Phase == table.Queued {
 		c.admit.Withdraw(r)
 	}
-	c.recov.FailRequestUntil(r, verdt.Overloaded, "all backend servers that could serve the request asked for a pause", pauseEnd, c.tables, out)
+	returnAt := c.admit.Ranks.ReturnAt(pauseEnd, r.Model, r.Rank)
+	c.recov.FailRequestUntil(r, verdt.Overloaded, "all backend servers that could serve the request asked for a pause", returnAt, c.tables, out)
 	return true
 }
 
@@ -437,7 +443,7 @@
 		c.recov.FailRequest(now, r, verdt.NoRoute, "the servers at which the request may begin have gone", c.tables, out)
 		return route.NoChain
 	}
-	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.daemons, FirstServers: heads})
+	chain, result := c.picker.Pick(now, c.servers, route.Query{Request: r, Layers: layers, Daemons: c.daemons, FirstServers: heads, Reserve: c.reserve(now, r)})
 	switch {
 	case result != route.Found:
 		c.blocked = true
--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -37,11 +37,13 @@
 		}
 	}
 	slices.Sort(ids)
+	c.sortByRank(ids)
 	for _, id := range ids {
 		r := c.requests.Get(id)
 		c.admit.Withdraw(r)
 		c.outageRefusals++
 		returnAt := end.Add(outageReturnDelay + time.Duration(c.outageRefusals%outageReturnSteps)*outageReturnStep)
+		returnAt = c.admit.Ranks.ReturnAt(returnAt, r.Model, r.Rank)
 		c.recov.FailRequestUntil(r, verdt.NoRoute, "the model's layers are being loaded", returnAt, c.tables, out)
 	}
 }
--- /dev/null
+++ b/internal/core/ranks/gate.go
@@ -0,0 +1,86 @@
+package ranks
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// gateInterval is the time between two adjustments of the gates. News of the other daemons come as often.
+	gateInterval = 250 * time.Millisecond
+	// gateHold is how long more important requests must not have been short of room until a gate opens completely.
+	gateHold = time.Second
+	// gateGrowth is by how much a gate opens in each interval until then, as a share of all requests.
+	gateGrowth = 0.05
+	// gateMargin is the share of all requests for which room stays free while more important ones are short of it.
+	gateMargin = 0.05
+	// shortShare is the share of the more important requests that may be short of room without an effect on the
+	// gates: now and then one waits for a moment because its daemon's news are old.
+	shortShare = 0.02
+)
+
+// gate admits the part of a rank's requests for which more important ones leave room.
+type gate struct {
+	// budget is how many requests of the rank and those behind it all daemons admit within windowSize;
+	// infinite while the gate is open.
+	budget float64
+	// shortAt is when more important requests were last short of room.
+	shortAt time.Time
+	// credit grows by the share of requests that are admitted, and falls by one with each of them.
+	credit float64
+}
+
+// pass counts a request and reports whether the gate admits it.
+func (g *gate) pass(share float64) bool {
+	if share >= 1 {
+		return true
+	}
+	g.credit = min(maxFloorCredit, g.credit+share)
+	if g.credit < 1 {
+		return false
+	}
+	g.credit--
+	return true
+}
+
+// adjust sets the budget from the loads of the more important ranks, and of those that share the gate's budget.
+func (g *gate) adjust(now time.Time, higher, behind sums) {
+	short := float64(higher.waiting + higher.refused)
+	switch {
+	case short > shortShare*float64(higher.offered()):
+		// What those behind got, without what the more important ones lacked and a margin for these to find room at once.
+		g.budget, g.shortAt = max(0, float64(behind.started)-short-gateMargin*float64(higher.started+behind.started)), now
+	case now.Sub(g.shortAt) >= gateHold:
+		g.budget = math.Inf(1)
+	default:
+		g.budget += 1 + gateGrowth*float64(higher.started+behind.started)
+	}
+}
+
+// adjustGates adjusts the gates of a service once in each gateInterval.
+func (st *State) adjustGates(now time.Time, s *service) {
+	if now.Sub(s.gatesAt) < gateInterval {
+		return
+	}
+	s.gatesAt = now
+	for _, r := range s.own {
+		higher, same, lower := st.sums(now, s, r.rank)
+		r.gate.adjust(now, higher, same.plus(lower))
+	}
+}
+
+// openShare returns the share of a rank's requests that the gates of the rank and of more important ones admit.
+func (st *State) openShare(now time.Time, s *service, number int) float64 {
+	share := 1.0
+	_, same, _ := st.sums(now, s, number)
+	upTo, _, _ := st.sums(now, s, number)
+	for _, r := range s.own {
+		if r.rank > number || math.IsInf(r.gate.budget, 1) {
+			continue
+		}
+		before, _, _ := st.sums(now, s, r.rank)
+		between := upTo.offered() - before.offered()
+		share = min(share, (r.gate.budget-float64(between))/float64(max(1, same.offered())))
+	}
+	return max(0, share)
+}
--- a/internal/core/ranks/ranks.go
+++ b/internal/core/ranks/ranks.go
@@ -6,11 +6,12 @@
 type Load struct {
 	// Rank is 0 for the most important requests.
 	Rank int `cbor:"1,keyasint,omitempty"`
-	// Running is the number of requests with an open stream, and Waiting that of requests without one.
+	// Running is the number of requests with an open stream, and Waiting that of requests without one or
+	// whose stream has sent no token though it is due.
 	Running int `cbor:"2,keyasint,omitempty"`
 	Waiting int `cbor:"3,keyasint,omitempty"`
 	// Started and Refused are the requests that got their first route, and that were refused for lack
-	// of room, within the last second.
+	// of room, within the last half second.
 	Started int `cbor:"4,keyasint,omitempty"`
 	Refused int `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -94,7 +94,7 @@
 		}
 		r.Gap += (gap - r.Gap) / smoothing
 	}
-	r.LastActivityAt = now
+	r.LastActivityAt, r.HeardAt = now, now
 }
 
 // rejectReason returns why a token must not be accepted, or an empty string if it may be.
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -62,6 +62,8 @@
 	// jitter holds the factors by which the costs of the usable servers are multiplied in
 	// the current pick.
 	jitter []float64
+	// reserve is the share of the room that must stay free in the current pick, in 0..maxReserve.
+	reserve float64
 }
 
 // NewChains returns a picker for a daemon in an availability zone. Each daemon should use
@@ -92,6 +94,7 @@
 		return model.Route{}, NoChain
 	}
 	c.othersKnown = now.Before(servers.OthersUntil)
+	c.reserve = c.reserveShare(q)
 	c.jitter = c.jitter[:0]
 	for range c.usable {
 		c.jitter = append(c.jitter, 1+costJitter*(2*c.rng.Float64()-1))
@@ -278,10 +281,10 @@
 		return false
 	}
 	streams, usedTokens := s.Load(c.othersKnown, daemons)
-	if r.CacheTokens > 0 && usedTokens+tokens > maxCacheUse*r.CacheTokens {
+	if r.CacheTokens > 0 && usedTokens+tokens > maxCacheUse*r.CacheTokens*(1-c.reserve) {
 		return false
 	}
-	return r.Slots == 0 || streams < float64(r.Slots)
+	return r.Slots == 0 || streams < float64(r.Slots)*(1-c.reserve)
 }
 
 // findOpenPipes returns, for each pair of zones, whether the pipe between them has room
@@ -303,7 +306,10 @@
 			pipe := board.PipeBetween(zones[a], zones[b])
 			if !c.othersKnown {
 				ownTokens, _ := servers.Pipes.Load(now, pipe)
-				pipeOpen[a][b] = float64((ownTokens+tokens)*max(1, daemons)) <= maxPipeUse*pipeRate
+				pipeOpen[a][b] = float64((ownTokens+tokens)*max(1, daemons)) <= maxPipeUse*pipeRate*(1-c.reserve)
+				continue
+			}
+			if c.reserve > 0 && c.pipeReserved(now, servers, pipe, pipeRate, tokens) {
 				continue
 			}
 			pipeOpen[a][b] = servers.Pipes.Remaining(now, pipe, maxPipeUse*pipeRate, tokens, daemons, c.rng.Float64) >= float64(tokens)
--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -36,6 +36,8 @@
 	FirstServers []model.ServerID
 	// Daemons is how many daemons share the servers, at least 1.
 	Daemons int
+	// Reserve is for how many more requests like this one room must stay free.
+	Reserve float64
 }
 
 // Picker chooses routes. Implementations keep only state that may be lost in a restart.
--- a/internal/core/switch.go
+++ b/internal/core/switch.go
@@ -43,7 +43,7 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *table.Request) int {
-		return cmp.Or(a.TryAt.Compare(b.TryAt), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(c.searchAt(a).Compare(c.searchAt(b)), c.comparePauses(a, b), cmp.Compare(a.ID, b.ID))
 	})
 	failedSearches := 0
 	for _, r := range waiting {
@@ -94,7 +94,7 @@
 	if c.budget != nil && !c.budget.HasRoom(now, r.Model, budgetShare(r)) {
 		return false
 	}
-	query := route.Query{Request: r, Layers: c.models[r.Model], Daemons: c.daemons, FirstServers: c.allowedFirstServers(now, r)}
+	query := route.Query{Request: r, Layers: c.models[r.Model], Daemons: c.daemons, FirstServers: c.allowedFirstServers(now, r), Reserve: c.reserveForMove(now, r)}
 	// The room that the request holds on its route is free for the next one.
 	c.servers.Release(r, r.Route)
 	chain, result := c.picker.Pick(now, c.servers, query)
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -88,6 +88,8 @@
 	// QueueUntil is the time at which a request that is still queued fails, since its
 	// first token would be late. It is not after Deadline.
 	QueueUntil time.Time
+	// HeardAt is when the caller was last sent a token, or when the request arrived.
+	HeardAt time.Time
 	// OutputEpoch is the newest epoch that sent a token, and OutputSince the time of its first.
 	OutputEpoch model.Epoch
 	OutputSince time.Time
@@ -96,7 +98,11 @@
 	// LimitDemandCounted is set once the request was counted in the demand for servers with limits,
 	// while it waits for a route.
 	LimitDemandCounted bool
-	// Priority and MaxRecoveries are the team's policy as of the request's arrival.
+	// Order is the rank that the request is treated as: Rank, or 0 if it uses its rank's floor or if
+	// the model's requests have no ranks.
+	Order int
+	// Priority and MaxRecoveries are the team's policy as of the request's arrival. Priority is Order if
+	// the model's requests have ranks.
 	Priority      int
 	MaxRecoveries int
 }
--- a/pkg/setts/force.go
+++ b/pkg/setts/force.go
@@ -20,6 +20,8 @@
 	policies map[string]Policy
 	// keys maps the SHA-256 of an API key, in lower-case hexadecimal, to its team.
 	keys map[string]model.Team
+	// Ranks holds the priorities of the requests to each model that has requests of different ones, sorted.
+	Ranks map[string][]int
 }
 
 // NewEffectiveSettings computes the policies of all nodes of a tree.
