--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -106,21 +106,21 @@
 		return refusal
 	}
 	q := st.queue(a.Model)
-	order, admitted := st.Ranks.Admit(now, a.Model, a.Rank)
+	place, admitted := st.Ranks.Admit(now, a.Model, a.Rank)
 	if !admitted && !q.Outage {
 		return st.refuseForRoom(now, a, "more important requests need the room", 0)
 	}
-	refusal := st.checkQueueWait(now, a, order, p, root, q)
+	refusal := st.checkQueueWait(now, a, place.Order, p, root, q)
 	if refusal == nil {
 		refusal = st.applyTeamLimits(now, a.Team, p)
 	}
 	if refusal != nil {
-		st.Ranks.GiveBack(a.Model, a.Rank, order)
+		st.Ranks.GiveBack(a.Model, a.Rank, place)
 		return refusal
 	}
-	r := &table.Request{Arrival: a, Next: a.From, HeardAt: now, Order: order, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries}
+	r := &table.Request{Arrival: a, Next: a.From, HeardAt: now, Place: place, Priority: p.Priority, MaxRecoveries: p.MaxRecoveries}
 	if st.Ranks.On(a.Model) {
-		r.Priority = order
+		r.Priority = place.Order
 	}
 	r.QueueUntil = earlier(a.Deadline, now.Add(firstTokenBudget(now, a, p)*maxQueueWaitTenths/tenths))
 	r.HoldUntil = earlier(a.Deadline, now.Add(maxOutageWait))
@@ -128,7 +128,7 @@
 	if q.Length == 0 && !slices.Contains(st.backlog, a.Model) {
 		st.backlog = append(st.backlog, a.Model)
 	}
-	q.Push(order, a.Team, p.Weight, a.ID)
+	q.Push(place.Order, a.Team, p.Weight, a.ID)
 	st.Ranks.Queued(a.Model, a.Rank)
 	st.Waiting++
 	st.inFlight[a.Team]++
@@ -260,7 +260,7 @@
 // RecordDispatch removes the head of a queue after it got a route, and charges its team with
 // cost.
 func (st *State) RecordDispatch(now time.Time, q *table.Queue, r *table.Request, cost float64) {
-	st.Ranks.Started(now, r.Model, r.Rank, r.Order)
+	st.Ranks.Started(now, r.Model, r.Rank, r.Place)
 	q.Pop(cost)
 	st.Waiting--
 	if q.Length > 0 {
@@ -276,7 +276,7 @@
 	lengthBefore := q.Length
 	q.Drop(r.Order, r.Team, r.ID)
 	st.Waiting -= lengthBefore - q.Length
-	st.Ranks.Withdrawn(r.Model, r.Rank, r.Order)
+	st.Ranks.Withdrawn(r.Model, r.Rank, r.Place)
 }
 
 // RequestEnded records that an admitted request of a team ended.
--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -43,7 +43,9 @@
 		c.admit.Withdraw(r)
 		c.outageRefusals++
 		returnAt := end.Add(outageReturnDelay + time.Duration(c.outageRefusals%outageReturnSteps)*outageReturnStep)
-		returnAt = c.admit.Ranks.ReturnAt(returnAt, r.Model, r.Rank)
+		if c.admit.Ranks.On(r.Model) {
+			returnAt = c.admit.Ranks.ReturnAt(end.Add(outageReturnDelay), r.Model, r.Rank)
+		}
 		c.recov.FailRequestUntil(r, verdt.NoRoute, "the model's layers are being loaded", returnAt, c.tables, out)
 	}
 }
--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -49,7 +49,7 @@
 // reserve returns for how many requests of more important ranks room has to stay free when a request gets its
 // first route. Interrupted streams leave none free: they were accepted.
 func (c *Core) reserve(now time.Time, r *table.Request) float64 {
-	if r.Phase != table.Queued {
+	if r.Phase != table.Queued || r.Floor {
 		return 0
 	}
 	return c.admit.Ranks.Reserve(now, r.Model, r.Order)
--- a/internal/core/rankfleet_test.go
+++ b/internal/core/rankfleet_test.go
@@ -81,9 +81,9 @@
 	view board.View
 }
 
-func newRankFleet(t *testing.T, daemons int, newsAge time.Duration, ranked bool) *rankFleet {
+func newRankFleet(t *testing.T, daemons int, newsAge time.Duration, seed uint64) *rankFleet {
 	f := &rankFleet{
-		t: t, rng: rand.New(rand.NewPCG(7, uint64(daemons))), now: time.Unix(1_000_000, 0), board: board.New(), newsAge: newsAge,
+		t: t, rng: rand.New(rand.NewPCG(seed, uint64(daemons))), now: time.Unix(1_000_000, 0), board: board.New(), newsAge: newsAge,
 		inboxes: make([]msgs.Inbox, daemons), views: make([][]rankNews, daemons), counts: map[int]*rankCount{}, retryAt: map[int][]time.Duration{},
 		begun: map[model.RequestID]bool{},
 	}
@@ -96,9 +96,7 @@
 	root := setts.Defaults()
 	root.Models["m"] = 1
 	settings := setts.EffectiveSettingsOf(1, root, nil)
-	if ranked {
-		settings.Ranks = map[string][]int{"m": {0, 1, 2}}
-	}
+	settings.Ranks = map[string][]int{"m": {0, 1, 2}}
 	for i := range daemons {
 		f.daemons = append(f.daemons, New(WithPicker(route.NewChains("a", uint64(i))), WithSeed(uint64(i))))
 		f.requests = append(f.requests, map[model.RequestID]msgs.Arrival{})
@@ -323,20 +321,25 @@
 }
 
 func testSteadyShortage(t *testing.T, newsAge time.Duration) {
-	for _, daemons := range rankFleetSizes() {
-		t.Run(fmt.Sprintf("daemons=%d", daemons), func(t *testing.T) {
-			f := newRankFleet(t, daemons, newsAge, true)
-			f.run(2*time.Second, 240, 120, 180)
-			f.startCounting()
-			f.run(5*time.Second, 240, 120, 180)
-			f.run(3 * time.Second)
-			f.check()
-			assert.Check(t, f.counts[0].servedShare() >= 0.95, "the most important rank is served %.3f", f.counts[0].servedShare())
-		})
-	}
+	forRankFleets(t, func(t *testing.T, daemons int, seed uint64) {
+		f := newRankFleet(t, daemons, newsAge, seed)
+		f.run(2*time.Second, 240, 120, 180)
+		f.startCounting()
+		f.run(5*time.Second, 240, 120, 180)
+		f.run(3 * time.Second)
+		f.check()
+		assert.Check(t, f.counts[0].servedShare() >= 0.95, "the most important rank is served %.3f", f.counts[0].servedShare())
+	})
 }
 
-func rankFleetSizes() []int { return []int{7, 72, 390} }
+// forRankFleets runs a test for fleets of several sizes and seeds.
+func forRankFleets(t *testing.T, test func(t *testing.T, daemons int, seed uint64)) {
+	for _, daemons := range []int{7, 72, 390} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("daemons=%d/seed=%d", daemons, seed), func(t *testing.T) { test(t, daemons, seed) })
+		}
+	}
+}
 
 // TestRanksThroughBurstAndLoss answers a burst of the least important rank that fills the engines just before the most
 // important one comes; then three engines of ten fail.
@@ -353,20 +356,18 @@
 }
 
 func testBurstAndLoss(t *testing.T, newsAge time.Duration, hubDies bool) {
-	for _, daemons := range rankFleetSizes() {
-		t.Run(fmt.Sprintf("daemons=%d", daemons), func(t *testing.T) {
-			f := newRankFleet(t, daemons, newsAge, true)
-			f.run(2*time.Second, 60, 40, 60)
-			f.run(time.Second, 60, 40, 500)
-			f.hubDead = hubDies
-			f.startCounting()
-			f.run(3*time.Second, 180, 80, 120)
-			f.kill(3)
-			f.run(time.Second, 180, 80, 120)
-			f.unlistDead()
-			f.run(2*time.Second, 180, 80, 120)
-			f.run(3 * time.Second)
-			f.check()
-		})
-	}
+	forRankFleets(t, func(t *testing.T, daemons int, seed uint64) {
+		f := newRankFleet(t, daemons, newsAge, seed)
+		f.run(2*time.Second, 60, 40, 60)
+		f.run(time.Second, 60, 40, 500)
+		f.hubDead = hubDies
+		f.startCounting()
+		f.run(3*time.Second, 180, 80, 120)
+		f.kill(3)
+		f.run(time.Second, 180, 80, 120)
+		f.unlistDead()
+		f.run(2*time.Second, 180, 80, 120)
+		f.run(3 * time.Second)
+		f.check()
+	})
 }
--- a/internal/core/ranks/gate.go
+++ b/internal/core/ranks/gate.go
@@ -57,13 +57,19 @@
 	}
 }
 
-// adjustGates adjusts the gates of a service once in each gateInterval.
+// adjustGates adjusts the gates of a service once in each gateInterval. The gates open once the news that they follow
+// have expired, since nobody may be short of room any more.
 func (st *State) adjustGates(now time.Time, s *service) {
-	if now.Sub(s.gatesAt) < gateInterval {
+	if now.Sub(s.gatesAt) < gateInterval && (!s.gatesFromOthers || now.Before(st.othersUntil)) {
 		return
 	}
-	s.gatesAt = now
+	known := now.Before(st.othersUntil)
+	expired := s.gatesFromOthers && !known
+	s.gatesAt, s.gatesFromOthers = now, known
 	for _, r := range s.own {
+		if expired {
+			r.gate.budget = math.Inf(1)
+		}
 		higher, same, lower := st.sums(now, s, r.rank)
 		r.gate.adjust(now, higher, same.plus(lower))
 	}
--- a/internal/core/ranks/level.go
+++ b/internal/core/ranks/level.go
@@ -67,7 +67,7 @@
 		return 0
 	}
 	higher, _, _ := st.sums(now, s, order)
-	if !higher.short() || st.openShare(now, s, order) < 1 {
+	if !higher.short() {
 		return 0
 	}
 	perHorizon := reserveHorizon.Seconds() / windowSize.Seconds()
--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -15,6 +15,9 @@
 	// floorEarned is what a request earns for its rank's floor, as a share of the service rate of all. It is more
 	// than the floor, since some of the requests that use it are refused in the end or left by their callers.
 	floorEarned = 0.3
+	// starvedCredit is the credit from which on requests that use the floor go before all others: those that
+	// did not were refused.
+	starvedCredit = 1.5
 	// maxFloorCredit bounds how many requests of a rank use its floor at once.
 	maxFloorCredit = 2
 	// reserveHorizon is the time in which other daemons learn about requests of more important ranks. Room is
@@ -38,8 +41,9 @@
 	own []*rank
 	// others holds the loads of the other daemons, sorted by rank.
 	others []Load
-	// gatesAt is when the gates were last adjusted.
-	gatesAt time.Time
+	// gatesAt is when the gates were last adjusted, and gatesFromOthers whether the loads of other daemons counted then.
+	gatesAt         time.Time
+	gatesFromOthers bool
 }
 
 // rank is one rank of a service's requests of this daemon.
@@ -71,6 +75,9 @@
 func (st *State) SetServices(services map[string][]int) {
 	maps.DeleteFunc(st.services, func(name string, _ *service) bool { return len(services[name]) == 0 })
 	for _, name := range slices.Sorted(maps.Keys(services)) {
+		if len(services[name]) == 0 {
+			continue
+		}
 		s := st.services[name]
 		if s == nil {
 			s = &service{}
@@ -163,12 +170,20 @@
 // short reports whether requests wait for room or were refused for lack of it.
 func (a sums) short() bool { return a.waiting+a.refused > 0 }
 
-// Admit decides whether a new request is admitted, and returns the rank that it is treated as: its own, or the most
-// important one if the request uses its rank's floor; 0 if the service's requests have no ranks.
-func (st *State) Admit(now time.Time, name string, number int) (order int, admitted bool) {
+// Place is the place of an admitted request among those that need room.
+type Place struct {
+	// Order is the rank that the request is treated as; 0 if the service's requests have no ranks.
+	Order int
+	// Floor is set if the request uses its rank's floor: it is admitted and leaves no room free although more
+	// important ones lack it.
+	Floor bool
+}
+
+// Admit decides whether a new request is admitted, and returns its place.
+func (st *State) Admit(now time.Time, name string, number int) (place Place, admitted bool) {
 	s := st.services[name]
 	if s == nil {
-		return 0, true
+		return Place{}, true
 	}
 	r := st.of(s, number)
 	st.adjustGates(now, s)
@@ -176,11 +191,15 @@
 	higher, same, lower := st.sums(now, s, number)
 	r.credit = min(maxFloorCredit, r.credit+floorEarned*higher.plus(same).plus(lower).serviceRate())
 	if r.credit < 1 || passes && !higher.short() {
-		return number, passes
+		return Place{Order: number}, passes
+	}
+	place = Place{Order: number, Floor: true}
+	if r.credit >= starvedCredit {
+		place.Order = s.own[0].rank
 	}
 	r.credit--
 	r.totals.Floor++
-	return s.own[0].rank, true
+	return place, true
 }
 
 // Queued records that a request of a rank waits for its first route.
@@ -191,7 +210,7 @@
 }
 
 // Started records that a waiting request got its first route.
-func (st *State) Started(now time.Time, name string, number, order int) {
+func (st *State) Started(now time.Time, name string, number int, place Place) {
 	s := st.services[name]
 	if s == nil {
 		return
@@ -200,7 +219,7 @@
 	r.waiting = max(0, r.waiting-1)
 	r.started.add(now)
 	r.totals.Started++
-	if order == number {
+	if !place.Floor {
 		// It earned no credit.
 		higher, same, lower := st.sums(now, s, number)
 		r.credit = max(0, r.credit-floorEarned*higher.plus(same).plus(lower).serviceRate())
@@ -208,11 +227,11 @@
 }
 
 // Withdrawn records that a waiting request ended without a route.
-func (st *State) Withdrawn(name string, number, order int) {
+func (st *State) Withdrawn(name string, number int, place Place) {
 	if s := st.services[name]; s != nil {
 		r := st.of(s, number)
 		r.waiting = max(0, r.waiting-1)
-		r.giveBack(order)
+		r.giveBack(place)
 	}
 }
 
@@ -226,15 +245,15 @@
 }
 
 // GiveBack undoes an Admit whose request was not queued.
-func (st *State) GiveBack(name string, number, order int) {
+func (st *State) GiveBack(name string, number int, place Place) {
 	if s := st.services[name]; s != nil {
-		st.of(s, number).giveBack(order)
+		st.of(s, number).giveBack(place)
 	}
 }
 
 // giveBack returns the credit of a request that used the floor and was not started.
-func (r *rank) giveBack(order int) {
-	if order != r.rank {
+func (r *rank) giveBack(place Place) {
+	if place.Floor {
 		r.credit = min(maxFloorCredit, r.credit+1)
 	}
 }
--- a/internal/core/table/queue_test.go
+++ b/internal/core/table/queue_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/ranks"
 	"bulrushpond.example/bulrushpond/internal/proof"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
@@ -90,3 +91,57 @@
 		}
 	})
 }
+
+// TestRanksGoFirst: the next request is always one of the most important rank that waits, the first of its team; no
+// request is lost.
+func TestRanksGoFirst(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		q, requests := NewQueue(), NewRequests()
+		waiting := map[int]map[model.Team][]model.RequestID{}
+		next, length := model.RequestID(0), 0
+		for range 200 {
+			switch rank := rapid.IntRange(0, 3).Draw(t, "rank"); rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0, 1, 2:
+				next++
+				length++
+				team := model.Team(rapid.SampledFrom([]string{"/a", "/b"}).Draw(t, "team"))
+				requests.Add(&Request{Arrival: msgs.Arrival{ID: next, Team: team}, Place: ranks.Place{Order: rank}})
+				q.Push(rank, team, 1, next)
+				if waiting[rank] == nil {
+					waiting[rank] = map[model.Team][]model.RequestID{}
+				}
+				waiting[rank][team] = append(waiting[rank][team], next)
+			case 3:
+				if length == 0 {
+					continue
+				}
+				r := requests.Get(q.Head())
+				for more := range r.Order {
+					if len(waiting[more]["/a"])+len(waiting[more]["/b"]) > 0 {
+						t.Fatalf("a request of rank %d goes before one of rank %d", r.Order, more)
+					}
+				}
+				if first := waiting[r.Order][r.Team][0]; first != r.ID {
+					t.Fatalf("request %d goes before request %d of its team", r.ID, first)
+				}
+				waiting[r.Order][r.Team] = waiting[r.Order][r.Team][1:]
+				length--
+				q.Pop(1)
+				requests.Remove(r.ID)
+			case 4:
+				if ids := waiting[rank]["/a"]; len(ids) > 0 {
+					q.Drop(rank, "/a", ids[0])
+					requests.Remove(ids[0])
+					waiting[rank]["/a"] = ids[1:]
+					length--
+				}
+			}
+			if err := q.Check(requests); err != nil {
+				t.Fatal(err)
+			}
+			if q.Length != length {
+				t.Fatalf("%d requests wait, but the queue's length is %d", length, q.Length)
+			}
+		}
+	})
+}
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/ranks"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
@@ -98,9 +99,8 @@
 	// LimitDemandCounted is set once the request was counted in the demand for servers with limits,
 	// while it waits for a route.
 	LimitDemandCounted bool
-	// Order is the rank that the request is treated as: Rank, or 0 if it uses its rank's floor or if
-	// the model's requests have no ranks.
-	Order int
+	// Place is the request's place among those that need room.
+	ranks.Place
 	// Priority and MaxRecoveries are the team's policy as of the request's arrival. Priority is Order if
 	// the model's requests have ranks.
 	Priority      int
