Show the ranks in the metrics and in the log of refused requests

Operators could not see which callers were refused for whom. Adds waiting, running, late, started, refused, floor used and the admitted share by service and rank, and rank, level and its age on refusals. Checked by go test ./internal/drive ./internal/core/ranks; no decision changes.

--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -54,6 +54,7 @@
 // EdgeVars are the metrics of an EdgeDaemon.
 type EdgeVars struct {
 	drive.Meters
+	RankVars
 	SettingsRevision uint64 `json:"settings_revision"`
 	// StoreRevision is the revision of the copy of the key-value service. StoreAgeMs is
 	// the time since the service last answered this daemon directly.
@@ -114,6 +115,7 @@
 		}
 		d.streams.View(func(c *core.Core) {
 			vars.BudgetDaemons = c.BudgetDaemons()
+			vars.RankVars = rankVars(c)
 			vars.ServersLimited += c.LimitedServers()
 			m := c.CrashMetrics()
 			vars.EngineCrashes, vars.PartsBlocked, vars.PartsBlockedNow, vars.RequestsBlocked = m.EngineCrashes, m.PartsBlocked, m.PartsBlockedNow, m.RequestsBlocked
--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -46,6 +46,16 @@
 	return loads
 }
 
+// RankLevel returns what holds less important requests to a model back; false if nothing does.
+func (c *Core) RankLevel(now time.Time, name string) (ranks.Level, bool) {
+	return c.admit.Ranks.Level(now, name)
+}
+
+// RankMetrics returns the metrics of the models whose requests have ranks.
+func (c *Core) RankMetrics(now time.Time) map[string]ranks.ServiceMetrics {
+	return c.admit.Ranks.Metrics(now)
+}
+
 // reserve returns for how many requests of more important ranks room has to stay free when a request gets its
 // first route. Interrupted streams leave none free: they were accepted.
 func (c *Core) reserve(now time.Time, r *table.Request) float64 {
--- a/internal/core/ranks/level.go
+++ b/internal/core/ranks/level.go
@@ -25,6 +25,14 @@
 	Since time.Time
 }
 
+// Age returns the age of the news that a level follows; 0 if only this daemon's own requests are known.
+func (l Level) Age(now time.Time) time.Duration {
+	if l.Since.IsZero() {
+		return 0
+	}
+	return now.Sub(l.Since)
+}
+
 // Level returns the level in force for a service; false if there is none.
 func (st *State) Level(now time.Time, name string) (Level, bool) {
 	s := st.services[name]
--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -50,8 +50,8 @@
 type rank struct {
 	rank    int
 	waiting int
-	// late is the number of open streams without a token though it is due, as of lateAt.
-	late             int
+	// running is the number of open streams as of lateAt, and late that of those without a token though it is due.
+	running, late    int
 	lateAt           time.Time
 	started, refused window
 	// credit grows by the floor's part of each arriving request that is not started without it, and falls by one with
@@ -59,11 +59,11 @@
 	credit float64
 	// gate holds the rank back while more important ones are short of room.
 	gate   gate
-	totals Totals
+	totals totals
 }
 
-// Totals counts the requests of a rank since the daemon's start.
-type Totals struct{ Started, Refused, Floor uint64 }
+// totals counts the requests of a rank since the daemon's start.
+type totals struct{ started, refused, floor uint64 }
 
 // New returns the state of a daemon whose services have no ranks. The seed spreads what the daemons of a
 // fleet do at the same time.
@@ -198,7 +198,7 @@
 		place.Order = s.own[0].rank
 	}
 	r.credit--
-	r.totals.Floor++
+	r.totals.floor++
 	return place, true
 }
 
@@ -218,7 +218,7 @@
 	r := st.of(s, number)
 	r.waiting = max(0, r.waiting-1)
 	r.started.add(now)
-	r.totals.Started++
+	r.totals.started++
 	if !place.Floor {
 		// It earned no credit.
 		higher, same, lower := st.sums(now, s, number)
@@ -240,7 +240,7 @@
 	if s := st.services[name]; s != nil {
 		r := st.of(s, number)
 		r.refused.add(now)
-		r.totals.Refused++
+		r.totals.refused++
 	}
 }
 
@@ -272,7 +272,7 @@
 		var loads []Load
 		for _, r := range st.services[name].own {
 			open := streams[name][r.rank]
-			r.late, r.lateAt = open.Late, now
+			r.running, r.late, r.lateAt = open.Open, open.Late, now
 			l := Load{Rank: r.rank, Running: open.Open, Waiting: r.waiting + open.Late, Started: r.started.sum(now), Refused: r.refused.sum(now)}
 			if l != (Load{Rank: r.rank}) {
 				loads = append(loads, l)
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -424,13 +424,16 @@
 	e.observer.RequestEnded(req.in.Team, f)
 	e.meter.count(req, outcome, f)
 	fields := []any{
-		"request", req.in.ID, "outcome", outcome, "proxied", req.proxied, "revision", uint64(req.revision), "route", req.route, "service", req.service, "team", string(req.in.Team),
+		"rank", req.in.Priority, "request", req.in.ID, "outcome", outcome, "proxied", req.proxied, "revision", uint64(req.revision), "route", req.route, "service", req.service, "team", string(req.in.Team),
 		"server", req.server, "attempts", req.attempts, "events", req.eventCount,
 		"routes", uint32(req.epoch),
 		"first_ms", req.firstEvent.Milliseconds(), "pause_ms", req.longestPause.Milliseconds(), "took_ms", req.elapsed().Milliseconds(),
 	}
 	if f != nil {
 		fields = append(fields, "reason", f.Reason.String(), "verdict", f.Verdict.String(), "message", f.Message, "failed_server", f.Server)
+		if f.Reason == verdt.Overloaded {
+			fields = append(fields, e.levelFields(req.service)...)
+		}
 		if f.Reason == verdt.PromptBlocked {
 			fields = append(fields, "parts", crash.FormatParts(req.in.Parts))
 		}
