--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/core/ranks"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
@@ -46,12 +47,15 @@
 		teams[team] = root
 	}
 	teams[""] = root
-	return setts.EffectiveSettingsOf(routing.Revision, root, teams)
+	settings := setts.EffectiveSettingsOf(routing.Revision, root, teams)
+	settings.Ranks = ranks.Of(routing)
+	return settings
 }
 
 // EdgeVars are the metrics of an EdgeDaemon.
 type EdgeVars struct {
 	drive.Meters
+	RankVars
 	SettingsRevision uint64 `json:"settings_revision"`
 	// StoreRevision is the revision of the copy of the key-value service. StoreAgeMs is
 	// the time since the service last answered this daemon directly.
@@ -114,6 +118,7 @@
 		}
 		d.streams.View(func(c *core.Core) {
 			vars.BudgetDaemons = c.BudgetDaemons()
+			vars.RankVars = rankVars(c)
 			vars.ServersLimited += c.LimitedServers()
 			m := c.CrashMetrics()
 			vars.EngineCrashes, vars.PartsBlocked, vars.PartsBlockedNow, vars.RequestsBlocked = m.EngineCrashes, m.PartsBlocked, m.PartsBlockedNow, m.RequestsBlocked
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -95,7 +95,7 @@
 		}
 		r.Gap += (gap - r.Gap) / smoothing
 	}
-	r.LastActivityAt = now
+	r.LastActivityAt, r.HeardAt = now, now
 }
 
 // observeGap reports the smoothed gap of a stream to a picker that observes each token.
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/ranks"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
@@ -88,6 +89,8 @@
 	// QueueUntil is the time at which a request that is still queued fails, since its
 	// first token would be late. It is not after Deadline.
 	QueueUntil time.Time
+	// HeardAt is when the caller was last sent a token, or when the request arrived.
+	HeardAt time.Time
 	// OutputEpoch is the newest epoch that sent a token, and OutputSince the time of its first.
 	OutputEpoch model.Epoch
 	OutputSince time.Time
@@ -96,7 +99,10 @@
 	// LimitDemandCounted is set once the request was counted in the demand for servers with limits,
 	// while it waits for a route.
 	LimitDemandCounted bool
-	// Priority and MaxRecoveries are the team's policy as of the request's arrival.
+	// Place is the request's place among those that need room.
+	ranks.Place
+	// Priority and MaxRecoveries are the team's policy as of the request's arrival. Priority is Order if
+	// the model's requests have ranks.
 	Priority      int
 	MaxRecoveries int
 }
