Reserve cache room for what answers are expected to take

Cause: a stream reserved its prompt plus 256 tokens whatever its answer was, and a tenth of each cache stayed free. Change: where callers give hints, internal/core/length estimates each answer from the hint's class, the route, the service and the fleet (View.Lengths), and reserves the most that a request is expected to hold, corrected every 32 tokens. The free share of a cache shrinks with the root of the number of streams. Hints above 2^20, negative or no numbers count as none. A configuration's stride gives the tokens in an event. Key 4 of the sketch, which was agreed on but never sent, is left out; sums by class of the hint come as key 5.

--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core"
+	"bulrushpond.example/bulrushpond/internal/core/length"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -94,6 +95,8 @@
 	ServicesCutOff    []string `json:"services_cut_off,omitempty"`
 	RequestsProxied   uint64   `json:"requests_proxied"`
 	ProxiedInProgress int64    `json:"proxied_in_progress"`
+	// AnswerLengths shows how good the estimates of answers' lengths are.
+	AnswerLengths length.Metrics `json:"answer_lengths"`
 }
 
 // publishEdgeMetrics publishes the metrics of a daemon at /debug/vars. It may be called
@@ -115,6 +118,7 @@
 			m := c.CrashMetrics()
 			vars.EngineCrashes, vars.PartsBlocked, vars.PartsBlockedNow, vars.RequestsBlocked = m.EngineCrashes, m.PartsBlocked, m.PartsBlockedNow, m.RequestsBlocked
 			vars.RequestBlocksNow = m.RequestBlocksNow
+			vars.AnswerLengths = c.LengthMetrics()
 			vars.StreamsRecovered, vars.TokensDropped, vars.EnginesKnown = c.RecoveredStreams(), c.DroppedTokens(), c.ServerCount()
 		})
 		vars.ServicesCutOff = d.edge.CutOff()
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -193,6 +193,7 @@
 	promptParts, modelRequests, plainRequests crashSums
 	// daemons holds the keys of reports, sorted.
 	daemons   []model.DaemonID
+	lengths   lengthSums
 	nextSweep time.Time
 	// nextPeer and nextProxy index daemons, so that Peers and Proxies return them round robin.
 	nextPeer, nextProxy int
@@ -203,6 +204,7 @@
 	return &State{
 		reports: map[model.DaemonID]daemonReport{}, loads: map[model.ServerID]Load{}, pipes: map[Pipe]int{}, suspects: map[model.ServerID]int{}, full: map[model.ServerID]int{}, leaving: map[model.ServerID]int{}, cutOff: map[string]int{},
 		promptParts: newCrashSums(), modelRequests: newCrashSums(), plainRequests: newCrashSums(),
+		lengths: lengthSums{},
 	}
 }
 
@@ -240,6 +242,7 @@
 	st.promptParts.add(status.Report(), sign)
 	st.modelRequests.add(status.ModelRequests, sign)
 	st.plainRequests.add(status.PlainRequests, sign)
+	st.lengths.add(status.Lengths, sign)
 }
 
 // addToCounts adds sign to the count of each ID and removes counts that become 0.
@@ -335,6 +338,7 @@
 		ownPipes[p.Pipe] = p.Tokens
 	}
 	v := View{
+		Lengths:  st.lengths.others(own.Lengths),
 		Suspects: st.Suspects(now), Full: slices.Sorted(maps.Keys(st.full)), Leaving: slices.Sorted(maps.Keys(st.leaving)), CutOff: slices.Sorted(maps.Keys(st.cutOff)),
 		PromptParts:    PromptPartsOf(st.promptParts.union()),
 		RequestCrashes: RequestCrashes{ModelRequests: st.modelRequests.union(), PlainRequests: st.plainRequests.union()},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/admit"
 	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/drain"
+	"bulrushpond.example/bulrushpond/internal/core/length"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/reach"
@@ -56,6 +57,7 @@
 	// requestCrash holds what is known of whole requests that crash engines.
 	requestCrash *crash.State
 	reach        *reach.State
+	lengths      *length.State
 	// heardAt is when a stream of each model last got a token.
 	heardAt map[string]time.Time
 	// outageEnds holds when models without a chain are expected to have one again, as far as that is known.
@@ -108,6 +110,7 @@
 		recov:    &recov.State{},
 		crash:    crash.New(crash.PromptParts()),
 		reach:    reach.New(1),
+		lengths:  length.New(),
 		heardAt:  map[string]time.Time{},
 		daemons:  1,
 	}
@@ -155,6 +158,7 @@
 		}
 	}
 	c.applyLimits(now, in, out)
+	c.applyLengths(in)
 	for _, r := range in.Reports {
 		c.drain.ApplyReport(now, r, c.servers, out)
 	}
@@ -199,7 +203,7 @@
 	t := c.tables
 	for _, tok := range in.Tokens {
 		c.recordOutput(now, tok)
-		c.recov.HandleToken(now, tok, t, out)
+		c.handleToken(now, tok, out)
 	}
 	for _, e := range in.Ends {
 		c.giveBackRetry(now, e)
@@ -245,7 +249,9 @@
 		}
 		if f := c.admit.Admit(now, a, c.settings, c.requests); f != nil {
 			out.Finishes = append(out.Finishes, msgs.Finish{Request: a.ID, Failure: f})
+			continue
 		}
+		c.estimateLength(a)
 	}
 }
 
--- /dev/null
+++ b/internal/core/lengths_test.go
@@ -0,0 +1,263 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/internal/core/length"
+	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/route"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/setts"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
+)
+
+// sizedRequest is a request in progress at a cacheEngine. Lengths are in tokens.
+type sizedRequest struct {
+	msgs.Arrival
+	epoch           model.Epoch
+	answer, written int
+	begun           bool
+}
+
+// size returns the number of cache tokens that the request takes at its end.
+func (r *sizedRequest) size() int { return r.PromptTokens + r.answer }
+
+// cacheEngine is an engine that holds all layers of a model and as many requests as its cache has room for.
+type cacheEngine struct {
+	id                             model.ServerID
+	running                        []*sizedRequest
+	declines, preemptions, samples int
+	// use is the sum of the samples of the share of the cache that is in use.
+	use float64
+}
+
+const (
+	engineCacheTokens = 50_000
+	tokensPerEvent    = 5
+	eventInterval     = 50 * time.Millisecond
+	usualAnswer       = 200
+)
+
+func (e *cacheEngine) held() int {
+	held := 0
+	for _, r := range e.running {
+		held += r.PromptTokens + r.written
+	}
+	return held
+}
+
+// cacheFleet is a core with engines whose caches bind.
+type cacheFleet struct {
+	core     *Core
+	now      time.Time
+	in       msgs.Inbox
+	out      msgs.Outbox
+	engines  map[model.ServerID]*cacheEngine
+	requests map[model.RequestID]*sizedRequest
+	// served holds the sizes of the requests that began, offered those of all.
+	served, offered []int
+	rng             *rand.Rand
+}
+
+func newCacheFleet(engines int) *cacheFleet {
+	f := &cacheFleet{
+		core: New(WithPicker(route.NewChains("a", 1))), now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(1, 2)),
+		engines: map[model.ServerID]*cacheEngine{}, requests: map[model.RequestID]*sizedRequest{},
+	}
+	root := setts.Defaults()
+	root.Models["m"] = 1
+	f.in.Settings = setts.EffectiveSettingsOf(1, root, nil)
+	f.in.Daemons = 1
+	for i := range engines {
+		id := model.ServerID(fmt.Sprintf("e%d", i))
+		f.engines[id] = &cacheEngine{id: id}
+		f.in.List = append(f.in.List, model.Member{ID: string(id), Address: string(id) + ":1", Zone: "a", Role: model.Engine, Span: model.Span{From: 0, To: 1}})
+		f.in.Reports = append(f.in.Reports, model.Report{
+			Server: id, Model: "m", Span: model.Span{From: 0, To: 1}, Slots: 192, TokensPerSecond: 1, CacheTokens: engineCacheTokens,
+			StepTime: 8 * time.Millisecond, SequenceTime: 40 * time.Microsecond, AnswerTokens: usualAnswer, TokensPerEvent: tokensPerEvent, ReportedAt: f.now,
+		})
+	}
+	return f
+}
+
+// tick runs a tick, begins the streams that it opens, and lets the engines write.
+func (f *cacheFleet) tick() {
+	f.core.Tick(f.now, &f.in, &f.out)
+	f.in.Reset()
+	for _, o := range f.out.Opens {
+		e, r := f.engines[o.Route.Hops[0].Server], f.requests[o.Request]
+		if r.epoch = o.Epoch; e.held()+r.PromptTokens+r.written > engineCacheTokens {
+			e.declines++
+			f.in.Ends = append(f.in.Ends, msgs.StreamEnd{Request: o.Request, Epoch: o.Epoch, Declined: true, Failure: verdt.New(verdt.NotRun, verdt.Overloaded, "full", verdt.Server(string(e.id)))})
+			continue
+		}
+		e.running = append(e.running, r)
+		if !r.begun {
+			f.served = append(f.served, r.size())
+		}
+		r.begun = true
+	}
+	f.now = f.now.Add(eventInterval)
+	for _, id := range f.core.ServerIDs() {
+		f.write(f.engines[id])
+	}
+}
+
+// write lets each request of an engine write an event. If the cache overflows, the newest one is preempted.
+func (f *cacheFleet) write(e *cacheEngine) {
+	e.running = slices.DeleteFunc(e.running, func(r *sizedRequest) bool {
+		end := r.written >= r.answer
+		f.in.Tokens = append(f.in.Tokens, model.Token{Request: r.ID, Epoch: r.epoch, Position: r.written / tokensPerEvent, End: end})
+		r.written += tokensPerEvent
+		return end
+	})
+	for e.held() > engineCacheTokens {
+		last := e.running[len(e.running)-1]
+		e.preemptions++
+		e.running = e.running[:len(e.running)-1]
+		f.in.Ends = append(f.in.Ends, msgs.StreamEnd{Request: last.ID, Epoch: last.epoch, Failure: verdt.New(verdt.MayHaveRun, verdt.StageFailed, "preempted")})
+	}
+	e.use += float64(e.held()) / engineCacheTokens
+	e.samples++
+}
+
+// offer submits new requests, at random with a mean number.
+func (f *cacheFleet) offer(mean float64, hint func(*rand.Rand, int) int) {
+	for f.rng.Float64() < mean/(1+mean) {
+		f.submit(hint)
+	}
+}
+
+func (f *cacheFleet) submit(hint func(*rand.Rand, int) int) {
+	answer := min(700, max(1, int(150*math.Exp(0.76*f.rng.NormFloat64()))))
+	answer = (answer + tokensPerEvent - 1) / tokensPerEvent * tokensPerEvent
+	r := &sizedRequest{answer: answer, Arrival: msgs.Arrival{
+		ID: model.RequestID(len(f.offered) + 1), Model: "m", Route: "r", Deadline: f.now.Add(20 * time.Second), FirstTokenDeadline: f.now.Add(500 * time.Millisecond),
+		PromptTokens: min(2280, 40+int(760*f.rng.ExpFloat64())), MaxTokens: 700, LengthHint: hint(f.rng, answer),
+	}}
+	f.requests[r.ID] = r
+	f.offered = append(f.offered, r.size())
+	f.in.Arrivals = append(f.in.Arrivals, r.Arrival)
+}
+
+// reset forgets what was measured.
+func (f *cacheFleet) reset() {
+	f.served, f.offered = nil, make([]int, len(f.offered))
+	for _, e := range f.engines {
+		e.declines, e.preemptions, e.samples, e.use = 0, 0, 0, 0
+	}
+}
+
+// servedShare returns the share of the measured requests of at least a size that began.
+func (f *cacheFleet) servedShare(size int) float64 {
+	count := func(sizes []int) (n float64) {
+		for _, s := range sizes {
+			if s >= size && s > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	return count(f.served) / count(f.offered)
+}
+
+// TestCachesAreFilled answers the load of a service whose requests want more room than the engines' caches have,
+// and whose answers differ much in length: the caches are filled to nine tenths, without declines and
+// preemptions, whatever the callers' hints are, and large requests are served at least half as often as all.
+func TestCachesAreFilled(t *testing.T) {
+	const engines, perTick = 4, 7.0
+	for _, s := range []struct {
+		name string
+		hint func(*rand.Rand, int) int
+	}{
+		{"exact", func(_ *rand.Rand, tokens int) int { return tokens }},
+		{"off by 3 to either side", func(rng *rand.Rand, tokens int) int {
+			if rng.IntN(2) == 0 {
+				return 3 * tokens
+			}
+			return max(1, tokens/3)
+		}},
+		{"all equal", func(*rand.Rand, int) int { return 100 }},
+		{"random", func(rng *rand.Rand, _ int) int { return 1 << rng.IntN(20) }},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			f := newCacheFleet(engines)
+			run := func(d time.Duration) {
+				for end := f.now.Add(d); f.now.Before(end); {
+					f.offer(perTick, s.hint)
+					f.tick()
+				}
+				assert.NilError(t, f.core.Check())
+			}
+			run(10 * time.Second)
+			f.reset()
+			run(60 * time.Second)
+			sizes := slices.DeleteFunc(slices.Sorted(slices.Values(f.offered)), func(size int) bool { return size == 0 })
+			all, fifth, tenth := f.servedShare(1), f.servedShare(sizes[len(sizes)*4/5]), f.servedShare(sizes[len(sizes)*9/10])
+			t.Logf("served %.3f of all, %.3f of the largest fifth, %.3f of the largest tenth", all, fifth, tenth)
+			assert.Assert(t, all < 0.9, "the load must exceed the room")
+			for _, e := range f.engines {
+				use := e.use / float64(e.samples)
+				t.Logf("%s: use %.3f, %d declines, %d preemptions", e.id, use, e.declines, e.preemptions)
+				assert.Check(t, use >= 0.9, "%s is filled to %.3f", e.id, use)
+				assert.Check(t, e.declines == 0 && e.preemptions == 0, "%s: %d declines, %d preemptions", e.id, e.declines, e.preemptions)
+			}
+			assert.Check(t, fifth >= all/2 && tenth >= all/2)
+		})
+	}
+}
+
+// TestManyBeginAtOnce answers a burst after which all streams write in step: no room is used twice.
+func TestManyBeginAtOnce(t *testing.T) {
+	f := newCacheFleet(1)
+	exact := func(_ *rand.Rand, tokens int) int { return tokens }
+	for range 600 {
+		f.offer(0.7, exact)
+		f.tick()
+	}
+	for len(f.engines["e0"].running) > 0 {
+		f.tick()
+	}
+	f.reset()
+	for range 100 {
+		f.submit(exact)
+	}
+	for range 5 * time.Second / eventInterval {
+		f.tick()
+	}
+	e := f.engines["e0"]
+	assert.Equal(t, e.declines, 0)
+	assert.Equal(t, e.preemptions, 0)
+	assert.Assert(t, len(f.served) > 40, "%d", len(f.served))
+}
+
+// TestWithoutHintsNothingChanges: where callers give no hints, what the configuration and the other daemons say about
+// answers changes no decision.
+func TestWithoutHintsNothingChanges(t *testing.T) {
+	none := func(*rand.Rand, int) int { return 0 }
+	plain, informed := newCacheFleet(2), newCacheFleet(2)
+	for i := range plain.in.Reports {
+		plain.in.Reports[i].AnswerTokens, plain.in.Reports[i].TokensPerEvent = 0, 0
+	}
+	for range 1000 {
+		for _, f := range []*cacheFleet{plain, informed} {
+			f.offer(3, none)
+			f.in.OthersUntil = f.now.Add(time.Second)
+		}
+		informed.in.Others.Lengths = []length.Sketch{{Service: "m", Answers: 100, Tokens: 50_000}}
+		plain.tick()
+		informed.tick()
+		assert.DeepEqual(t, plain.out.Opens, informed.out.Opens)
+		assert.Equal(t, len(plain.out.Finishes), len(informed.out.Finishes))
+		assert.DeepEqual(t, plain.core.DaemonStatus(plain.now).Loads, informed.core.DaemonStatus(informed.now).Loads)
+		assert.Equal(t, plain.out.Wake, informed.out.Wake)
+	}
+	assert.Equal(t, len(informed.core.DaemonStatus(informed.now).Lengths), 0)
+}
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -62,6 +62,8 @@
 	// jitter holds the factors by which the costs of the usable servers are multiplied in
 	// the current pick.
 	jitter []float64
+	// lengthSpread is the spread of the lengths of answers in the current search; 0 if they are not estimated.
+	lengthSpread float64
 }
 
 // NewChains returns a picker for a daemon in an availability zone. Each daemon should use
@@ -191,7 +193,8 @@
 	zones := c.zones()
 	layers := max(1, q.Layers)
 	tokens := q.Request.Tokens(usualAnswerTokens)
-	pipeOpen := c.findOpenPipes(now, servers, zones, tokens, q.Daemons, need.room)
+	c.lengthSpread = q.Request.Expected.Spread
+	pipeOpen := c.findOpenPipes(now, servers, zones, q.Request.TransferTokens(tokens), q.Daemons, need.room)
 	best := make([][]partialChain, layers+1)
 	for i := range best {
 		best[i] = make([]partialChain, len(zones))
@@ -278,7 +281,7 @@
 		return false
 	}
 	streams, usedTokens := s.Load(c.othersKnown, daemons)
-	if r.CacheTokens > 0 && usedTokens+tokens > maxCacheUse*r.CacheTokens {
+	if r.CacheTokens > 0 && usedTokens+tokens > c.usableCache(r.CacheTokens, streams) {
 		return false
 	}
 	return r.Slots == 0 || streams < float64(r.Slots)
@@ -357,6 +360,9 @@
 // Without a profile, the engine counts as a single layer.
 func ReportOf(now time.Time, m model.Member, p *setts.EngineProfile) model.Report {
 	r := model.Report{Server: model.ServerID(m.ID), Model: m.Service, Span: m.Span, Slots: m.Slots, TokensPerSecond: 1, ReportedAt: now}
+	if p != nil {
+		r.AnswerTokens, r.TokensPerEvent = p.MeanAnswerTokens, p.TokensPerEvent
+	}
 	if p == nil || p.Layers == 0 {
 		r.Span = model.Span{From: 0, To: 1}
 		return r
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -18,6 +18,7 @@
 	return board.DaemonStatus{
 		Loads: c.servers.Loads(), Suspects: c.Suspects(now), Pipes: c.servers.Pipes.Sent(now),
 		Full: c.servers.Declined(now.Add(-sharedFullDuration)), PromptParts: c.promptParts(now), RequestCrashes: board.RequestCrashes{ModelRequests: c.requestCrash.Report(now)}, Limits: c.servers.Limits.Reports(now),
+		Lengths: c.lengths.Sketches(),
 	}
 }
 
--- a/internal/core/table/pipes.go
+++ b/internal/core/table/pipes.go
@@ -123,5 +123,5 @@
 			zones = append(zones, s.Zone)
 		}
 	}
-	t.Pipes.record(now, r.Reserved, zones)
+	t.Pipes.record(now, r.TransferTokens(r.Reserved), zones)
 }
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/core/length"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -73,6 +74,12 @@
 	// Reserved is the number of cache tokens reserved for the request on each server
 	// of Route.
 	Reserved int
+	// Expected is the estimate of the answer's length; zero if the service's answers are not
+	// estimated. Held is then the number of cache tokens that the request is expected to hold, and
+	// HeldUntil the position at which it has to be corrected.
+	Expected  length.Estimate
+	Held      int
+	HeldUntil int
 	// Gap is the smoothed time between two tokens of the newest stream; 0 before the
 	// second token.
 	Gap time.Duration
@@ -115,9 +122,12 @@
 	return slices.Contains(r.Failed, id) || r.StalledOn == id
 }
 
-// Tokens returns the number of tokens that the request's cache holds after a typical answer,
-// or after the tokens sent so far if they are more.
+// Tokens returns the number of tokens that the request's cache is expected to hold. Without an
+// estimate, that is after a typical answer, or after the tokens sent so far if they are more.
 func (r *Request) Tokens(typicalAnswer int) int {
+	if r.Held > 0 {
+		return r.Held
+	}
 	answer := typicalAnswer
 	if r.MaxTokens > 0 {
 		answer = min(answer, r.MaxTokens)
@@ -125,6 +135,15 @@
 	return r.PromptTokens + max(answer, r.Next)
 }
 
+// TransferTokens returns the number of tokens that the request is expected to send between its engines;
+// without an estimate, it is the given number.
+func (r *Request) TransferTokens(typical int) int {
+	if r.Held > 0 {
+		return r.PromptTokens + r.Expected.Tokens
+	}
+	return typical
+}
+
 // deadline is an entry of the deadline heap. It may be outdated; see Requests.Due.
 type deadline struct {
 	at time.Time
--- a/internal/core/table/server.go
+++ b/internal/core/table/server.go
@@ -257,6 +257,18 @@
 	}
 }
 
+// Correct changes the room that a running request has on its servers.
+func (t *Servers) Correct(r *Request, tokens int) {
+	for _, h := range r.Route.Hops {
+		if s := t.rows[h.Server]; s != nil {
+			if _, counted := s.Users[r.ID]; counted {
+				s.Tokens += tokens - r.Reserved
+			}
+		}
+	}
+	r.Reserved = tokens
+}
+
 // Restore undoes a Release of a request that stays on its route.
 func (t *Servers) Restore(r *Request, route model.Route) {
 	for _, h := range route.Hops {
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -199,6 +199,10 @@
 	// CrossZoneTokenRate is how many tokens per second, over all streams, the link to engines in
 	// another availability zone carries; 0 if unknown.
 	CrossZoneTokenRate float64 `json:"cross_rate,omitempty"`
+	// AnswerTokens is the mean length of the answers of the engine's service, and TokensPerEvent the
+	// number of tokens in an event of their streams; 0 if unknown.
+	AnswerTokens   int `json:"answer_tokens,omitempty"`
+	TokensPerEvent int `json:"tokens_per_event,omitempty"`
 	// Leaving means that the engine asks for no new requests.
 	Leaving bool `json:"leaving,omitempty"`
 	// Emptying means that the engine was ordered to take no new requests.
--- a/pkg/setts/routing.go
+++ b/pkg/setts/routing.go
@@ -97,6 +97,8 @@
 	ActivationBytes, PipeBandwidth float64
 	// MeanPromptTokens and MeanAnswerTokens are the mean lengths of prompts and answers in tokens.
 	MeanPromptTokens, MeanAnswerTokens int
+	// TokensPerEvent is the number of tokens in an event of a stream; 0 if unknown.
+	TokensPerEvent int
 	// Kinds are the accelerator types by name.
 	Kinds map[string]EngineKind
 }
