--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -133,6 +133,9 @@
 	// From is the first position to generate; the caller was sent all before it.
 	From     int
 	Priority int
+	// Expected is the expected length of the answer in tokens, and Held the number of cache tokens that
+	// were reserved for the request on each server; 0 if the answer is not estimated.
+	Expected, Held int
 }
 
 // Cancel cancels a request's streams up to and including Epoch, at each hop of Route.
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -321,7 +321,7 @@
 	t.Servers.Limits.Take(now, chain.Hops[0].Server)
 	t.Servers.Reserve(r, chain)
 	t.Servers.RecordTransfer(now, r, chain)
-	out.Opens = append(out.Opens, msgs.Open{Request: r.ID, Epoch: r.Epoch, Route: chain, From: r.Next, Priority: r.Priority})
+	out.Opens = append(out.Opens, msgs.Open{Request: r.ID, Epoch: r.Epoch, Route: chain, From: r.Next, Priority: r.Priority, Expected: r.Expected.Tokens, Held: r.Held})
 }
 
 // withCacheImports returns the route with ImportFrom set for each stage that moved to another
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -331,7 +331,7 @@
 		stream.Tokens = pending.tokens[:o.From:o.From]
 	}
 	if pending.origin != nil {
-		s.log.Info(evlog.StreamOpened, "request", pending.origin.ID, "epoch", o.Epoch, "from", o.From, "chain", formatRoute(o.Route), "digest", crash.FormatPart(pending.origin.Digest))
+		s.log.Info(evlog.StreamOpened, "request", pending.origin.ID, "epoch", o.Epoch, "from", o.From, "chain", formatRoute(o.Route), "digest", crash.FormatPart(pending.origin.Digest), "expected", o.Expected, "held", o.Held)
 	}
 	s.wg.Go(func() {
 		defer cancel()
