Check a configuration before it is sent

Cause: operators learned of entries that never match, of keys of two teams and of limits that contradict each other only from their callers.

--- a/internal/boot/app.go
+++ b/internal/boot/app.go
@@ -47,6 +47,7 @@
 	Dev      DevCmd      `cmd:"" help:"${help_dev}"`
 	Ask      AskCmd      `cmd:"" help:"${help_ask}"`
 	Settings SettingsCmd `cmd:"" help:"${help_settings}"`
+	Config   ConfigCmd   `cmd:"" help:"${help_config}"`
 	Status   StatusCmd   `cmd:"" help:"${help_status}"`
 	Report   ReportCmd   `cmd:"" help:"${help_report}"`
 	Explain  ExplainCmd  `cmd:"" help:"${help_explain}"`
