Keep the use of engines even by estimates of the load by now

Cause: each daemon took the cheapest chain by sums that are 0.25 to 1.5 s old, so all moved to the same engines at once, and engines that seemed full were left by all until the next news.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -22,10 +22,12 @@
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/elect"
+	"bulrushpond.example/bulrushpond/internal/core/even"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/relay"
 	"bulrushpond.example/bulrushpond/internal/core/retry"
 	"bulrushpond.example/bulrushpond/internal/core/roster"
+	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/peer"
@@ -37,7 +39,7 @@
 type EdgeCmd struct {
 	MetricsPort uint16 `default:"0" help:"${help_metrics_port}"`
 	Debug       bool   `name:"debug-log" help:"${help_debug}"`
-	Balance     string `enum:"cheapest,even" default:"cheapest" help:"${help_balance}"`
+	Balance     string `enum:"cheapest,paced,even" default:"cheapest" help:"${help_balance}"`
 }
 
 // Run implements the command.
@@ -138,8 +140,8 @@
 	shutdownDelay time.Duration
 	// serverOptions configure the client for backend servers.
 	serverOptions []platform.EngineClientOption
-	// evenLoad is set by WithEvenLoad.
-	evenLoad bool
+	// balance is how the load of the engines is balanced; nil for the cheapest chain.
+	balance func(*even.Paces) route.ChainsOption
 
 	callerListener, readinessListener, metricsListener net.Listener
 	stopping                                           atomic.Bool
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -51,6 +51,7 @@
 // EdgeVars are the metrics of an EdgeDaemon.
 type EdgeVars struct {
 	drive.Meters
+	EvenVars
 	SettingsRevision uint64 `json:"settings_revision"`
 	// StoreRevision is the revision of the copy of the key-value service. StoreAgeMs is
 	// the time since the service last answered this daemon directly.
@@ -110,6 +111,7 @@
 			vars.SettingsRevision = uint64(routing.Revision)
 		}
 		d.streams.View(func(c *core.Core) {
+			vars.EvenVars = readEvenVars(c)
 			vars.BudgetDaemons = c.BudgetDaemons()
 			vars.ServersLimited += c.LimitedServers()
 			m := c.CrashMetrics()
--- a/internal/boot/texts.go
+++ b/internal/boot/texts.go
@@ -26,7 +26,7 @@
 		"help_report":        "Print reports on the whole fleet.",
 		"help_keys":          "Create a new fleet authority and issue the keys of daemons, as YAML for their settings files.",
 		"help_version":       "Print the version.",
-		"help_balance":       "How model requests are spread over the engines: cheapest takes the chain with the lowest estimated time; even also sends slow engines only what fits their pace.",
+		"help_balance":       "How model requests are spread over the engines: cheapest takes the chain with the lowest estimated time; paced also sends slow engines only what fits their pace; even also keeps the use of the engines even.",
 		"help_debug":         "Also log debug events.",
 		"help_file":          "Settings file of the daemon on this VM.",
 		"help_admin":         "Admin address of any daemon.",
--- a/internal/core/even/pace.go
+++ b/internal/core/even/pace.go
@@ -38,9 +38,9 @@
 
 // Pace is how much slower an engine is than its kind should be.
 type Pace struct {
-	Server model.ServerID `cbor:"1,keyasint"`
+	Server model.ServerID `cbor:"1,keyasint" json:"server"`
 	// Factor is at least 1. A daemon that contradicts others' reports reports 1.
-	Factor float64 `cbor:"2,keyasint"`
+	Factor float64 `cbor:"2,keyasint" json:"factor"`
 }
 
 // Stage is one engine of a chain with the time that it should take for a token.
--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -62,7 +62,7 @@
 	// jitter holds the factors by which the costs of the usable servers are multiplied in
 	// the current pick.
 	jitter []float64
-	// even is nil unless WithPaces is set.
+	// even is nil unless WithPaces or WithBalance is set.
 	even *evenLoad
 }
 
@@ -105,6 +105,7 @@
 	for range c.usable {
 		c.jitter = append(c.jitter, 1+costJitter*(2*c.rng.Float64()-1))
 	}
+	c.weigh(now, servers, q)
 	c.withholdSlow(now, q)
 	if route, ok := c.search(now, servers, q, requirements{room: true, pauses: true}); ok {
 		return c.pickWithinLimits(now, servers, q, route)
@@ -166,14 +167,15 @@
 }
 
 // admits reports whether a server meets the requirements for a stage that starts at a layer.
-func (c *Chains) admits(now time.Time, servers *table.Servers, need requirements, s *table.Server, layer, daemons int, tokens float64) bool {
+func (c *Chains) admits(now time.Time, servers *table.Servers, need requirements, index, layer, daemons int, tokens float64) bool {
+	s := c.usable[index]
 	switch {
 	case need.pauses && now.Before(s.PausedUntil):
 		return false
 	case need.limits && layer == 0 && !servers.Limits.HasRoom(now, s.ID):
 		return false
 	}
-	return !need.room || c.hasRoom(now, s, daemons, tokens)
+	return !need.room || c.hasRoom(now, index, daemons, tokens)
 }
 
 // refresh updates the usable servers of a model if the server table changed or an
@@ -217,7 +219,7 @@
 	for layer := range layers {
 		for i, s := range c.usable {
 			span := s.Report.Span
-			if span.From > layer || span.To <= layer || span.To > layers || !c.admits(now, servers, need, s, layer, q.Daemons, float64(tokens)) ||
+			if span.From > layer || span.To <= layer || span.To > layers || !c.admits(now, servers, need, i, layer, q.Daemons, float64(tokens)) ||
 				!allowed(q, s.ID, layer) || c.isWithheld(i) {
 				continue
 			}
@@ -241,7 +243,7 @@
 // that runs from this layer to the end of the server's span.
 func (c *Chains) extend(best [][]partialChain, layer, serverIndex, zoneIndex int, zones []string, pipeOpen [][]bool, q Query) {
 	s := c.usable[serverIndex]
-	cost := c.stageCost(s, layer, q) * c.jitter[serverIndex] * c.slowness(serverIndex)
+	cost := c.stageCost(serverIndex, layer, q) * c.jitter[serverIndex] * c.slowness(serverIndex) * c.partPenalty(serverIndex, layer)
 	to := &best[s.Report.Span.To][zoneIndex]
 	if layer == 0 {
 		if zones[zoneIndex] != c.Zone {
@@ -270,13 +272,14 @@
 // stageCost estimates what a stage from a layer on adds to the time between two tokens, in
 // nanoseconds. The cost rises steeply as the server's cache fills up, and with each
 // failure of the server.
-func (c *Chains) stageCost(s *table.Server, layer int, q Query) float64 {
+func (c *Chains) stageCost(index, layer int, q Query) float64 {
+	s := c.usable[index]
 	r := s.Report
 	share := float64(r.Span.To-layer) / float64(r.Span.To-r.Span.From)
 	streams, tokens := s.Load(c.othersKnown, q.Daemons)
 	cost := share*(float64(r.StepTime)+(streams+1)*float64(r.SequenceTime)+promptWeight*float64(q.Request.PromptTokens)*float64(r.PrefillTimePerToken)) + float64(stageOverhead)
 	if r.CacheTokens > 0 {
-		cacheUse := min(0.98, tokens/r.CacheTokens)
+		cacheUse := min(0.98, c.costingUse(index, tokens/r.CacheTokens))
 		cost /= 1 - cacheUse
 	}
 	for range min(s.Failures, 3) {
@@ -287,12 +290,14 @@
 
 // hasRoom reports whether a server has a free slot, and room in its cache for a number of
 // tokens.
-func (c *Chains) hasRoom(now time.Time, s *table.Server, daemons int, tokens float64) bool {
+func (c *Chains) hasRoom(now time.Time, index, daemons int, tokens float64) bool {
+	s := c.usable[index]
 	r := s.Report
 	if now.Before(s.FullUntil) {
 		return false
 	}
 	streams, usedTokens := s.Load(c.othersKnown, daemons)
+	streams, usedTokens = c.loadNow(index, streams, usedTokens)
 	if r.CacheTokens > 0 && usedTokens+tokens > maxCacheUse*r.CacheTokens {
 		return false
 	}
--- a/internal/core/route/evenly.go
+++ b/internal/core/route/evenly.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/board"
@@ -13,9 +14,14 @@
 // which slow pipes are told.
 const crossZoneTime = time.Millisecond
 
+// usualRequestTokens is the assumed number of tokens of a request with its answer.
+const usualRequestTokens = 512
+
 // evenLoad is what a Chains needs to keep the load of engines even.
 type evenLoad struct {
 	paces *even.Paces
+	// balances estimate the use of the engines of each model; nil unless WithBalance is set.
+	balances map[string]*modelBalance
 	// daemons is the number of daemons as of the last pick.
 	daemons int
 	// factors holds how much slower each usable server is than it should be, and withheld whether it is left
@@ -23,12 +29,24 @@
 	factors       []float64
 	withheld      []bool
 	allowWithheld bool
+	// meanUses and corrections hold, for each usable server, the mean use of the servers with the same layers and
+	// by how much the use is estimated to have changed since the latest news. evenness is how much an even load
+	// counts.
+	meanUses, corrections, evenness []float64
 	// stages is reused by ObserveGap.
 	stages []even.Stage
 	// pipeIDs holds the IDs under which the paces of the pipes are kept.
 	pipeIDs map[board.Pipe]model.ServerID
 }
 
+// modelBalance is the balance of one model's usable servers, in the same order.
+type modelBalance struct {
+	*even.Balance
+	// version is the version of the server table, othersUntil the end of the news that the rows are from.
+	version     uint64
+	othersUntil time.Time
+}
+
 // WithPaces sends slow engines a share of the requests that fits their pace.
 func WithPaces(p *even.Paces) ChainsOption {
 	return func(c *Chains) {
@@ -36,6 +54,123 @@
 	}
 }
 
+// WithBalance is WithPaces, and keeps the use of the engines even.
+func WithBalance(p *even.Paces) ChainsOption {
+	return func(c *Chains) {
+		WithPaces(p)(c)
+		c.even.balances = map[string]*modelBalance{}
+	}
+}
+
+// balances reports whether the use of the engines is kept even.
+func (c *Chains) balances() bool { return c.even != nil && c.even.balances != nil }
+
+// weigh sets the factors on the costs of the usable servers so that the load becomes even.
+func (c *Chains) weigh(now time.Time, servers *table.Servers, q Query) {
+	if !c.balances() {
+		return
+	}
+	e := c.even
+	b := e.balances[q.Request.Model]
+	if b == nil {
+		b = &modelBalance{Balance: even.NewBalance()}
+		e.balances[q.Request.Model] = b
+	}
+	if b.version != c.version || b.othersUntil != servers.OthersUntil {
+		b.version, b.othersUntil = c.version, servers.OthersUntil
+		newsAt := servers.OthersUntil
+		if !newsAt.IsZero() {
+			newsAt = newsAt.Add(-board.StatusTTL)
+		}
+		b.SetNews(newsAt, max(1, q.Layers), c.uses())
+	}
+	b.CountStart()
+	e.meanUses, e.corrections, e.evenness = e.meanUses[:0], e.corrections[:0], e.evenness[:0]
+	for i, s := range c.usable {
+		evenness := b.Evenness(i)
+		e.evenness = append(e.evenness, evenness)
+		e.meanUses = append(e.meanUses, b.MeanUse(i))
+		e.corrections = append(e.corrections, b.Correction(now, i))
+		if evenness > 0 {
+			weight := b.Weight(now, i, UseOf(s, len(s.Users), s.Tokens), len(s.Users))
+			// Of several exponentially distributed costs, each is the lowest with a probability that is
+			// proportional to one by its mean.
+			c.jitter[i] = (1-evenness)*c.jitter[i] + evenness*c.rng.ExpFloat64()*b.ByRoom(i)/weight
+		}
+	}
+}
+
+// partPenalty returns the factor on the cost of a stage that runs only the last layers of a usable server. Such a
+// stage takes less time, but as much room as one that runs all of them.
+func (c *Chains) partPenalty(index, layer int) float64 {
+	if !c.balances() || c.even.evenness[index] == 0 {
+		return 1
+	}
+	span := c.usable[index].Report.Span
+	whole := float64(span.To-span.From) / float64(span.To-layer)
+	return 1 + c.even.evenness[index]*(whole-1)
+}
+
+// loadNow corrects the load of a usable server by what the other daemons are estimated to have evened out since
+// the latest news.
+func (c *Chains) loadNow(index int, streams, tokens float64) (streamsNow, tokensNow float64) {
+	if !c.balances() || !c.othersKnown {
+		return streams, tokens
+	}
+	r, correction := c.usable[index].Report, c.even.corrections[index]
+	return max(0, streams+correction*float64(r.Slots)), max(0, tokens+correction*r.CacheTokens)
+}
+
+// costingUse returns the use of a usable server's cache that its cost is derived from. Where the load is kept
+// even, that is the mean use, as the weights already count the difference.
+func (c *Chains) costingUse(index int, use float64) float64 {
+	if !c.balances() {
+		return use
+	}
+	return (1-c.even.evenness[index])*use + c.even.evenness[index]*c.even.meanUses[index]
+}
+
+// uses returns the uses of the usable servers as of the latest news.
+func (c *Chains) uses() []even.Row {
+	rows := make([]even.Row, 0, len(c.usable))
+	for _, s := range c.usable {
+		own := UseOf(s, len(s.Users), s.Tokens)
+		rows = append(rows, even.Row{
+			From: s.Report.Span.From, To: s.Report.Span.To, Room: roomOf(s), Cost: s.Report.StepTime + stageOverhead, Zone: s.Zone, Streams: len(s.Users),
+			Own: own, Others: UseOf(s, len(s.Users)+s.OtherStreams, s.Tokens+s.OtherTokens) - own,
+		})
+	}
+	return rows
+}
+
+// UseOf returns the share of a server's room that streams with a number of tokens use, in what binds it: the
+// cache or the slots.
+func UseOf(s *table.Server, streams, tokens int) float64 {
+	use := 0.0
+	if s.Report.Slots > 0 {
+		use = float64(streams) / float64(s.Report.Slots)
+	}
+	if s.Report.CacheTokens > 0 {
+		use = max(use, float64(tokens)/s.Report.CacheTokens)
+	}
+	return use
+}
+
+// roomOf estimates the number of requests that a server has room for.
+func roomOf(s *table.Server) float64 {
+	room := math.Inf(1)
+	if s.Report.Slots > 0 {
+		room = float64(s.Report.Slots)
+	}
+	if s.Report.CacheTokens > 0 {
+		room = min(room, s.Report.CacheTokens/usualRequestTokens)
+	}
+	if math.IsInf(room, 1) {
+		return 1
+	}
+	return room
+}
+
 // withholdSlow leaves slow servers out of a pick, except with a probability of one by their factor. A
 // request that another server failed is not sent to slow ones while there are others.
 func (c *Chains) withholdSlow(now time.Time, q Query) {
