--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -57,6 +57,7 @@
 type EdgeVars struct {
 	drive.Meters
 	RankVars
+	EvenVars
 	SettingsRevision uint64 `json:"settings_revision"`
 	// StoreRevision is the revision of the copy of the key-value service. StoreAgeMs is
 	// the time since the service last answered this daemon directly.
@@ -120,6 +121,7 @@
 			vars.SettingsRevision = uint64(routing.Revision)
 		}
 		d.streams.View(func(c *core.Core) {
+			vars.EvenVars = readEvenVars(c)
 			vars.BudgetDaemons = c.BudgetDaemons()
 			vars.RankVars = rankVars(c)
 			vars.ServersLimited += c.LimitedServers()
