Start with even shares of the retry budget only when the fleet starts first

Cause: after the sharing by demand, a fleet that started had no burst for 17 s (TestEdgeResumesBrokenStream failed), nor had one that came back from a loss of power. Change: daemons that run since the fleet started first use their parts until a hub answers, and count in full there; others get a tenth of an even part, by demand, until nobody can hold older shares. A hub counts only the daemons that use a service.

--- a/internal/core/retry/allocator.go
+++ b/internal/core/retry/allocator.go
@@ -29,6 +29,8 @@
 	seq uint64
 	// since is when the run began to report to no other hub.
 	since, reportedAt time.Time
+	// started is set if the run has reported to no other hub.
+	started bool
 }
 
 // settled reports whether no other hub's grants to the member count any more.
@@ -58,7 +60,8 @@
 	shares map[run]*share
 	// reserved and needed are the sums over the shares of reporting members.
 	reserved, needed float64
-	// pool is what reporting members may hold together as of the last sum, and reporting is their number.
+	// pool is what the reporting members with shares may hold together as of the last sum, and reporting is their
+	// number. The others keep their even shares.
 	pool      float64
 	reporting int
 }
@@ -75,6 +78,8 @@
 	// startedAt is when reports came after a time without any, and exchangedAt when the last came.
 	startedAt, exchangedAt time.Time
 	nextSum                time.Time
+	// even is an even share of what is granted of a burst.
+	even float64
 }
 
 // NewAllocator returns an allocator of a burst in each window that nobody has reported to. id identifies the hub's run.
@@ -96,12 +101,16 @@
 	m := al.members[id]
 	switch {
 	case m == nil:
-		m = &member{since: now}
+		// A later report may follow one to another hub.
+		m = &member{since: now, started: r.Seq == 1}
+		if m.started && r.First {
+			m.since = time.Time{}
+		}
 		al.members[id] = m
 	case r.Seq <= m.seq:
 		return Grants{Shared: true, Hub: al.id}
 	case r.Hub != 0 && r.Hub != al.id:
-		m.since = now
+		m.since, m.started = now, false
 	}
 	m.seq, m.reportedAt = r.Seq, now
 	for _, d := range r.Demands {
@@ -114,6 +123,10 @@
 	if now.Sub(al.startedAt) < settleTime {
 		return g
 	}
+	g.Renewed = true
+	if m.settled(now, al.window) {
+		g.Unnamed = al.even
+	}
 	for _, d := range r.Demands {
 		g.Grants = append(g.Grants, Grant{Service: d.Service, Burst: al.accounts[d.Service].grant(id)})
 	}
@@ -170,36 +183,38 @@
 func (al *Allocator) sum(now time.Time, daemons int) {
 	al.nextSum = now.Add(sumInterval)
 	maps.DeleteFunc(al.members, func(_ run, m *member) bool { return now.Sub(m.reportedAt) >= settledAfter(al.window) })
-	reporting, settled := 0, 0
+	reporting := 0
 	for _, m := range al.members {
 		if now.Sub(m.reportedAt) < reportTTL {
 			reporting++
-			if m.settled(now, al.window) {
-				settled++
-			}
 		}
 	}
-	even := grantedShare * al.burst / float64(max(1, daemons, reporting))
+	al.even = grantedShare * al.burst / float64(max(1, daemons, reporting))
 	for _, service := range slices.Sorted(maps.Keys(al.accounts)) {
 		a := al.accounts[service]
 		a.reserved, a.needed, a.reporting = 0, 0, 0
-		silent, contributed := 0.0, even*float64(settled)
+		silent, contributed := 0.0, 0.0
 		maps.DeleteFunc(a.shares, func(id run, _ *share) bool { return al.members[id] == nil })
 		for id, s := range a.shares {
 			m := al.members[id]
 			if s.silent = now.Sub(m.reportedAt) >= reportTTL; s.silent {
 				// The others do not use the silent member's even share either.
-				silent += max(0, s.reserved()-even)
+				silent += max(0, s.reserved()-al.even)
 				continue
 			}
 			a.reporting++
 			a.reserved += s.reserved()
 			a.needed += s.need()
-			if !m.settled(now, al.window) {
+			switch {
+			case m.settled(now, al.window):
+				contributed += al.even
+			case m.started:
+				contributed += startShare / grantedShare * al.even
+			default:
 				contributed += s.brought
 			}
 		}
-		a.pool = max(0, min(contributed, even*float64(reporting))-silent)
+		a.pool = max(0, min(contributed, al.even*float64(a.reporting))-silent)
 		if len(a.shares) == 0 {
 			delete(al.accounts, service)
 		}
--- a/internal/core/retry/shares.go
+++ b/internal/core/retry/shares.go
@@ -10,10 +10,13 @@
 const (
 	// aloneShare is the part of an even share of the burst that a daemon may use in addition to what it
 	// was granted, and all that it has without grants.
-	aloneShare = 0.05
-	// grantedShare is the part of the burst that is granted. What is left covers aloneShare of the daemons that
-	// report, and once more that of daemons that nobody counts any longer.
-	grantedShare = 1 - 2*aloneShare
+	aloneShare = 0.04
+	// startShare is the part of an even share that is granted for a daemon which starts: nobody knows what its previous
+	// run used.
+	startShare = 0.1
+	// grantedShare is the part of the burst that is granted. What is left covers the daemons that start, aloneShare of
+	// the daemons that report, and once more that of daemons that nobody counts any longer.
+	grantedShare = 1 - startShare - 2*aloneShare
 	// settleMargin covers the time between two reports and the edges of windows.
 	settleMargin = 2500 * time.Millisecond
 	// wantedBuckets is the number of newest buckets whose retries, sent or refused, a daemon expects again.
@@ -39,6 +42,8 @@
 	Demands []Demand `cbor:"3,keyasint,omitempty"`
 	// Hub is the one whose grants the daemon holds; 0 for none.
 	Hub uint64 `cbor:"4,keyasint,omitempty"`
+	// First is set if the daemon runs since the fleet started for the first time, so that nobody sent retries before.
+	First bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Demand is what one daemon wants of the burst of a service's retry budget. Numbers are retries in a window
@@ -57,10 +62,13 @@
 type Grants struct {
 	// Shared is set by a hub that grants shares. Hubs of earlier versions leave the daemons their even shares.
 	Shared bool `cbor:"1,keyasint"`
-	// Grants are sorted by service. The grant of a service that is not named stays.
+	// Grants are sorted by service, and Unnamed is the grant of the services that the report did not name. They
+	// stay as they were unless Renewed is set.
 	Grants []Grant `cbor:"2,keyasint,omitempty"`
 	// Hub identifies the hub's run.
-	Hub uint64 `cbor:"3,keyasint,omitempty"`
+	Hub     uint64  `cbor:"3,keyasint,omitempty"`
+	Unnamed float64 `cbor:"4,keyasint,omitempty"`
+	Renewed bool    `cbor:"5,keyasint,omitempty"`
 }
 
 // Grant is one daemon's share of the burst of a service's retry budget.
@@ -79,7 +87,11 @@
 
 // shares is the state of a Budget whose burst is shared out by demand.
 type shares struct {
-	held map[string]holding
+	// held holds the grants by service; unnamed is that of all others.
+	held    map[string]holding
+	unnamed holding
+	// evenStart is set until a hub answers a daemon that runs since the fleet started for the first time.
+	evenStart bool
 	// appliedAt is when the report was made whose answer was applied last.
 	appliedAt time.Time
 	// unsharedSince is when a hub first answered without grants; zero if the last answer had some.
@@ -94,9 +106,15 @@
 	return func(b *Budget) { b.shares = &shares{held: map[string]holding{}} }
 }
 
-// usesEvenShares reports whether no hub has granted shares for so long that all daemons use even ones.
+// WithEvenStart makes a Budget with shares use an even one until a hub answers. It is for daemons that run since the
+// fleet started for the first time: no other has used or given on their shares.
+func WithEvenStart() Option {
+	return func(b *Budget) { b.shares.evenStart = true }
+}
+
+// usesEvenShares reports whether no hub has granted shares, or none for so long that all daemons use even ones.
 func (s *shares) usesEvenShares(now time.Time, window time.Duration) bool {
-	return !s.unsharedSince.IsZero() && now.Sub(s.unsharedSince) >= settledAfter(window)
+	return s.evenStart || !s.unsharedSince.IsZero() && now.Sub(s.unsharedSince) >= settledAfter(window)
 }
 
 // evenShare returns an even share of the burst.
@@ -116,12 +134,16 @@
 		return 0
 	}
 	if b.shares.usesEvenShares(now, b.Window) {
-		return b.evenShare() - b.ownShare()
+		return grantedShare * b.evenShare()
 	}
-	if h := b.shares.held[service]; now.Before(h.until) {
-		return h.burst
+	h, named := b.shares.held[service]
+	if !named {
+		h = b.shares.unnamed
+	}
+	if !now.Before(h.until) {
+		return 0
 	}
-	return 0
+	return h.burst
 }
 
 // Demands returns what this daemon tells the hub, sorted by service; none without shares.
@@ -167,16 +189,19 @@
 	}
 	until := reportedAt.Add(grantTTL(b.Window))
 	if b.shares.usesEvenShares(reportedAt, b.Window) {
-		for service := range b.windows {
-			b.shares.held[service] = holding{burst: b.granted(reportedAt, service), until: until}
-		}
+		b.shares.unnamed = holding{burst: grantedShare * b.evenShare(), until: until}
+		clear(b.shares.held)
+	}
+	b.shares.evenStart, b.shares.unsharedSince = false, time.Time{}
+	if !g.Renewed {
+		return
 	}
-	b.shares.unsharedSince = time.Time{}
 	for _, grant := range g.Grants {
 		if b.windows[grant.Service] != nil {
 			b.shares.held[grant.Service] = holding{burst: grant.Burst, until: until}
 		}
 	}
+	b.shares.unnamed = holding{burst: g.Unnamed, until: until}
 }
 
 // Usage is how one service's retry budget was used, for the metrics.
