Try plain servers again whose latest answers are old

Cause: a server's averages never faded, and 20 ms were assumed before its first answer. A stale average gives way to the next answer. The log names the status of a plain service's answer, so that a server's own failures are told from others.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -31,7 +31,7 @@
 	// minSuccessRate bounds the cost of a failing server, so that it still gets requests
 	// and its recovery is noticed.
 	minSuccessRate = 0.05
-	// defaultLatency is assumed for a server before its first response.
+	// defaultLatency is assumed for servers before the first response of one of them.
 	defaultLatency = 20 * time.Millisecond
 )
 
@@ -47,6 +47,8 @@
 	// successRate is the moving average of the share of requests that the server
 	// answered without a fault of its own.
 	successRate float64
+	// measuredAt is when the averages were updated last.
+	measuredAt time.Time
 }
 
 // Request is a caller's request and the state of its attempts.
@@ -260,11 +262,12 @@
 	lowestCost, lowestLimitedCost := math.Inf(1), math.Inf(1)
 	var limited []*server
 	var cheapestLimited *server
+	fastest := st.fastest(r.Service)
 	for _, s := range st.servers {
 		if s.member.Service != r.Service || s.member.State != model.Live || now.Before(s.pausedUntil) {
 			continue
 		}
-		cost := st.estimatedCost(s)
+		cost := st.estimatedCost(now, s, fastest)
 		if now.Before(s.avoidUntil) {
 			cost += 1e9
 		}
@@ -297,13 +300,10 @@
 
 // estimatedCost estimates the time to a successful response. Jitter of 5 % keeps daemons
 // with the same view from choosing the same server.
-func (st *State) estimatedCost(s *server) float64 {
-	latency := s.latency
-	if latency == 0 {
-		latency = defaultLatency
-	}
+func (st *State) estimatedCost(now time.Time, s *server, fastest time.Duration) float64 {
 	queue := 1 + float64(s.inFlight)
-	cost := float64(latency) * queue / max(minSuccessRate, s.successRate*s.successRate)
+	successRate := s.currentSuccessRate(now)
+	cost := float64(s.currentLatency(now, fastest)) * queue / max(minSuccessRate, successRate*successRate)
 	if s.member.Zone != st.Zone {
 		cost *= crossZonePenalty
 	}
@@ -327,30 +327,3 @@
 	return (r.Attempts < r.MaxAttempts || st.UsesProxy(r)) && r.Verdict.Retryable(r.Repeatable) && o.Failure.Reason != verdt.DeadlinePassed &&
 		o.Failure.Reason != verdt.CallerGone && !st.mayCrash(now, r)
 }
-
-// updateStats updates a server's statistics after an attempt. An attempt that the caller
-// abandoned says nothing about the server.
-func (st *State) updateStats(now time.Time, attempt Attempt, o Outcome) {
-	s := st.servers[attempt.Server.ID]
-	if s == nil {
-		return
-	}
-	s.inFlight = max(0, s.inFlight-1)
-	if o.Failure != nil && o.Failure.Reason == verdt.CallerGone {
-		return
-	}
-	succeeded := 1.0
-	if o.Faulty || o.Failure != nil {
-		succeeded = 0
-	}
-	s.successRate += (succeeded - s.successRate) * smoothingFactor
-	if o.Failure != nil && o.Failure.Reason == verdt.StageFailed {
-		s.avoidUntil = now.Add(unreachableCooldown)
-		return
-	}
-	elapsed := now.Sub(attempt.Began)
-	if s.latency == 0 {
-		s.latency = elapsed
-	}
-	s.latency += time.Duration(float64(elapsed-s.latency) * smoothingFactor)
-}
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -228,6 +228,8 @@
 	proxied bool
 	// answered is set once another daemon has answered the request completely.
 	answered bool
+	// status is that of the server's answer to a request to a plain service; 0 if there is none.
+	status int
 }
 
 // elapsed returns the time since the request arrived.
@@ -429,6 +431,9 @@
 		"routes", uint32(req.epoch),
 		"first_ms", req.firstEvent.Milliseconds(), "pause_ms", req.longestPause.Milliseconds(), "took_ms", req.elapsed().Milliseconds(),
 	}
+	if req.status > 0 {
+		fields = append(fields, "status", req.status)
+	}
 	if f != nil {
 		fields = append(fields, "reason", f.Reason.String(), "verdict", f.Verdict.String(), "message", f.Message, "failed_server", f.Server)
 		if f.Reason == verdt.PromptBlocked {
--- a/internal/drive/edgerelay.go
+++ b/internal/drive/edgerelay.go
@@ -66,6 +66,7 @@
 		e.fail(req, out, failure)
 		return
 	}
+	req.status = lastAnswer.Status
 	e.recordOutcome(req, "answered", nil)
 	out.Answer(*lastAnswer)
 }
