Let daemons that start use their whole parts of the retry budget, as before

Change: until the first answer of a hub a daemon uses its even part, and counts in full at the hub to which its first report goes. Shares sum up to 0.92 of the burst.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -207,11 +207,7 @@
 	}
 	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d))...)
 	budget := func() *retry.Budget {
-		options := []retry.Option{retry.WithShares()}
-		if vm.FleetStarts {
-			options = append(options, retry.WithEvenStart())
-		}
-		return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow, options...)
+		return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow, retry.WithShares())
 	}
 	d.streams = drive.NewStreamExecutor(deps.Log, d.engines, base,
 		core.WithPicker(route.NewChains(vm.Zone, base)), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base))
--- a/internal/boot/edgehub.go
+++ b/internal/boot/edgehub.go
@@ -162,7 +162,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.retryReports++
-	load.Retries = retry.Report{Start: d.run, Seq: d.retryReports, Demands: demands, Hub: d.retryHub, First: d.vm.FleetStarts}
+	load.Retries = retry.Report{Start: d.run, Seq: d.retryReports, Demands: demands, Hub: d.retryHub}
 	load.Leaving = d.roster.SaidLeaving()
 	return load
 }
--- a/internal/core/retry/allocator.go
+++ b/internal/core/retry/allocator.go
@@ -29,8 +29,6 @@
 	seq uint64
 	// since is when the run began to report to no other hub.
 	since, reportedAt time.Time
-	// started is set if the run has reported to no other hub.
-	started bool
 }
 
 // settled reports whether no other hub's grants to the member count any more.
@@ -101,16 +99,16 @@
 	m := al.members[id]
 	switch {
 	case m == nil:
-		// A later report may follow one to another hub.
-		m = &member{since: now, started: r.Seq == 1}
-		if m.started && r.First {
+		// A run's first report follows none to another hub.
+		m = &member{since: now}
+		if r.Seq == 1 {
 			m.since = time.Time{}
 		}
 		al.members[id] = m
 	case r.Seq <= m.seq:
 		return Grants{Shared: true, Hub: al.id}
 	case r.Hub != 0 && r.Hub != al.id:
-		m.since, m.started = now, false
+		m.since = now
 	}
 	m.seq, m.reportedAt = r.Seq, now
 	for _, d := range r.Demands {
@@ -205,12 +203,9 @@
 			a.reporting++
 			a.reserved += s.reserved()
 			a.needed += s.need()
-			switch {
-			case m.settled(now, al.window):
+			if m.settled(now, al.window) {
 				contributed += al.even
-			case m.started:
-				contributed += startShare / grantedShare * al.even
-			default:
+			} else {
 				contributed += s.brought
 			}
 		}
--- a/internal/core/retry/shares.go
+++ b/internal/core/retry/shares.go
@@ -11,12 +11,9 @@
 	// aloneShare is the part of an even share of the burst that a daemon may use in addition to what it
 	// was granted, and all that it has without grants.
 	aloneShare = 0.04
-	// startShare is the part of an even share that is granted for a daemon which starts: nobody knows what its previous
-	// run used.
-	startShare = 0.1
-	// grantedShare is the part of the burst that is granted. What is left covers the daemons that start, aloneShare of
-	// the daemons that report, and once more that of daemons that nobody counts any longer.
-	grantedShare = 1 - startShare - 2*aloneShare
+	// grantedShare is the part of the burst that is granted. What is left covers aloneShare of the daemons that report, and
+	// once more that of daemons that nobody counts any longer.
+	grantedShare = 1 - 2*aloneShare
 	// settleMargin covers the time between two reports and the edges of windows.
 	settleMargin = 2500 * time.Millisecond
 	// wantedBuckets is the number of newest buckets whose retries, sent or refused, a daemon expects again.
@@ -42,8 +39,6 @@
 	Demands []Demand `cbor:"3,keyasint,omitempty"`
 	// Hub is the one whose grants the daemon holds; 0 for none.
 	Hub uint64 `cbor:"4,keyasint,omitempty"`
-	// First is set if the daemon runs since the fleet started for the first time, so that nobody sent retries before.
-	First bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Demand is what one daemon wants of the burst of a service's retry budget. Numbers are retries in a window
@@ -90,8 +85,8 @@
 	// held holds the grants by service; unnamed is that of all others.
 	held    map[string]holding
 	unnamed holding
-	// evenStart is set until a hub answers a daemon that runs since the fleet started for the first time.
-	evenStart bool
+	// answered is set once a hub that grants shares has answered.
+	answered bool
 	// appliedAt is when the report was made whose answer was applied last.
 	appliedAt time.Time
 	// unsharedSince is when a hub first answered without grants; zero if the last answer had some.
@@ -106,15 +101,9 @@
 	return func(b *Budget) { b.shares = &shares{held: map[string]holding{}} }
 }
 
-// WithEvenStart makes a Budget with shares use an even one until a hub answers. It is for daemons that run since the
-// fleet started for the first time: no other has used or given on their shares.
-func WithEvenStart() Option {
-	return func(b *Budget) { b.shares.evenStart = true }
-}
-
 // usesEvenShares reports whether no hub has granted shares, or none for so long that all daemons use even ones.
 func (s *shares) usesEvenShares(now time.Time, window time.Duration) bool {
-	return s.evenStart || !s.unsharedSince.IsZero() && now.Sub(s.unsharedSince) >= settledAfter(window)
+	return !s.answered || !s.unsharedSince.IsZero() && now.Sub(s.unsharedSince) >= settledAfter(window)
 }
 
 // evenShare returns an even share of the burst.
@@ -192,7 +181,7 @@
 		b.shares.unnamed = holding{burst: grantedShare * b.evenShare(), until: until}
 		clear(b.shares.held)
 	}
-	b.shares.evenStart, b.shares.unsharedSince = false, time.Time{}
+	b.shares.answered, b.shares.unsharedSince = true, time.Time{}
 	if !g.Renewed {
 		return
 	}
