--- a/internal/core/retry/shares_test.go
+++ b/internal/core/retry/shares_test.go
@@ -236,7 +236,7 @@
 		t.Run("older="+strconv.FormatBool(older), func(t *testing.T) {
 			f := newSharingFleet(13, 1, 1)
 			for i := range f.daemons {
-				f.restart(i, false)
+				f.restart(i, older)
 			}
 			all := func(int) int { return 10 }
 			f.run(2*int(settledAfter(testWindow)/fleetStep), none, all)
