Count earned retries in one pass

Cause: each look at the budget added up 840 buckets; the property test over fleets took 63 s with the race detector on a busy machine. Change: sums over the newest buckets, from which both windows are read.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -122,9 +122,9 @@
 	w := b.windowAt(now, service)
 	burst := b.ownShare() + b.granted(now, service)
 	retries := 0.0
-	for age := range bucketsPerWindow + 1 {
+	for age, earned := range w.earned() {
 		retries += w.retries[w.slot(int64(age))]
-		if retries+1 > share*(b.Ratio*w.earned(age)+burst) {
+		if retries+1 > share*(b.Ratio*earned+burst) {
 			w.refused[w.slot(0)]++
 			w.totalRefused++
 			return false
@@ -133,19 +133,20 @@
 	return true
 }
 
-// earned returns the number of requests that earn retries for the window that begins with the bucket of an age.
-func (w *window) earned(age int) float64 {
-	return (w.sum(age+1, age+bucketsPerWindow) + w.sum(age-bucketsPerWindow/2+1, age+bucketsPerWindow/2)) / 2
-}
-
-// sum returns the requests in the buckets whose age is at least from and less than to,
-// where the newest bucket has age 0.
-func (w *window) sum(from, to int) float64 {
-	n := 0.0
-	for age := max(0, from); age < to; age++ {
-		n += w.requests[w.slot(int64(age))]
+// earned returns for each bucket of a window, newest first, the number of requests that earn retries for the window
+// that begins with it.
+func (w *window) earned() (earned [bucketsPerWindow + 1]float64) {
+	// until[n] is the number of requests in the newest n buckets.
+	var until [2*bucketsPerWindow + 1]float64
+	for age := range len(until) - 1 {
+		until[age+1] = until[age] + w.requests[w.slot(int64(age))]
+	}
+	for age := range earned {
+		previous := until[age+bucketsPerWindow] - until[age+1]
+		halfBefore := until[age+bucketsPerWindow/2] - until[max(0, age-bucketsPerWindow/2+1)]
+		earned[age] = (previous + halfBefore) / 2
 	}
-	return n
+	return earned
 }
 
 // windowAt returns a service's window, advanced to now.
--- a/internal/core/retry/shares.go
+++ b/internal/core/retry/shares.go
@@ -156,9 +156,9 @@
 // callers' requests earned, in the window where that is most; negative if it is less in all.
 func (b *Budget) beyondEarned(w *window) float64 {
 	retries, most := 0.0, math.Inf(-1)
-	for age := range bucketsPerWindow + 1 {
+	for age, earned := range w.earned() {
 		retries += w.retries[w.slot(int64(age))]
-		most = max(most, retries-b.Ratio*w.earned(age))
+		most = max(most, retries-b.Ratio*earned)
 	}
 	return most
 }
