--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// floorShare is the share of the service rate of all requests under which no rank falls.
-	floorShare = 0.25
 	// floorEarned is what a request earns for its rank's floor, as a share of the service rate of all. It is more
-	// than the floor, since some of the requests that use it are refused in the end or left by their callers.
+	// than the quarter under which no rank is to fall, since some of the requests that use the floor are refused
+	// in the end or left by their callers.
 	floorEarned = 0.3
 	// starvedCredit is the credit from which on requests that use the floor go before all others: those that
 	// did not were refused.
