Let refused callers come back the later, the longer a shortage has lasted

TestCallersStayAwayFromLongShortages gave 2.0 s after a shortage of 4 s before, 3.5 s are wanted. Also tests moves off engines that replace layers (moved before) and a fleet of which half is of an earlier build (a guard).

--- a/internal/core/ranked_test.go
+++ b/internal/core/ranked_test.go
@@ -196,3 +196,39 @@
 	}
 	assert.Assert(t, !firstOther.Before(lastImportant), "others come back at %s, the important until %s", firstOther.Sub(w.now), lastImportant.Sub(w.now))
 }
+
+// TestMovesLeaveRoomToTheMostImportant answers an engine that waits for its last streams before it replaces its layers, while more
+// important requests lack room: the streams stay, since the room that they would take is needed. Without a shortage,
+// or if the stream is one of the most important itself, they move.
+func TestMovesLeaveRoomToTheMostImportant(t *testing.T) {
+	type scenario struct {
+		name       string
+		rank       int
+		short      bool
+		wantsMoved bool
+	}
+	for _, tc := range []scenario{
+		{"a shortage of more important ones", 1, true, false},
+		{"no shortage", 1, false, true},
+		{"one of the most important", 0, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newChainHarness(t, 2).withRanks(0, 1)
+			o := w.submit(msgs.Arrival{ID: 1, Rank: tc.rank})
+			w.in.Tokens = append(w.in.Tokens, model.Token{Request: 1, Epoch: 1})
+			w.tick()
+			first := o.Route.Hops[0].Server
+			for _, m := range w.list {
+				if !o.Route.Uses(model.ServerID(m.ID)) {
+					w.in.Others.Loads = append(w.in.Others.Loads, board.Load{Server: model.ServerID(m.ID), Streams: 3})
+				}
+			}
+			w.in.Others.ReplacingLayers, w.in.OthersUntil = []model.ServerID{first}, w.now.Add(board.StatusTTL)
+			if tc.short {
+				w.in.Others.Ranks = []ranks.ServiceLoads{{Service: "m", Loads: []ranks.Load{{Rank: 0, Waiting: 2, Started: 4}}}}
+			}
+			w.tick()
+			assert.Equal(t, len(w.out.Opens) == 1, tc.wantsMoved, "%+v", w.out.Opens)
+		})
+	}
+}
--- a/internal/core/rankfleet_test.go
+++ b/internal/core/rankfleet_test.go
@@ -350,6 +350,23 @@
 	testBurstAndLoss(t, 250*time.Millisecond, true)
 }
 
+// TestRanksInMixedFleet is a steady shortage while every other daemon is of an earlier build, which knows no ranks.
+func TestRanksInMixedFleet(t *testing.T) {
+	forRankFleets(t, func(t *testing.T, daemons int, seed uint64) {
+		f := newRankFleet(t, daemons, 250*time.Millisecond, seed)
+		for i := 0; i < daemons; i += 2 {
+			earlier := *f.inboxes[i].Settings
+			earlier.Ranks = nil
+			f.inboxes[i].Settings = &earlier
+		}
+		f.run(2*time.Second, 240, 120, 180)
+		f.startCounting()
+		f.run(5*time.Second, 240, 120, 180)
+		f.run(3 * time.Second)
+		f.check()
+	})
+}
+
 // TestRanksThroughBurstAndLossOnOldNews is the same with news of 1.5 seconds' age.
 func TestRanksThroughBurstAndLossOnOldNews(t *testing.T) {
 	testBurstAndLoss(t, 1500*time.Millisecond, false)
--- a/internal/core/ranks/gate.go
+++ b/internal/core/ranks/gate.go
@@ -24,8 +24,8 @@
 	// budget is how many requests of the rank and those behind it all daemons admit within windowSize;
 	// infinite while the gate is open.
 	budget float64
-	// shortAt is when more important requests were last short of room.
-	shortAt time.Time
+	// shortAt is when more important requests were last short of room, and closedAt when the gate was last open.
+	shortAt, closedAt time.Time
 	// credit grows by the share of requests that are admitted, and falls by one with each of them.
 	credit float64
 }
@@ -45,6 +45,9 @@
 
 // adjust sets the budget from the loads of the more important ranks, and of those that share the gate's budget.
 func (g *gate) adjust(now time.Time, higher, behind sums) {
+	if math.IsInf(g.budget, 1) {
+		g.closedAt = now
+	}
 	short := float64(higher.waiting + higher.refused)
 	switch {
 	case short > shortShare*float64(higher.offered()):
@@ -57,6 +60,14 @@
 	}
 }
 
+// closedFor returns for how long the gate has held requests back; 0 while it is open.
+func (g *gate) closedFor(now time.Time) time.Duration {
+	if math.IsInf(g.budget, 1) {
+		return 0
+	}
+	return now.Sub(g.closedAt)
+}
+
 // adjustGates adjusts the gates of a service once in each gateInterval. The gates open once the news that they follow
 // have expired, since nobody may be short of room any more.
 func (st *State) adjustGates(now time.Time, s *service) {
--- a/internal/core/ranks/level.go
+++ b/internal/core/ranks/level.go
@@ -11,9 +11,8 @@
 	returnDelay = 500 * time.Millisecond
 	// returnSpread is the time over which the requests of one rank come back. The next rank follows it.
 	returnSpread = time.Second
-	// maxReturnDelay bounds the expected wait that callers are told, since what is known of the load
-	// says little about later times.
-	maxReturnDelay = 5 * time.Second
+	// maxReturnDelay bounds the expected wait that callers are told, since they need time for the answer itself.
+	maxReturnDelay = 3 * time.Second
 )
 
 // Level is what holds less important requests to a service back.
@@ -83,8 +82,12 @@
 	return float64(higher.waiting) + float64(higher.refused)*perHorizon + math.Sqrt(float64(higher.started)*perHorizon)
 }
 
-// RetryAt returns when the caller of a refused request may come back, given how long it would have to wait.
+// RetryAt returns when the caller of a refused request may come back, given how long it would have to wait. A shortage
+// is expected to last as long again as it has lasted so far.
 func (st *State) RetryAt(now time.Time, name string, number int, wait time.Duration) time.Time {
+	if s := st.services[name]; s != nil {
+		wait = max(wait, st.of(s, number).gate.closedFor(now))
+	}
 	return st.ReturnAt(now.Add(min(maxReturnDelay, max(returnDelay, wait))), name, number)
 }
 
--- a/internal/core/ranks/state_test.go
+++ b/internal/core/ranks/state_test.go
@@ -75,12 +75,13 @@
 	assert.Assert(t, st.Reserve(start, "m", 1) > 0)
 	assert.Equal(t, st.Reserve(start, "m", 0), 0.0)
 	refused := 0
-	for now := start; now.Before(start.Add(board.StatusTTL)); now = now.Add(50 * time.Millisecond) {
+	for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(50 * time.Millisecond) {
 		if _, admitted := st.Admit(now, "m", 2); !admitted {
+			st.Refused(now, "m", 2)
 			refused++
 		}
 	}
-	assert.Assert(t, refused > 20, "%d of 30 refused", refused)
+	assert.Assert(t, refused > 20, "%d of 40 refused", refused)
 	now := start.Add(2 * time.Second)
 	_, inForce = st.Level(now, "m")
 	assert.Assert(t, !inForce)
@@ -123,6 +124,20 @@
 	}
 }
 
+// TestCallersStayAwayFromLongShortages: the longer a shortage has lasted, the later refused callers come back, so that most of
+// them are refused once.
+func TestCallersStayAwayFromLongShortages(t *testing.T) {
+	st, now := newState(1), start
+	at := st.RetryAt(now, "m", 0, 0)
+	assert.Assert(t, at.Sub(now) <= 1500*time.Millisecond, "comes back after %s", at.Sub(now))
+	for ; now.Before(start.Add(4 * time.Second)); now = now.Add(250 * time.Millisecond) {
+		st.SetOthers(now, now.Add(board.StatusTTL), shortage())
+	}
+	at = st.RetryAt(now, "m", 1, 0)
+	assert.Assert(t, at.Sub(now) >= 3500*time.Millisecond, "comes back after %s", at.Sub(now))
+	assert.Assert(t, at.Sub(now) <= 7*time.Second, "comes back after %s", at.Sub(now))
+}
+
 // TestRanksAreCheapToExchange: the loads of a service take at most 40 bytes for each rank, however many requests there are.
 func TestRanksAreCheapToExchange(t *testing.T) {
 	const requests = 100_000
