Let the soak learn priorities, length hints, cuts of one daemon and two builds

Cause: the soak knew one priority and no estimate of lengths, no daemon without the servers, and no replacement of one build by another. Change: routes and teams have priorities, which every server must be told; callers give good, bad and hostile estimates; surges add streams of both teams; one daemon's connections to all servers break for a while, with a check in timed runs that its callers fail for at most one request and one in fifty, the bound of the test of cut daemons. With -soak.old, TestBuildsAreReplaced replaces daemons of an earlier build with the way back midway, under limits, priorities and a change of the configuration, and allows no order to engines; TestSoak runs both builds in turn.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -43,6 +43,8 @@
 	Team      string
 	KeyNumber int
 	Daemon    int
+	// LengthHint is the caller's estimate of the length of the answer; empty if it gave none.
+	LengthHint string
 	// Process is the number of the daemon's process when the request was sent, EndProcess when
 	// it ended.
 	Process, EndProcess int
@@ -110,7 +112,7 @@
 	for ctx.Err() == nil {
 		kind := []string{kindStream, kindStream, kindBooking, kindLookup}[rnd.IntN(4)]
 		team := []string{"north", "south"}[rnd.IntN(2)]
-		r := c.send(transport, daemonIndex, kind, team, c.newestKey())
+		r := c.send(transport, daemonIndex, request{Kind: kind, Team: team, KeyNumber: c.newestKey(), LengthHint: drawHint(rnd)})
 		if r.Err != nil || !r.Complete || rnd.Float64() < reconnectShare {
 			transport.CloseIdleConnections()
 			daemonIndex = c.pickDaemon(rnd)
@@ -120,11 +122,11 @@
 }
 
 // send sends one request to a daemon and records it.
-func (c *callers) send(transport http.RoundTripper, daemonIndex int, kind, team string, keyNumber int) request {
+func (c *callers) send(transport http.RoundTripper, daemonIndex int, r request) request {
 	d := c.daemons[daemonIndex]
 	c.mu.Lock()
 	c.lastID++
-	r := request{ID: fmt.Sprintf("q%d", c.lastID), Kind: kind, Team: team, KeyNumber: keyNumber, Daemon: daemonIndex}
+	r.ID, r.Daemon = fmt.Sprintf("q%d", c.lastID), daemonIndex
 	c.mu.Unlock()
 	r.Process = d.currentProcess()
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
@@ -142,7 +144,7 @@
 // roundTrip sends the request and reads the response into r.
 func (r *request) roundTrip(ctx context.Context, transport http.RoundTripper, address string) error {
 	req, err := fakes.Call{
-		ID: r.ID, Method: r.method(), Path: r.path(), Body: r.requestBody(), Key: apiKey(r.Team, r.KeyNumber), Timeout: deadline,
+		ID: r.ID, Method: r.method(), Path: r.path(), Body: r.requestBody(), Key: apiKey(r.Team, r.KeyNumber), Timeout: deadline, LengthHint: r.LengthHint,
 	}.Request(ctx, address)
 	if err != nil {
 		return err
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -53,6 +53,8 @@
 	// ID.
 	Runs  map[string]int
 	Teams map[string]string
+	// Priorities are the requests' priorities as the servers got them, by request ID.
+	Priorities map[string]string
 	// BadChains are the invalid chains of servers over which streams were sent.
 	BadChains    []string
 	Configs      []configVersion
@@ -89,6 +91,7 @@
 	}
 	all = append(all, h.limitViolations()...)
 	all = append(all, h.crashingViolations()...)
+	all = append(all, h.cutViolations()...)
 	return append(all, h.configRegressions()...)
 }
 
@@ -159,6 +162,8 @@
 		return "a successful response, but the request did not run"
 	case runs > 0 && h.Teams[r.ID] != r.Team:
 		return fmt.Sprintf("ran for the team %q instead of %q", h.Teams[r.ID], r.Team)
+	case runs > 0 && h.Priorities[r.ID] != r.priority():
+		return fmt.Sprintf("ran with the priority %q instead of %s", h.Priorities[r.ID], r.priority())
 	}
 	return ""
 }
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -31,10 +31,9 @@
 
 // daemon is one entry VM: a process of the real program, restarted when it exits.
 type daemon struct {
-	name   string
-	ip     string
-	dir    string
-	binary string
+	name string
+	ip   string
+	dir  string
 	// callerLink carries the callers' connections, storeLink those to the key-value service.
 	callerLink, storeLink *link
 	// reportViolation records a violated guarantee.
@@ -44,6 +43,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// builds are the programs that the daemon's processes run in turn.
+	builds []string
 	// process is the number of the current process, counted from 1.
 	process int
 	// killRequested and stopRequested are set if the current process was sent SIGKILL or
@@ -117,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.cmd = exec.Command(d.binary, "edge", "--metrics-port", strconv.Itoa(metricsPort))
+	d.cmd = exec.Command(d.builds[d.process%len(d.builds)], "edge", "--metrics-port", strconv.Itoa(metricsPort))
 	d.cmd.Env = append(os.Environ(), "BULRUSHPOND_NODE_FILE="+d.settingsPath())
 	d.cmd.Stdout, d.cmd.Stderr = out, out
 	if err := d.cmd.Start(); err != nil {
@@ -161,6 +162,23 @@
 	_ = d.cmd.Process.Signal(s)
 }
 
+// setBuild sets the program of the next processes.
+func (d *daemon) setBuild(program string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.builds = []string{program}
+}
+
+// pid returns the ID of the current process; 0 before the first.
+func (d *daemon) pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil || d.cmd.Process == nil {
+		return 0
+	}
+	return d.cmd.Process.Pid
+}
+
 // currentProcess returns the number of the current process.
 func (d *daemon) currentProcess() int {
 	d.mu.Lock()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -203,6 +203,8 @@
 			})
 		})
 	}},
+	{"surge", func(tb *testbed, rnd *rand.Rand) { tb.surge(rnd) }},
+	{cutFault, func(tb *testbed, rnd *rand.Rand) { tb.cutFromServers(rnd) }},
 	{limitFault, func(tb *testbed, rnd *rand.Rand) { tb.nameLimit(rnd) }},
 	{crashingFault, func(tb *testbed, rnd *rand.Rand) { tb.crashServers(rnd) }},
 	{"engines added", func(tb *testbed, rnd *rand.Rand) {
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -20,6 +20,8 @@
 	toTarget, toCaller directionFault
 	open               map[*connPair]struct{}
 	closed             bool
+	// cut keeps the connections of one daemon from passing; nil if there is none.
+	cut *cut
 }
 
 // directionFault is the fault of one direction.
@@ -32,6 +34,8 @@
 // connPair is a caller's connection and the matching connection to the target.
 type connPair struct {
 	caller, target *net.TCPConn
+	// cutOff is set while the connection is silent because of a cut; guarded by the link's mu.
+	cutOff bool
 }
 
 // stallPollInterval is how often a stalled direction checks whether the stall is over.
@@ -65,8 +69,9 @@
 	for l.evalLocked(func() bool { return l.toTarget.stalled && !l.closed }) {
 		time.Sleep(stallPollInterval)
 	}
+	passes := l.awaitCut(caller)
 	l.mu.Lock()
-	address, refusing := l.target, l.refusing || l.closed
+	address, refusing := l.target, l.refusing || l.closed || !passes
 	l.mu.Unlock()
 	var p connPair
 	if !refusing {
@@ -97,7 +102,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		for l.evalLocked(func() bool { return injected.stalled && !l.closed }) {
+		for l.evalLocked(func() bool { return (injected.stalled || p.cutOff) && !l.closed }) {
 			time.Sleep(stallPollInterval)
 		}
 		l.mu.Lock()
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -50,6 +50,12 @@
 		{"truncated event", func(r *request, _ *history) { r.Body = r.Body[:len(r.Body)-1] }, stream, "in the middle of an event"},
 		{"failure with a signature", func(r *request, _ *history) { r.Code = http.StatusBadGateway }, booking, "a failed response carries"},
 		{"booking that ran twice", func(_ *request, h *history) { h.Runs["q1"] = 2 }, booking, "ran 2 times"},
+		{"run with another priority", func(_ *request, h *history) { h.Priorities["q1"] = "3" }, booking, "ran with the priority"},
+		{"failures behind a cut", func(r *request, h *history) {
+			r.Code, r.Complete, h.Runs["q1"] = 0, false, 0
+			h.Requests = append(h.Requests, *r, *r)
+			h.FaultWindows = append(h.FaultWindows, faultWindow{Name: cutFault, From: r.SentAt.Add(-2 * disruptionGrace), To: r.EndedAt})
+		}, stream, "reached no server and failed 3 of 3"},
 		{"refused booking that ran", refused(http.StatusServiceUnavailable), booking, "but it ran"},
 		{"refusal without Retry-After", func(r *request, h *history) {
 			refused(http.StatusTooManyRequests)(r, h)
@@ -95,9 +101,10 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := &history{
-				Requests: []request{tc.base()}, Runs: map[string]int{"q1": 1}, Teams: map[string]string{"q1": "north"},
+				Requests: []request{tc.base()}, Runs: map[string]int{"q1": 1}, Teams: map[string]string{"q1": "north"}, Priorities: map[string]string{},
 				Configs: []configVersion{{1, start}}, StreamEvents: 2, CheckTimes: true,
 			}
+			h.Priorities["q1"] = h.Requests[0].priority()
 			tc.alter(&h.Requests[0], h)
 			found := strings.Join(h.violations(), "\n")
 			assert.Assert(t, (tc.want == "") == (found == "") && strings.Contains(found, tc.want), "%q", found)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,6 +25,7 @@
 	checkTimes  = flag.Bool("soak.timed", false, "check time limits as well; for a machine without other load")
 	faultPeriod = flag.Duration("soak.span", 10*time.Second, "how long new faults are started")
 	faultFilter = flag.String("soak.faults", "", "inject only faults whose names contain this text")
+	oldProgram  = flag.String("soak.old", "", "program of an earlier build, to run two builds side by side")
 )
 
 // regressions are seeds that once violated a guarantee, with the cause.
@@ -36,7 +37,17 @@
 // TestSoak injects random faults, one after the other and overlapping, into daemons under load.
 // Guards against violated guarantees during faults, and against daemons that don't recover.
 func TestSoak(t *testing.T) {
-	binary := buildBinary(t)
+	builds := []string{buildBinary(t)}
+	if *oldProgram != "" {
+		builds = append(builds, *oldProgram)
+	}
+	forEachSeed(t, func(t *testing.T, seed uint64, runNumber int) {
+		runSeed(t, builds, seed, runNumber, func(tb *testbed, rnd *rand.Rand) { tb.injectFaults(rnd) })
+	})
+}
+
+// forEachSeed runs a test for each seed, in parallel.
+func forEachSeed(t *testing.T, test func(t *testing.T, seed uint64, runNumber int)) {
 	runSeeds := []uint64{}
 	for i := range *seedCount {
 		runSeeds = append(runSeeds, *firstSeed+i)
@@ -47,7 +58,7 @@
 	for i, seed := range runSeeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed, i)
+			test(t, seed, i)
 		})
 	}
 }
@@ -66,12 +77,12 @@
 const maxParallelRuns = 250
 
 // runSeed runs one seed and fails the test if a guarantee was violated.
-func runSeed(t *testing.T, binary string, seed uint64, runNumber int) {
+func runSeed(t *testing.T, builds []string, seed uint64, runNumber int, faults func(*testbed, *rand.Rand)) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	assert.NilError(t, err)
 	t.Cleanup(func() { keepFailedLogs(t, dir) })
-	tb := newTestbed(t, binary, dir, runNumber%maxParallelRuns, *checkTimes)
-	seen := tb.run(func() { tb.injectFaults(rand.New(rand.NewPCG(seed, 0))) })
+	tb := newTestbed(t, builds, dir, runNumber%maxParallelRuns, *checkTimes)
+	seen := tb.run(func() { faults(tb, rand.New(rand.NewPCG(seed, 0))) })
 	codes := map[int]int{}
 	for _, r := range seen.Requests {
 		codes[r.Code]++
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -64,10 +64,13 @@
 	limitNamed []string
 	// crashing is set once a request that crashes servers was sent.
 	crashing atomic.Bool
+	// cut is the daemon that reaches no server; nil if all do.
+	cut *cut
 }
 
 // newTestbed starts the platform, the servers and the daemons of a run.
-func newTestbed(t *testing.T, binary, dir string, runNumber int, checkTimes bool) *testbed {
+// With several builds, the daemons' processes run them in turn.
+func newTestbed(t *testing.T, builds []string, dir string, runNumber int, checkTimes bool) *testbed {
 	tb := &testbed{t: t, runNumber: runNumber, checkTimes: checkTimes, links: map[string]*link{}}
 	var err error
 	tb.platform, err = fakes.New(fakes.WithAnnouncedAddress(tb.addServerLink), fakes.WithServerSetup(func(s *fakes.Server) {
@@ -85,7 +88,7 @@
 	tb.callers = &callers{newestKey: tb.callerKey, ready: make([]bool, daemonCount)}
 	for i := range daemonCount {
 		d := &daemon{
-			name: fmt.Sprintf("d%d", i), ip: tb.daemonIP(i), dir: dir, binary: binary,
+			name: fmt.Sprintf("d%d", i), ip: tb.daemonIP(i), dir: dir, builds: rotate(builds, i),
 			reportViolation: tb.violations.add, done: make(chan struct{}),
 		}
 		d.callerLink, err = newLink(d.callersAddress())
@@ -134,6 +137,7 @@
 	tb.t.Cleanup(l.close)
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	l.setCut(tb.cut)
 	tb.links[id] = l
 	return l.address(), nil
 }
@@ -183,7 +187,9 @@
 		keys[team] = []string{apiKey(team, number), apiKey(team, number-1)}
 	}
 	tb.configs = append(tb.configs, configVersion{Number: number, WrittenAt: time.Now()})
-	if _, err := tb.platform.Configure(fakes.Config{Keys: keys, TokenBytes: tokenBytes}); err != nil {
+	if _, err := tb.platform.Configure(fakes.Config{
+		Keys: keys, TokenBytes: tokenBytes, RoutePriorities: routePriorities(), TeamPriorities: teamPriorities(),
+	}); err != nil {
 		tb.violations.add("configuration: %v", err)
 	}
 }
@@ -250,11 +256,11 @@
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
 	for _, kind := range []string{kindStream, kindBooking, kindLookup} {
-		if r := tb.callers.send(transport, daemonIndex, kind, "north", newest); r.Code != http.StatusOK || !r.Complete {
+		if r := tb.callers.send(transport, daemonIndex, request{Kind: kind, Team: "north", KeyNumber: newest}); r.Code != http.StatusOK || !r.Complete {
 			return false
 		}
 	}
-	r := tb.callers.send(transport, daemonIndex, kindLookup, "south", newest-2)
+	r := tb.callers.send(transport, daemonIndex, request{Kind: kindLookup, Team: "south", KeyNumber: newest - 2})
 	return r.Code == http.StatusUnauthorized
 }
 
@@ -292,7 +298,7 @@
 	arrivals, crashes := tb.platform.CrashingArrivals()
 	seen := &history{
 		Limited: tb.limited, Crashing: crashingRequest{Arrivals: arrivals, Crashes: crashes},
-		Requests: tb.callers.records(), Runs: tb.platform.AllRuns(), Teams: map[string]string{}, BadChains: tb.platform.InvalidChains(),
+		Requests: tb.callers.records(), Runs: tb.platform.AllRuns(), Teams: map[string]string{}, Priorities: tb.platform.Priorities(), BadChains: tb.platform.InvalidChains(),
 		Configs: tb.configs, FaultWindows: tb.faultWindows, StreamEvents: streamEvents, CheckTimes: tb.checkTimes,
 	}
 	for id := range seen.Runs {
