Use old news of the load while the hub is gone, and search no layer that no chain reaches

Cause: without news a daemon multiplied its own load by the number of daemons, so that with 72 of them one stream of its own filled a small engine; and a search rated each engine at every layer that it holds. Layers at which no partial chain ends are skipped, which changes no choice.

--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -175,7 +175,7 @@
 	case need.limits && layer == 0 && !servers.Limits.HasRoom(now, s.ID):
 		return false
 	}
-	return !need.room || c.hasRoom(now, index, daemons, tokens)
+	return !need.room || c.hasRoom(now, servers, index, daemons, tokens)
 }
 
 // refresh updates the usable servers of a model if the server table changed or an
@@ -217,6 +217,9 @@
 		}
 	}
 	for layer := range layers {
+		if layer > 0 && !isReached(best[layer]) {
+			continue
+		}
 		for i, s := range c.usable {
 			span := s.Report.Span
 			if span.From > layer || span.To <= layer || span.To > layers || !c.admits(now, servers, need, i, layer, q.Daemons, float64(tokens)) ||
@@ -229,6 +232,11 @@
 	return backtrack(best, layers)
 }
 
+// isReached reports whether a partial chain ends at a layer.
+func isReached(chains []partialChain) bool {
+	return slices.ContainsFunc(chains, func(p partialChain) bool { return !math.IsInf(p.cost, 1) })
+}
+
 // allowed reports whether a request may use a server for a stage that starts at a layer.
 // If q.FirstServers limits the first stage, its servers are allowed there even if they failed
 // the request before.
@@ -290,14 +298,14 @@
 
 // hasRoom reports whether a server has a free slot, and room in its cache for a number of
 // tokens.
-func (c *Chains) hasRoom(now time.Time, index, daemons int, tokens float64) bool {
+func (c *Chains) hasRoom(now time.Time, servers *table.Servers, index, daemons int, tokens float64) bool {
 	s := c.usable[index]
 	r := s.Report
 	if now.Before(s.FullUntil) {
 		return false
 	}
 	streams, usedTokens := s.Load(c.othersKnown, daemons)
-	streams, usedTokens = c.loadNow(index, streams, usedTokens)
+	streams, usedTokens = c.loadNow(now, servers, index, streams, usedTokens)
 	if r.CacheTokens > 0 && usedTokens+tokens > maxCacheUse*r.CacheTokens {
 		return false
 	}
--- a/internal/core/route/evenly.go
+++ b/internal/core/route/evenly.go
@@ -111,14 +111,25 @@
 	return 1 + c.even.evenness[index]*(whole-1)
 }
 
+// staleNewsTTL is how long news that are no longer valid still tell the load of the other daemons: on average
+// it is the same. A daemon with few requests can't tell it from its own.
+const staleNewsTTL = 10 * time.Second
+
 // loadNow corrects the load of a usable server by what the other daemons are estimated to have evened out since
 // the latest news.
-func (c *Chains) loadNow(index int, streams, tokens float64) (streamsNow, tokensNow float64) {
-	if !c.balances() || !c.othersKnown {
+func (c *Chains) loadNow(now time.Time, servers *table.Servers, index int, streams, tokens float64) (streamsNow, tokensNow float64) {
+	if !c.balances() || servers.OthersUntil.IsZero() {
 		return streams, tokens
 	}
-	r, correction := c.usable[index].Report, c.even.corrections[index]
-	return max(0, streams+correction*float64(r.Slots)), max(0, tokens+correction*r.CacheTokens)
+	s := c.usable[index]
+	if !c.othersKnown {
+		if now.Sub(servers.OthersUntil) > staleNewsTTL {
+			return streams, tokens
+		}
+		streams, tokens = float64(len(s.Users)+s.OtherStreams), float64(s.Tokens+s.OtherTokens)
+	}
+	correction := c.even.corrections[index]
+	return max(0, streams+correction*float64(s.Report.Slots)), max(0, tokens+correction*s.Report.CacheTokens)
 }
 
 // costingUse returns the use of a usable server's cache that its cost is derived from. Where the load is kept
