Bind the uses of servers to the servers that they were collected from

Cause: a server that returns after a pause changes the usable servers without a new version of the table, and two models share the list. Change: the uses are collected anew with each new list. Measured: TestBalanceOfReturningServers panics on the code before.

--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -54,8 +54,9 @@
 	model   string
 	// expires is when the next unusable server may become usable; zero for never.
 	expires time.Time
-	// usable holds the usable servers of model.
-	usable []*table.Server
+	// usable holds the usable servers of model, and collected counts how often they were collected.
+	usable    []*table.Server
+	collected uint64
 	// othersKnown is set while the loads of the other daemons are known.
 	othersKnown bool
 	rng         *rand.Rand
@@ -79,21 +80,6 @@
 	return c
 }
 
-// partialChain is the cheapest chain found so far that ends at a layer, in a zone. It is
-// linked to the partial chain that it extends.
-type partialChain struct {
-	// cost is the estimated time between two tokens, in nanoseconds, with all penalties.
-	cost float64
-	// server is the server of the last stage.
-	server *table.Server
-	// fromLayer is the layer at which the last stage starts, and fromZone the index of
-	// the zone of the stage before it; -1 for none.
-	fromLayer int
-	fromZone  int
-	// stages is the number of stages.
-	stages int
-}
-
 // Pick implements Picker.
 func (c *Chains) Pick(now time.Time, servers *table.Servers, q Query) (model.Route, Result) {
 	c.refresh(now, servers, q.Request.Model)
@@ -185,6 +171,7 @@
 		return
 	}
 	c.version, c.model, c.expires, c.usable = servers.Version, modelName, time.Time{}, nil
+	c.collected++
 	for _, id := range servers.IDs() {
 		s := servers.Get(id)
 		if s.Report.Model != modelName || s.Report.Span.To <= s.Report.Span.From {
@@ -232,11 +219,6 @@
 	return backtrack(best, layers)
 }
 
-// isReached reports whether a partial chain ends at a layer.
-func isReached(chains []partialChain) bool {
-	return slices.ContainsFunc(chains, func(p partialChain) bool { return !math.IsInf(p.cost, 1) })
-}
-
 // allowed reports whether a request may use a server for a stage that starts at a layer.
 // If q.FirstServers limits the first stage, its servers are allowed there even if they failed
 // the request before.
@@ -351,30 +333,6 @@
 	return zones
 }
 
-// backtrack returns the route of the cheapest chain that ends at the last layer, by
-// following the partial chains back to the first one.
-func backtrack(best [][]partialChain, layers int) (model.Route, bool) {
-	end := -1
-	for z := range best[layers] {
-		if !math.IsInf(best[layers][z].cost, 1) && (end < 0 || best[layers][z].cost < best[layers][end].cost) {
-			end = z
-		}
-	}
-	if end < 0 {
-		return model.Route{}, false
-	}
-	var route model.Route
-	for layer, zone := layers, end; layer > 0; {
-		last := best[layer][zone]
-		route.Hops = append(route.Hops, model.Hop{
-			Server: last.server.ID, Address: last.server.Address, Span: model.Span{From: last.fromLayer, To: layer},
-		})
-		layer, zone = last.fromLayer, last.fromZone
-	}
-	slices.Reverse(route.Hops)
-	return route, true
-}
-
 // Observe implements Picker.
 func (c *Chains) Observe(model.Route, time.Duration) {}
 
--- a/internal/core/route/evenload_test.go
+++ b/internal/core/route/evenload_test.go
@@ -9,7 +9,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/even"
+	"bulrushpond.example/bulrushpond/internal/core/table"
 )
 
 // evenAll runs all fleets, ages of news and policies of the tests of even load.
@@ -149,3 +151,27 @@
 		t.Logf("%s: %s", p.name, f.result())
 	}
 }
+
+// TestBalanceOfReturningServers guards against uses that are those of other servers: a server returns after a
+// pause without any change of the table, and the models of two requests have different servers.
+func TestBalanceOfReturningServers(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	servers := table.NewServers()
+	for i := range 4 {
+		addEngine(servers, fmt.Sprintf("e%d", i), "a", 0, chainLayers, 1e6)
+	}
+	addEngine(servers, "other", "a", 0, chainLayers, 1e6).Report.Model = "n"
+	servers.Get("e3").AvoidUntil = now.Add(time.Second)
+	servers.SetOthers(now.Add(board.StatusTTL), board.View{Loads: []board.Load{{Server: "e0", Tokens: 900_000, Streams: 7}}})
+	c := NewChains("a", 1, withEven())
+	pick := func(at time.Time, modelName string) {
+		r := newRequest()
+		r.Model = modelName
+		_, result := c.Pick(at, servers, Query{Request: r, Layers: chainLayers, Daemons: 2})
+		assert.Equal(t, result, Found)
+	}
+	pick(now, "m")
+	pick(now, "n")
+	pick(now.Add(time.Second), "m")
+	assert.Equal(t, len(c.usable), 4)
+}
--- a/internal/core/route/evenly.go
+++ b/internal/core/route/evenly.go
@@ -42,8 +42,8 @@
 // modelBalance is the balance of one model's usable servers, in the same order.
 type modelBalance struct {
 	*even.Balance
-	// version is the version of the server table, othersUntil the end of the news that the rows are from.
-	version     uint64
+	// collected is the Chains' counter as of the rows, othersUntil the end of the news that the rows are from.
+	collected   uint64
 	othersUntil time.Time
 }
 
@@ -76,8 +76,8 @@
 		b = &modelBalance{Balance: even.NewBalance()}
 		e.balances[q.Request.Model] = b
 	}
-	if b.version != c.version || b.othersUntil != servers.OthersUntil {
-		b.version, b.othersUntil = c.version, servers.OthersUntil
+	if b.collected != c.collected || b.othersUntil != servers.OthersUntil {
+		b.collected, b.othersUntil = c.collected, servers.OthersUntil
 		newsAt := servers.OthersUntil
 		if !newsAt.IsZero() {
 			newsAt = newsAt.Add(-board.StatusTTL)
