--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -54,8 +54,9 @@
 	model   string
 	// expires is when the next unusable server may become usable; zero for never.
 	expires time.Time
-	// usable holds the usable servers of model.
-	usable []*table.Server
+	// usable holds the usable servers of model, and collected counts how often they were collected.
+	usable    []*table.Server
+	collected uint64
 	// othersKnown is set while the loads of the other daemons are known.
 	othersKnown bool
 	rng         *rand.Rand
@@ -83,21 +84,6 @@
 	return c
 }
 
-// partialChain is the cheapest chain found so far that ends at a layer, in a zone. It is
-// linked to the partial chain that it extends.
-type partialChain struct {
-	// cost is the estimated time between two tokens, in nanoseconds, with all penalties.
-	cost float64
-	// server is the server of the last stage.
-	server *table.Server
-	// fromLayer is the layer at which the last stage starts, and fromZone the index of
-	// the zone of the stage before it; -1 for none.
-	fromLayer int
-	fromZone  int
-	// stages is the number of stages.
-	stages int
-}
-
 // Pick implements Picker.
 func (c *Chains) Pick(now time.Time, servers *table.Servers, q Query) (model.Route, Result) {
 	c.refresh(now, servers, q.Request.Model)
@@ -180,7 +166,7 @@
 	case need.limits && layer == 0 && !servers.Limits.HasRoom(now, s.ID):
 		return false
 	}
-	return !need.room || c.hasRoom(now, index, daemons, tokens)
+	return !need.room || c.hasRoom(now, servers, index, daemons, tokens)
 }
 
 // refresh updates the usable servers of a model if the server table changed or an
@@ -190,6 +176,7 @@
 		return
 	}
 	c.version, c.model, c.expires, c.usable = servers.Version, modelName, time.Time{}, nil
+	c.collected++
 	for _, id := range servers.IDs() {
 		s := servers.Get(id)
 		if s.Report.Model != modelName || s.Report.Span.To <= s.Report.Span.From {
@@ -223,6 +210,9 @@
 		}
 	}
 	for layer := range layers {
+		if layer > 0 && !isReached(best[layer]) {
+			continue
+		}
 		for i, s := range c.usable {
 			span := s.Report.Span
 			if span.From > layer || span.To <= layer || span.To > layers || !c.admits(now, servers, need, i, layer, q.Daemons, float64(tokens)) ||
@@ -296,14 +286,14 @@
 
 // hasRoom reports whether a server has a free slot, and room in its cache for a number of
 // tokens.
-func (c *Chains) hasRoom(now time.Time, index, daemons int, tokens float64) bool {
+func (c *Chains) hasRoom(now time.Time, servers *table.Servers, index, daemons int, tokens float64) bool {
 	s := c.usable[index]
 	r := s.Report
 	if now.Before(s.FullUntil) {
 		return false
 	}
 	streams, usedTokens := s.Load(c.othersKnown, daemons)
-	streams, usedTokens = c.loadNow(index, streams, usedTokens)
+	streams, usedTokens = c.loadNow(now, servers, index, streams, usedTokens)
 	if r.CacheTokens > 0 && usedTokens+tokens > c.usableCache(r.CacheTokens, streams)*(1-c.reserve) {
 		return false
 	}
@@ -352,30 +342,6 @@
 	return zones
 }
 
-// backtrack returns the route of the cheapest chain that ends at the last layer, by
-// following the partial chains back to the first one.
-func backtrack(best [][]partialChain, layers int) (model.Route, bool) {
-	end := -1
-	for z := range best[layers] {
-		if !math.IsInf(best[layers][z].cost, 1) && (end < 0 || best[layers][z].cost < best[layers][end].cost) {
-			end = z
-		}
-	}
-	if end < 0 {
-		return model.Route{}, false
-	}
-	var route model.Route
-	for layer, zone := layers, end; layer > 0; {
-		last := best[layer][zone]
-		route.Hops = append(route.Hops, model.Hop{
-			Server: last.server.ID, Address: last.server.Address, Span: model.Span{From: last.fromLayer, To: layer},
-		})
-		layer, zone = last.fromLayer, last.fromZone
-	}
-	slices.Reverse(route.Hops)
-	return route, true
-}
-
 // Observe implements Picker.
 func (c *Chains) Observe(model.Route, time.Duration) {}
 
