--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -201,7 +201,11 @@
 	if wait <= maxWait {
 		return nil
 	}
-	return st.refuseForRoom(now, a, fmt.Sprintf("%d requests of this team wait already", queuedByTeam), wait-maxWait+q.Interval)
+	message := fmt.Sprintf("%d requests of this team wait already", queuedByTeam)
+	if ahead > 0 {
+		message = fmt.Sprintf("%d more important requests and %d of this team wait already", ahead, queuedByTeam)
+	}
+	return st.refuseForRoom(now, a, message, wait-maxWait+q.Interval)
 }
 
 // refuseForRoom refuses a request for lack of room. wait is how long it takes until there is some.
--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -19,6 +19,9 @@
 // rankLoads returns the loads of the ranks for the exchange with the other daemons. Requests that wait for servers
 // to return do not wait for room, and are left out.
 func (c *Core) rankLoads(now time.Time) []ranks.ServiceLoads {
+	if !c.admit.Ranks.Any() {
+		return nil
+	}
 	streams := map[string]map[int]ranks.Streams{}
 	for r := range c.requests.All() {
 		if r.Phase != table.Running || !c.admit.Ranks.On(r.Model) {
@@ -29,8 +32,9 @@
 		}
 		s := streams[r.Model][r.Rank]
 		s.Open++
-		// A stalled stream waits for its server, not for room.
-		if !hasOutput(r) && r.StalledOn == "" && !r.FirstTokenDeadline.IsZero() && now.After(r.FirstTokenDeadline) {
+		// A stalled stream waits for its server, not for room. Each stream counts for about as long as a refusal does.
+		overdue := now.Sub(r.FirstTokenDeadline)
+		if !hasOutput(r) && r.StalledOn == "" && !r.FirstTokenDeadline.IsZero() && overdue > 0 && overdue < ranks.WindowSize {
 			s.Late++
 		}
 		streams[r.Model][r.Rank] = s
--- a/internal/core/ranks/level.go
+++ b/internal/core/ranks/level.go
@@ -12,7 +12,7 @@
 	// returnSpread is the time over which the requests of one rank come back. The next rank follows it.
 	returnSpread = time.Second
 	// maxReturnDelay bounds the expected wait that callers are told, since they need time for the answer itself.
-	maxReturnDelay = 3 * time.Second
+	maxReturnDelay = 5 * time.Second
 )
 
 // Level is what holds less important requests to a service back.
@@ -77,7 +77,7 @@
 	if !higher.short() {
 		return 0
 	}
-	perHorizon := reserveHorizon.Seconds() / windowSize.Seconds()
+	perHorizon := reserveHorizon.Seconds() / WindowSize.Seconds()
 	// Room becomes free as fast as it was taken. Arrivals vary by the square root of their number.
 	return float64(higher.waiting) + float64(higher.refused)*perHorizon + math.Sqrt(float64(higher.started)*perHorizon)
 }
--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -91,6 +91,9 @@
 // On reports whether the requests to a service have different ranks.
 func (st *State) On(name string) bool { return st.services[name] != nil }
 
+// Any reports whether the requests to any service have different ranks.
+func (st *State) Any() bool { return len(st.services) > 0 }
+
 // of returns a rank, and adds it if it is missing. Its first credits are random, so that of many daemons with
 // few requests each, some admit one at any time.
 func (st *State) of(s *service, number int) *rank {
@@ -160,7 +163,7 @@
 
 // lateNow returns the number of late streams, as far as it is still known.
 func (r *rank) lateNow(now time.Time) int {
-	if now.Sub(r.lateAt) >= windowSize {
+	if now.Sub(r.lateAt) >= WindowSize {
 		return 0
 	}
 	return r.late
