--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -32,9 +32,8 @@
 		}
 		s := streams[r.Model][r.Rank]
 		s.Open++
-		// A stalled stream waits for its server, not for room. Each stream counts for about as long as a refusal does.
-		overdue := now.Sub(r.FirstTokenDeadline)
-		if !hasOutput(r) && r.StalledOn == "" && !r.FirstTokenDeadline.IsZero() && overdue > 0 && overdue < ranks.WindowSize {
+		// A stalled stream waits for its server, not for room.
+		if !hasOutput(r) && r.StalledOn == "" && !r.FirstTokenDeadline.IsZero() && now.After(r.FirstTokenDeadline) {
 			s.Late++
 		}
 		streams[r.Model][r.Rank] = s
--- a/internal/core/ranks/gate.go
+++ b/internal/core/ranks/gate.go
@@ -11,7 +11,7 @@
 	// gateHold is how long more important requests must not have been short of room until a gate opens completely.
 	gateHold = time.Second
 	// gateGrowth is by how much a gate opens in each interval until then, as a share of all requests.
-	gateGrowth = 0.1
+	gateGrowth = 0.05
 	// gateMargin is the share of all requests for which room stays free while more important ones are short of it.
 	gateMargin = 0.05
 	// shortShare is the share of the more important requests that may be short of room without an effect on the
@@ -21,7 +21,7 @@
 
 // gate admits the part of a rank's requests for which more important ones leave room.
 type gate struct {
-	// budget is how many requests of the rank and those behind it all daemons admit within WindowSize;
+	// budget is how many requests of the rank and those behind it all daemons admit within windowSize;
 	// infinite while the gate is open.
 	budget float64
 	// shortAt is when more important requests were last short of room, and closedAt when the gate was last open.
@@ -56,7 +56,7 @@
 	case now.Sub(g.shortAt) >= gateHold:
 		g.budget = math.Inf(1)
 	default:
-		g.budget += 1 + gateGrowth*float64(higher.offered()+behind.offered())
+		g.budget += 1 + gateGrowth*float64(higher.started+behind.started)
 	}
 }
 
--- a/internal/core/ranks/level.go
+++ b/internal/core/ranks/level.go
@@ -77,7 +77,7 @@
 	if !higher.short() {
 		return 0
 	}
-	perHorizon := reserveHorizon.Seconds() / WindowSize.Seconds()
+	perHorizon := reserveHorizon.Seconds() / windowSize.Seconds()
 	// Room becomes free as fast as it was taken. Arrivals vary by the square root of their number.
 	return float64(higher.waiting) + float64(higher.refused)*perHorizon + math.Sqrt(float64(higher.started)*perHorizon)
 }
--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -163,7 +163,7 @@
 
 // lateNow returns the number of late streams, as far as it is still known.
 func (r *rank) lateNow(now time.Time) int {
-	if now.Sub(r.lateAt) >= WindowSize {
+	if now.Sub(r.lateAt) >= windowSize {
 		return 0
 	}
 	return r.late
--- a/internal/core/ranks/window.go
+++ b/internal/core/ranks/window.go
@@ -3,15 +3,15 @@
 import "time"
 
 const (
-	// WindowSize is the time over which events are counted. With the age that reports may have, it bounds
+	// windowSize is the time over which events are counted. With the age that reports may have, it bounds
 	// how long a shortage that has ended keeps less important requests back.
-	WindowSize = 500 * time.Millisecond
+	windowSize = 500 * time.Millisecond
 	// windowSlots is the number of parts in which a window moves on.
 	windowSlots = 4
-	slotSize    = WindowSize / windowSlots
+	slotSize    = windowSize / windowSlots
 )
 
-// window counts the events within about the last WindowSize.
+// window counts the events within about the last windowSize.
 type window struct {
 	slots [windowSlots]int
 	// newest is the number of the newest slot since the epoch.
