--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -19,6 +19,9 @@
 // rankLoads returns the loads of the ranks for the exchange with the other daemons. Requests that wait for servers
 // to return do not wait for room, and are left out.
 func (c *Core) rankLoads(now time.Time) []ranks.ServiceLoads {
+	if !c.admit.Ranks.Any() {
+		return nil
+	}
 	streams := map[string]map[int]ranks.Streams{}
 	for r := range c.requests.All() {
 		if r.Phase != table.Running || !c.admit.Ranks.On(r.Model) {
--- a/internal/core/ranks/gate.go
+++ b/internal/core/ranks/gate.go
@@ -89,8 +89,7 @@
 // openShare returns the share of a rank's requests that the gates of the rank and of more important ones admit.
 func (st *State) openShare(now time.Time, s *service, number int) float64 {
 	share := 1.0
-	_, same, _ := st.sums(now, s, number)
-	upTo, _, _ := st.sums(now, s, number)
+	upTo, same, _ := st.sums(now, s, number)
 	for _, r := range s.own {
 		if r.rank > number || math.IsInf(r.gate.budget, 1) {
 			continue
--- a/internal/core/ranks/level.go
+++ b/internal/core/ranks/level.go
@@ -12,7 +12,7 @@
 	// returnSpread is the time over which the requests of one rank come back. The next rank follows it.
 	returnSpread = time.Second
 	// maxReturnDelay bounds the expected wait that callers are told, since they need time for the answer itself.
-	maxReturnDelay = 3 * time.Second
+	maxReturnDelay = 5 * time.Second
 )
 
 // Level is what holds less important requests to a service back.
--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -91,6 +91,9 @@
 // On reports whether the requests to a service have different ranks.
 func (st *State) On(name string) bool { return st.services[name] != nil }
 
+// Any reports whether the requests to any service have different ranks.
+func (st *State) Any() bool { return len(st.services) > 0 }
+
 // of returns a rank, and adds it if it is missing. Its first credits are random, so that of many daemons with
 // few requests each, some admit one at any time.
 func (st *State) of(s *service, number int) *rank {
