Learn no answer from where a caller resumes it

Cause: review. The length of a resumed answer counted the events before the position that its caller names, so callers could make answers up, and the fleet takes over what is learned. Change: only answers whose first event was read here are learned. The hostile hints of the issue are played in full caches, too.

--- a/internal/core/lengths.go
+++ b/internal/core/lengths.go
@@ -51,6 +51,7 @@
 // that is reserved for a stream that goes on.
 func (c *Core) handleToken(now time.Time, tok model.Token, out *msgs.Outbox) {
 	r := c.requests.Get(tok.Request)
+	first := r != nil && r.Next == 0
 	c.recov.HandleToken(now, tok, c.tables, out)
 	if r == nil {
 		return
@@ -58,7 +59,8 @@
 	switch {
 	case !c.inProgress(r.ID):
 		c.lengths.End(r.ID, r.Model, r.Next*c.lengths.TokensPerEvent(r.Model), c.inProgress)
-	case r.Next == r.From+1 && tok.Position == r.From:
+	case first && r.Next == 1:
+		// An answer that a caller resumes is not learned: how long it was before is only what the caller says.
 		c.lengths.Begin(r.ID, lengthRequest(r.Arrival), r.Expected)
 	case r.Held > 0 && r.Next >= r.HeldUntil:
 		c.setHeld(r)
--- a/internal/core/lengths_test.go
+++ b/internal/core/lengths_test.go
@@ -252,6 +252,8 @@
 		}},
 		{"all equal", func(*rand.Rand, int) int { return 100 }},
 		{"random", func(rng *rand.Rand, _ int) int { return 1 << rng.IntN(20) }},
+		// What is no number, negative, 0 or 1e9 arrives as 0.
+		{"hostile from half", func(rng *rand.Rand, tokens int) int { return [...]int{0, 1 << 20, tokens, tokens}[rng.IntN(4)] }},
 	} {
 		t.Run(s.name, func(t *testing.T) { checkCachesFilled(t, 1, s.hint) })
 	}
@@ -284,6 +286,28 @@
 	assert.Assert(t, len(f.served) > 40, "%d", len(f.served))
 }
 
+// TestPositionsOfCallersAreNotLearned guards against callers that resume answers at positions that they make up: the
+// learned answers are as long as answers are (at most 700 tokens), not as long as callers say.
+func TestPositionsOfCallersAreNotLearned(t *testing.T) {
+	const longest, madeUp = 700, 40_000
+	f := newCacheFleet(1, 1)
+	in := &f.daemons[0].in
+	for i := range 400 {
+		f.offer(0.5, exactHint)
+		if i%20 == 0 {
+			f.submit(exactHint)
+			a := &in.Arrivals[len(in.Arrivals)-1]
+			a.From, a.PromptTokens, a.MaxTokens = madeUp/tokensPerEvent, 0, 0
+			r := f.requests[a.ID]
+			r.Arrival, r.written, r.answer = *a, madeUp, madeUp+tokensPerEvent
+		}
+		f.tick()
+	}
+	sketches := f.daemons[0].core.DaemonStatus(f.now).Lengths
+	assert.Equal(t, len(sketches), 1)
+	assert.Assert(t, sketches[0].Tokens <= longest*sketches[0].Answers, "%d tokens in %d answers", sketches[0].Tokens, sketches[0].Answers)
+}
+
 // TestWithoutHintsNothingChanges: where callers give no hints, what the configuration and the other daemons say about
 // answers changes no decision.
 func TestWithoutHintsNothingChanges(t *testing.T) {
