--- a/internal/core/length/length.go
+++ b/internal/core/length/length.go
@@ -26,7 +26,8 @@
 	Hints []Sums `cbor:"5,keyasint,omitempty"`
 }
 
-// Sums is a number of complete answers and the sum of their lengths.
+// Sums is a number of complete answers and the sum of their lengths. It is sent as an array to stay small, so it cannot
+// get further fields: other builds would not decode it.
 type Sums struct {
 	_       struct{} `cbor:",toarray"`
 	Answers int
--- a/internal/core/length/state.go
+++ b/internal/core/length/state.go
@@ -216,7 +216,7 @@
 // Held returns the most cache tokens that a request is expected to hold at any time from now on: the
 // prompt, what it has written so far, and the rest, as far as requests live so long. Requests that end make
 // room for those that go on, so the sum over many requests counts: their lengths vary as those of late
-// did, around the usual estimate. That of the request itself would reserve room at its end for each.
+// did, around the usual estimate. Reserving the request's own estimate would keep room for the end of each.
 func (st *State) Held(r Request, e Estimate, promptTokens, written int) int {
 	held := promptTokens + written + HeldStep
 	if e.Usual > 0 {
