--- a/internal/core/board/paces.go
+++ b/internal/core/board/paces.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"bulrushpond.example/bulrushpond/internal/core/even"
@@ -17,7 +18,7 @@
 // add adds a report if sign is 1, or removes it if sign is -1.
 func (p paceSums) add(report []even.Pace, sign int) {
 	for i, r := range report {
-		if i > 0 && r.Server <= report[i-1].Server {
+		if i > 0 && r.Server <= report[i-1].Server || r.Factor < 1 || math.IsNaN(r.Factor) {
 			// A daemon has one say on each engine.
 			continue
 		}
