Bound the numbers of retries that daemons and hubs send

A NaN in one daemon's report made the sums of a service NaN, and all grants with them; a daemon with a NaN for its grant sent any number of retries, since each comparison with it is false. Negative numbers lowered what the hub reserves. Numbers are now bounded to 0..burst where they arrive, and NaN counts as 0.

--- a/internal/core/retry/allocator.go
+++ b/internal/core/retry/allocator.go
@@ -140,18 +140,18 @@
 	}
 	s := a.shares[id]
 	if s == nil {
-		s = &share{brought: d.Held, silent: true}
+		s = &share{brought: upTo(al.burst, d.Held), silent: true}
 		a.shares[id] = s
 	}
 	if arrived {
-		s.brought = d.Held
+		s.brought = upTo(al.burst, d.Held)
 	}
 	if !s.silent {
 		a.reserved -= s.reserved()
 		a.needed -= s.need()
 	}
 	s.silent = false
-	s.wanted, s.inUse, s.held, s.told = d.Wanted, d.InUse, d.Held, 0
+	s.wanted, s.inUse, s.held, s.told = upTo(al.burst, d.Wanted), upTo(al.burst, d.InUse), upTo(al.burst, d.Held), 0
 	a.reserved += s.reserved()
 	a.needed += s.need()
 }
--- a/internal/core/retry/shares.go
+++ b/internal/core/retry/shares.go
@@ -187,10 +187,18 @@
 	}
 	for _, grant := range g.Grants {
 		if b.windows[grant.Service] != nil {
-			b.shares.held[grant.Service] = holding{burst: grant.Burst, until: until}
+			b.shares.held[grant.Service] = holding{burst: upTo(b.Burst*grantedShare, grant.Burst), until: until}
 		}
 	}
-	b.shares.unnamed = holding{burst: g.Unnamed, until: until}
+	b.shares.unnamed = holding{burst: upTo(b.Burst*grantedShare, g.Unnamed), until: until}
+}
+
+// upTo returns a number that another daemon sent, bounded to 0..limit. What is no number counts as 0.
+func upTo(limit, sent float64) float64 {
+	if math.IsNaN(sent) {
+		return 0
+	}
+	return min(max(0, sent), limit)
 }
 
 // Usage is how one service's retry budget was used, for the metrics.
