Keep the reference of gaps when the clock is set back

The step of the reference is proportional to the time since the last gap. A clock set back made it negative and large, so that the reference became 0 or infinite for good: all engines slow, or none. The step is now at least 0. The daemon's times carry a monotonic reading, so this guards the decisions and not a fault that was seen. TestClockStepKeepsTheReference failed before (factor 16 for a sound engine) and passes now.

--- a/internal/core/even/pace.go
+++ b/internal/core/even/pace.go
@@ -99,7 +99,8 @@
 	if r.observations == 0 {
 		return reference{ratio: ratio, observations: 1, updatedAt: now}
 	}
-	step := min(0.1, referenceSpeed*now.Sub(r.updatedAt).Seconds())
+	// The clock may be set back.
+	step := min(max(0, referenceSpeed*now.Sub(r.updatedAt).Seconds()), 0.1)
 	if r.observations < referenceStart {
 		r.observations++
 		step = max(step, 1/float64(r.observations))
