Use a slow engine if the limits of the others allow no more

With paces, slow engines are left out of a search; if a chain was found but its first engine's limit was used up, the search for another one within the limits left them out, too. An interrupted request, which slow engines are always left out for, waited for the limit although a slow engine had room. Such a search is repeated with all engines. TestSlowServerBesideOneAtItsLimit failed before (limited instead of found) and passes now; without paces nothing changes, as the second search needs engines that were left out.

--- a/internal/core/route/chains.go
+++ b/internal/core/route/chains.go
@@ -123,7 +123,12 @@
 	if servers.Limits.HasRoom(now, first) {
 		return cheapest, Found
 	}
-	if route, ok := c.search(now, servers, q, requirements{room: true, pauses: true, limits: true}); ok {
+	withinLimits := requirements{room: true, pauses: true, limits: true}
+	route, ok := c.search(now, servers, q, withinLimits)
+	if !ok && c.allowWithheld() {
+		route, ok = c.search(now, servers, q, withinLimits)
+	}
+	if ok {
 		c.countDemand(now, servers, q, route.Hops[0].Server)
 		return route, Found
 	}
--- a/internal/core/route/evenly.go
+++ b/internal/core/route/evenly.go
@@ -198,9 +198,9 @@
 	}
 }
 
-// allowWithheld lets the current pick use the servers that were left out, and reports whether there are any.
+// allowWithheld lets the current pick use the servers that were left out, and reports whether that allows more.
 func (c *Chains) allowWithheld() bool {
-	if c.even == nil {
+	if c.even == nil || c.even.allowWithheld {
 		return false
 	}
 	c.even.allowWithheld = true
