--- a/internal/core/even/pace.go
+++ b/internal/core/even/pace.go
@@ -68,7 +68,10 @@
 // engine of its chain is slow; many chains over the same engines tell which one. The state is one row an
 // engine and a model.
 type Paces struct {
-	own        map[model.ServerID]pace
+	own map[model.ServerID]pace
+	// ownSlow holds the engines whose factor in own is at least slowFactor. They are few, so most engines are found
+	// to be sound by one look into a small map.
+	ownSlow    map[model.ServerID]struct{}
 	references map[string]reference
 	// others holds the factors that the daemons agreed on of the engines that any of them calls slow, valid
 	// until othersUntil.
@@ -81,7 +84,7 @@
 
 // NewPaces returns a state in which no engine is slow.
 func NewPaces() *Paces {
-	return &Paces{own: map[model.ServerID]pace{}, references: map[string]reference{}}
+	return &Paces{own: map[model.ServerID]pace{}, ownSlow: map[model.ServerID]struct{}{}, references: map[string]reference{}}
 }
 
 const (
@@ -142,7 +145,17 @@
 	for _, s := range stages {
 		factor := p.fresh(now, s.Server)
 		factor += correction * difference * weight(factor) * float64(s.Expected) / weights
-		p.own[s.Server] = pace{factor: min(max(1, factor), maxFactor), until: now.Add(evidenceTTL)}
+		p.setOwn(s.Server, pace{factor: min(max(1, factor), maxFactor), until: now.Add(evidenceTTL)})
+	}
+}
+
+// setOwn sets what this daemon knows of an engine.
+func (p *Paces) setOwn(id model.ServerID, own pace) {
+	p.own[id] = own
+	if own.factor >= slowFactor {
+		p.ownSlow[id] = struct{}{}
+	} else {
+		delete(p.ownSlow, id)
 	}
 }
 
@@ -174,12 +187,12 @@
 // Factor returns how many times slower an engine is than it should be; 1 unless it is clearly slow. What
 // this daemon saw and what the daemons agreed on must both call it slow, where both are known.
 func (p *Paces) Factor(now time.Time, id model.ServerID) float64 {
-	if len(p.own) == 0 && len(p.others) == 0 {
+	agreed, agreedKnown := p.others[id]
+	if _, slow := p.ownSlow[id]; !slow && !agreedKnown {
 		return 1
 	}
 	own, ownKnown := p.own[id]
 	ownKnown = ownKnown && now.Before(own.until) && !p.mostSeemSlow(now)
-	agreed, agreedKnown := p.others[id]
 	agreedKnown = agreedKnown && now.Before(p.othersUntil)
 	factor := 1.0
 	switch {
@@ -206,6 +219,7 @@
 		switch {
 		case !now.Before(own.until):
 			delete(p.own, id)
+			delete(p.ownSlow, id)
 			continue
 		case own.factor >= slowFactor:
 			slow++
