Bound the slow engines that one daemon reports

The hub took any number of them: a report of 100,000 made each answer take 42 ms under the daemon's lock, and with a large factor they took all 64 places, so that nobody heard of the engines that are slow. It now takes the 16 that a daemon may report. TestPacesOfALongReport failed before (10,001 engines instead of 17) and passes now.

--- a/internal/core/board/paces.go
+++ b/internal/core/board/paces.go
@@ -17,7 +17,7 @@
 
 // add adds a report if sign is 1, or removes it if sign is -1.
 func (p paceSums) add(report []even.Pace, sign int) {
-	for i, r := range report {
+	for i, r := range report[:min(len(report), even.MaxReported)] {
 		if i > 0 && r.Server <= report[i-1].Server || r.Factor < 1 || math.IsNaN(r.Factor) {
 			// A daemon has one say on each engine.
 			continue
--- a/internal/core/board/paces_test.go
+++ b/internal/core/board/paces_test.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -28,3 +29,20 @@
 	put("b")
 	assert.Equal(t, len(st.slow), 0)
 }
+
+// TestPacesOfALongReport: a faulty daemon calls far more engines slow than a report may hold. The sums hold no more of them,
+// and the others hear of the engines that sound daemons report.
+func TestPacesOfALongReport(t *testing.T) {
+	st, now := New(), time.Unix(1_000_000, 0)
+	var long []even.Pace
+	for i := range 10_000 {
+		long = append(long, even.Pace{Server: model.ServerID(fmt.Sprintf("x%05d", i)), Factor: 1e9})
+	}
+	slow := even.Pace{Server: "e", Factor: 12}
+	st.Put(now, "a", DaemonStatus{Slow: long})
+	st.Put(now, "b", DaemonStatus{Slow: []even.Pace{slow}})
+	assert.Equal(t, len(st.slow), even.MaxReported+1)
+	assert.Equal(t, st.Others(now, "c").Slow[0], slow)
+	st.Put(now, "a", DaemonStatus{})
+	assert.Equal(t, len(st.slow), 1)
+}
--- a/internal/core/even/pace.go
+++ b/internal/core/even/pace.go
@@ -27,8 +27,8 @@
 	// priorWeight is the weight with which an engine that was never slow takes part in a correction. Engines
 	// that seemed slow before take a larger part, so that a slow engine soon takes all of it.
 	priorWeight = 0.1
-	// maxReported is the number of engines that a daemon reports, so that reports stay small.
-	maxReported = 16
+	// MaxReported is the number of engines that a daemon reports, so that reports stay small.
+	MaxReported = 16
 	// minCompared is the number of engines from which on a daemon checks whether most of them seem slow.
 	minCompared = 4
 	// maxSlowShare is the share of the engines above which the daemon itself or the whole service is slow
@@ -253,7 +253,7 @@
 	slices.SortFunc(report, func(a, b Pace) int {
 		return cmp.Or(cmp.Compare(b.Factor, a.Factor), cmp.Compare(a.Server, b.Server))
 	})
-	report = report[:min(len(report), maxReported)]
+	report = report[:min(len(report), MaxReported)]
 	slices.SortFunc(report, func(a, b Pace) int { return cmp.Compare(a.Server, b.Server) })
 	return report
 }
--- a/internal/core/even/pace_test.go
+++ b/internal/core/even/pace_test.go
@@ -38,7 +38,7 @@
 				assert.Assert(t, factor >= 1 && factor <= maxFactor, "factor %f", factor)
 			}
 			report := p.Report(now)
-			assert.Assert(t, len(report) <= maxReported)
+			assert.Assert(t, len(report) <= MaxReported)
 			for i := 1; i < len(report); i++ {
 				assert.Assert(t, report[i-1].Server < report[i].Server)
 			}
