--- a/internal/core/even/pace.go
+++ b/internal/core/even/pace.go
@@ -27,8 +27,8 @@
 	// priorWeight is the weight with which an engine that was never slow takes part in a correction. Engines
 	// that seemed slow before take a larger part, so that a slow engine soon takes all of it.
 	priorWeight = 0.1
-	// maxReported is the number of engines that a daemon reports, so that reports stay small.
-	maxReported = 16
+	// MaxReported is the number of engines that a daemon reports, so that reports stay small.
+	MaxReported = 16
 	// minCompared is the number of engines from which on a daemon checks whether most of them seem slow.
 	minCompared = 4
 	// maxSlowShare is the share of the engines above which the daemon itself or the whole service is slow
@@ -68,7 +68,10 @@
 // engine of its chain is slow; many chains over the same engines tell which one. The state is one row an
 // engine and a model.
 type Paces struct {
-	own        map[model.ServerID]pace
+	own map[model.ServerID]pace
+	// ownSlow holds the engines whose factor in own is at least slowFactor. They are few, so most engines are found
+	// to be sound by one look into a small map.
+	ownSlow    map[model.ServerID]struct{}
 	references map[string]reference
 	// others holds the factors that the daemons agreed on of the engines that any of them calls slow, valid
 	// until othersUntil.
@@ -81,7 +84,7 @@
 
 // NewPaces returns a state in which no engine is slow.
 func NewPaces() *Paces {
-	return &Paces{own: map[model.ServerID]pace{}, references: map[string]reference{}}
+	return &Paces{own: map[model.ServerID]pace{}, ownSlow: map[model.ServerID]struct{}{}, references: map[string]reference{}}
 }
 
 const (
@@ -99,7 +102,8 @@
 	if r.observations == 0 {
 		return reference{ratio: ratio, observations: 1, updatedAt: now}
 	}
-	step := min(0.1, referenceSpeed*now.Sub(r.updatedAt).Seconds())
+	// The clock may be set back.
+	step := min(max(0, referenceSpeed*now.Sub(r.updatedAt).Seconds()), 0.1)
 	if r.observations < referenceStart {
 		r.observations++
 		step = max(step, 1/float64(r.observations))
@@ -141,7 +145,17 @@
 	for _, s := range stages {
 		factor := p.fresh(now, s.Server)
 		factor += correction * difference * weight(factor) * float64(s.Expected) / weights
-		p.own[s.Server] = pace{factor: min(max(1, factor), maxFactor), until: now.Add(evidenceTTL)}
+		p.setOwn(s.Server, pace{factor: min(max(1, factor), maxFactor), until: now.Add(evidenceTTL)})
+	}
+}
+
+// setOwn sets what this daemon knows of an engine.
+func (p *Paces) setOwn(id model.ServerID, own pace) {
+	p.own[id] = own
+	if own.factor >= slowFactor {
+		p.ownSlow[id] = struct{}{}
+	} else {
+		delete(p.ownSlow, id)
 	}
 }
 
@@ -173,12 +187,12 @@
 // Factor returns how many times slower an engine is than it should be; 1 unless it is clearly slow. What
 // this daemon saw and what the daemons agreed on must both call it slow, where both are known.
 func (p *Paces) Factor(now time.Time, id model.ServerID) float64 {
-	if len(p.own) == 0 && len(p.others) == 0 {
+	agreed, agreedKnown := p.others[id]
+	if _, slow := p.ownSlow[id]; !slow && !agreedKnown {
 		return 1
 	}
 	own, ownKnown := p.own[id]
 	ownKnown = ownKnown && now.Before(own.until) && !p.mostSeemSlow(now)
-	agreed, agreedKnown := p.others[id]
 	agreedKnown = agreedKnown && now.Before(p.othersUntil)
 	factor := 1.0
 	switch {
@@ -205,6 +219,7 @@
 		switch {
 		case !now.Before(own.until):
 			delete(p.own, id)
+			delete(p.ownSlow, id)
 			continue
 		case own.factor >= slowFactor:
 			slow++
@@ -238,7 +253,7 @@
 	slices.SortFunc(report, func(a, b Pace) int {
 		return cmp.Or(cmp.Compare(b.Factor, a.Factor), cmp.Compare(a.Server, b.Server))
 	})
-	report = report[:min(len(report), maxReported)]
+	report = report[:min(len(report), MaxReported)]
 	slices.SortFunc(report, func(a, b Pace) int { return cmp.Compare(a.Server, b.Server) })
 	return report
 }
