Tell callers the queue's expected wait in full where requests have ranks

Cause: the bound of five seconds on how long a shortage is expected to last also cut the wait that follows from the queue, so callers were told to come back before it could end. Change: only the expectation about the shortage is bounded. Measured: for a wait of 30 s TestReturnIsNotBeforeTheExpectedWait was told 5.9 s, now 30 s or more for each rank.

--- a/internal/core/ranks/level.go
+++ b/internal/core/ranks/level.go
@@ -11,7 +11,8 @@
 	returnDelay = 500 * time.Millisecond
 	// returnSpread is the time over which the requests of one rank come back. The next rank follows it.
 	returnSpread = time.Second
-	// maxReturnDelay bounds the expected wait that callers are told, since they need time for the answer itself.
+	// maxReturnDelay bounds how much longer a shortage is expected to last, since callers need time for the answer
+	// itself. A wait that follows from a queue is not bounded.
 	maxReturnDelay = 5 * time.Second
 )
 
@@ -86,9 +87,9 @@
 // is expected to last as long again as it has lasted so far.
 func (st *State) RetryAt(now time.Time, name string, number int, wait time.Duration) time.Time {
 	if s := st.services[name]; s != nil {
-		wait = max(wait, st.of(s, number).gate.closedFor(now))
+		wait = max(wait, min(maxReturnDelay, st.of(s, number).gate.closedFor(now)))
 	}
-	return st.ReturnAt(now.Add(min(maxReturnDelay, max(returnDelay, wait))), name, number)
+	return st.ReturnAt(now.Add(max(returnDelay, wait)), name, number)
 }
 
 // ReturnAt returns when the caller of a refused request may come back if there is room from a time on: the most
--- a/internal/core/ranks/state_test.go
+++ b/internal/core/ranks/state_test.go
@@ -138,6 +138,14 @@
 	assert.Assert(t, at.Sub(now) <= 7*time.Second, "comes back after %s", at.Sub(now))
 }
 
+// TestReturnIsNotBeforeTheExpectedWait: a caller whose request would wait for half a minute is not told to come back before.
+func TestReturnIsNotBeforeTheExpectedWait(t *testing.T) {
+	for number := range 3 {
+		at := newState(1).RetryAt(start, "m", number, 30*time.Second)
+		assert.Assert(t, at.Sub(start) >= 30*time.Second, "rank %d comes back after %s", number, at.Sub(start))
+	}
+}
+
 // TestRanksAreCheapToExchange: the loads of a service take at most 40 bytes for each rank, however many requests there are.
 func TestRanksAreCheapToExchange(t *testing.T) {
 	const requests = 100_000
