Open the gates of all ranks when the shortage of the important ones ends

Cause: requests that a rank's gate refused counted as a shortage of that rank, so the gates behind it stayed closed a second longer each although nobody lacked room. Change: a gate is kept closed only by more important requests that wait, or that were refused by something else than a gate of their own.

--- a/internal/core/ranks/gate.go
+++ b/internal/core/ranks/gate.go
@@ -26,6 +26,8 @@
 	budget float64
 	// shortAt is when more important requests were last short of room, and closedAt when the gate was last open.
 	shortAt, closedAt time.Time
+	// heldAt is when the gate was last closed; zero if it never was.
+	heldAt time.Time
 	// credit grows by the share of requests that are admitted, and falls by one with each of them.
 	credit float64
 }
@@ -43,18 +45,28 @@
 	return true
 }
 
-// adjust sets the budget from the loads of the more important ranks, and of those that share the gate's budget.
-func (g *gate) adjust(now time.Time, higher, behind sums) {
+// adjust sets the budget from the loads of the more important ranks, and of those that share the gate's budget. gated
+// is how many of the more important requests may have been refused by their own gates. These do not keep this gate closed: else
+// each rank would be held back for a while longer than the one above, though nobody lacks room any more.
+func (g *gate) adjust(now time.Time, higher, behind sums, gated int) {
+	defer func() {
+		if !math.IsInf(g.budget, 1) {
+			g.heldAt = now
+		}
+	}()
 	if math.IsInf(g.budget, 1) {
 		g.closedAt = now
 	}
-	short := float64(higher.waiting + higher.refused)
+	short, allowed := float64(higher.waiting+higher.refused), shortShare*float64(higher.offered())
+	if short-float64(gated) > allowed {
+		g.shortAt = now
+	}
 	switch {
-	case short > shortShare*float64(higher.offered()):
-		// What those behind got, without what the more important ones lacked and a margin for these to find room at once.
-		g.budget, g.shortAt = max(0, float64(behind.started)-short-gateMargin*float64(higher.started+behind.started)), now
 	case now.Sub(g.shortAt) >= gateHold:
 		g.budget = math.Inf(1)
+	case short > allowed:
+		// What those behind got, without what the more important ones lacked and a margin for these to find room at once.
+		g.budget = max(0, float64(behind.started)-short-gateMargin*float64(higher.started+behind.started))
 	default:
 		g.budget += 1 + gateGrowth*float64(higher.started+behind.started)
 	}
@@ -77,12 +89,16 @@
 	known := now.Before(st.othersUntil)
 	expired := s.gatesFromOthers && !known
 	s.gatesAt, s.gatesFromOthers = now, known
+	gated := 0
 	for _, r := range s.own {
 		if expired {
 			r.gate.budget = math.Inf(1)
 		}
 		higher, same, lower := st.sums(now, s, r.rank)
-		r.gate.adjust(now, higher, same.plus(lower))
+		r.gate.adjust(now, higher, same.plus(lower), gated)
+		if !r.gate.heldAt.IsZero() && now.Sub(r.gate.heldAt) < windowSize+2*gateInterval {
+			gated += same.refused
+		}
 	}
 }
 
