Drop ranks that the routing no longer names

Cause: each priority that a routing ever named stayed in a daemon's state and metrics, and each put the return of the less important callers off by a second more. Change: new settings drop the ranks that they do not name, unless a request of one waits. Measured: TestRanksOfEarlierSettingsAreDropped failed at the second routing (4 ranks where 3 may be).

--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -82,6 +82,7 @@
 			s = &service{}
 			st.services[name] = s
 		}
+		s.own = slices.DeleteFunc(s.own, func(r *rank) bool { return r.waiting == 0 && !slices.Contains(services[name], r.rank) })
 		for _, r := range services[name] {
 			st.of(s, r)
 		}
--- a/internal/core/ranks/state_test.go
+++ b/internal/core/ranks/state_test.go
@@ -146,6 +146,22 @@
 	}
 }
 
+// TestRanksOfEarlierSettingsAreDropped: ranks that the routing no longer names are neither kept nor make callers come back later,
+// once none of their requests waits.
+func TestRanksOfEarlierSettingsAreDropped(t *testing.T) {
+	st := newState(1)
+	st.Queued("m", 1)
+	for number := 3; number < 100; number++ {
+		st.SetServices(map[string][]int{"m": {0, number}})
+		assert.Equal(t, len(st.Metrics(start)["m"].Ranks), 3, "rank 1 has a request waiting")
+	}
+	st.Withdrawn("m", 1, ranks.Place{Order: 1})
+	st.SetServices(map[string][]int{"m": {0, 9}})
+	assert.Equal(t, len(st.Metrics(start)["m"].Ranks), 2)
+	at := st.ReturnAt(start, "m", 9)
+	assert.Assert(t, at.Sub(start) <= 2*time.Second, "comes back after %s", at.Sub(start))
+}
+
 // TestRanksAreCheapToExchange: the loads of a service take at most 40 bytes for each rank, however many requests there are.
 func TestRanksAreCheapToExchange(t *testing.T) {
 	const requests = 100_000
