Remove a sort by rank that decided nothing

Cause: requests refused during an outage were sorted by rank, but where they have ranks their return is drawn by rank whatever the order, and elsewhere all have order 0. Change: the sort is removed. Measured: TestImportantComeBackFirstAfterOutage and TestOneRankDecidesAsNone pass unchanged.

--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -37,7 +37,6 @@
 		}
 	}
 	slices.Sort(ids)
-	c.sortByRank(ids)
 	for _, id := range ids {
 		r := c.requests.Get(id)
 		c.admit.Withdraw(r)
--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -134,13 +134,6 @@
 	return r.TryAt.Add(time.Duration(rounds) * dispatchRetryInterval)
 }
 
-// sortByRank sorts requests by rank as far as they have ranks, and leaves the order of equal ones.
-func (c *Core) sortByRank(ids []model.RequestID) {
-	slices.SortStableFunc(ids, func(a, b model.RequestID) int {
-		return cmp.Compare(c.requests.Get(a).Order, c.requests.Get(b).Order)
-	})
-}
-
 // refuseLate refuses a request that waited too long for room.
 func (c *Core) refuseLate(now time.Time, r *table.Request, out *msgs.Outbox) {
 	if r.Phase != table.Queued || !c.admit.Ranks.On(r.Model) {
