Order interrupted requests in one sort, with each one's place worked out once

Cause: each tick sorted the requests without a route twice, and looked up their service's ranks in each comparison, also where no service has ranks. Change: without ranks they are in the order of their IDs, as before ranks; with ranks each one's place is worked out once. The order is the same (TestInterruptedStreamsByRank). Measured: BenchmarkReroutingOrder with 1,000 requests, old and new one after the other: without ranks 131 and 102 us, with three 892 and 321 us.

--- a/internal/core/queuebench_test.go
+++ b/internal/core/queuebench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
+	"bulrushpond.example/bulrushpond/internal/core/table"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
 )
@@ -52,3 +53,21 @@
 		})
 	}
 }
+
+// BenchmarkReroutingOrder measures the order in which 1,000 requests that lost their engine get routes, without ranks and with three.
+func BenchmarkReroutingOrder(b *testing.B) {
+	for _, numbers := range [][]int{nil, {0, 1, 2}} {
+		b.Run(fmt.Sprintf("ranks=%d", len(numbers)), func(b *testing.B) {
+			c := New()
+			c.admit.Ranks.SetServices(map[string][]int{"m": numbers})
+			for id := model.RequestID(1); id <= 1000; id++ {
+				a := msgs.Arrival{ID: id, Model: "m", Rank: int(id*7) % 3}
+				c.requests.Add(&table.Request{Arrival: a, HeardAt: benchNow.Add(time.Duration(id*31%1000) * time.Millisecond)})
+				c.requests.Rerouting[id] = struct{}{}
+			}
+			for b.Loop() {
+				c.reroutingByRank()
+			}
+		})
+	}
+}
--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -78,16 +78,40 @@
 	return c.admit.Ranks.Reserve(now, r.Model, r.Rank)
 }
 
+// lostRequest is a request without a route, with what decides when it gets one.
+type lostRequest struct {
+	*table.Request
+	loss        int
+	silentSince time.Time
+}
+
 // reroutingByRank returns the requests without a route in the order in which they get one: begun streams first,
 // then by rank, then by the pause that their callers have had. Requests without ranks come before these, by ID.
 func (c *Core) reroutingByRank() []*table.Request {
-	var waiting []*table.Request
-	for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
-		waiting = append(waiting, c.requests.Get(id))
+	waiting := make([]*table.Request, 0, len(c.requests.Rerouting))
+	if !c.admit.Ranks.Any() {
+		for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
+			waiting = append(waiting, c.requests.Get(id))
+		}
+		return waiting
 	}
-	slices.SortStableFunc(waiting, func(a, b *table.Request) int {
-		return cmp.Or(cmp.Compare(c.loss(a), c.loss(b)), c.comparePauses(a, b))
+	lost := make([]lostRequest, 0, len(c.requests.Rerouting))
+	for id := range c.requests.Rerouting {
+		r := c.requests.Get(id)
+		lost = append(lost, lostRequest{Request: r, loss: c.loss(r), silentSince: c.silentSince(r)})
+	}
+	slices.SortFunc(lost, func(a, b lostRequest) int {
+		if a.loss != b.loss {
+			return cmp.Compare(a.loss, b.loss)
+		}
+		if byPause := a.silentSince.Compare(b.silentSince); byPause != 0 {
+			return byPause
+		}
+		return cmp.Compare(a.ID, b.ID)
 	})
+	for _, l := range lost {
+		waiting = append(waiting, l.Request)
+	}
 	return waiting
 }
 
