Count a late stream as waiting for room for 750 ms, and bound what a hung one holds back

Cause: a stream without its due token counted as a shortage for as long as it was open, so a single one at an engine that hangs kept the gates of all less important ranks closed. Change: it counts for 750 ms, so that the gates are open two seconds after the token was due.

--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -16,6 +16,10 @@
 // lateMessage is sent to callers whose requests waited too long for room.
 const lateMessage = "the first token would come too late"
 
+// maxLate is for how long after its token was due a stream counts as waiting for room. One that is late for longer waits for
+// its engine, which holding others back does not help. Gates open within two seconds after the token was due.
+const maxLate = 750 * time.Millisecond
+
 // rankLoads returns the loads of the ranks for the exchange with the other daemons. Requests that wait for servers
 // to return do not wait for room, and are left out.
 func (c *Core) rankLoads(now time.Time) []ranks.ServiceLoads {
@@ -33,7 +37,8 @@
 		s := streams[r.Model][r.Rank]
 		s.Open++
 		// A stalled stream waits for its server, not for room.
-		if !hasOutput(r) && r.StalledOn == "" && !r.FirstTokenDeadline.IsZero() && now.After(r.FirstTokenDeadline) {
+		due := r.FirstTokenDeadline
+		if !hasOutput(r) && r.StalledOn == "" && !due.IsZero() && now.After(due) && now.Before(due.Add(maxLate)) {
 			s.Late++
 		}
 		streams[r.Model][r.Rank] = s
--- a/internal/core/ranked_test.go
+++ b/internal/core/ranked_test.go
@@ -232,3 +232,29 @@
 		})
 	}
 }
+
+// TestHungStreamHoldsNobodyBack answers an engine that takes a stream of the most important rank and never sends a token, while the
+// other engines have room: two seconds after the token was due, less important requests are refused no more.
+func TestHungStreamHoldsNobodyBack(t *testing.T) {
+	w := newChainHarness(t, 2).withRanks(0, 1)
+	due := w.now.Add(100 * time.Millisecond)
+	w.submit(msgs.Arrival{ID: 1, FirstTokenDeadline: due})
+	refused, lastRefused, id := 0, due, model.RequestID(1)
+	for w.now.Before(due.Add(6 * time.Second)) {
+		w.now = w.now.Add(10 * time.Millisecond)
+		id++
+		w.in.Arrivals = append(w.in.Arrivals, msgs.Arrival{ID: id, Rank: 1, Model: "m", Deadline: w.now.Add(20 * time.Second), FirstTokenDeadline: w.now.Add(500 * time.Millisecond)})
+		w.core.DaemonStatus(w.now)
+		w.tick()
+		for _, f := range w.out.Finishes {
+			if f.Failure != nil {
+				refused, lastRefused = refused+1, w.now
+			}
+		}
+		for _, o := range w.out.Opens {
+			w.in.Tokens = append(w.in.Tokens, model.Token{Request: o.Request, Epoch: o.Epoch}, model.Token{Request: o.Request, Epoch: o.Epoch, Position: 1, End: true})
+		}
+	}
+	assert.Assert(t, refused > 0)
+	assert.Assert(t, lastRefused.Sub(due) <= 2*time.Second, "%d refused, the last one after %s", refused, lastRefused.Sub(due))
+}
