--- a/internal/core/ranks/metrics.go
+++ b/internal/core/ranks/metrics.go
@@ -12,7 +12,8 @@
 	Rank int `json:"rank"`
 	// Waiting is the number of requests that wait for their first route.
 	Waiting int `json:"waiting"`
-	// Running is the number of open streams as of the last exchange, and Late that of those without a token though it is due.
+	// Running is the number of open streams as of the last exchange, and Late that of those whose first token is
+	// late, but not yet for so long that their engine must be the cause.
 	Running int `json:"running"`
 	Late    int `json:"late"`
 	// Started and Refused count the requests that got their first route, and that were refused for lack of room.
--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -264,7 +264,7 @@
 // Streams are the open streams of one rank of a service.
 type Streams struct {
 	Open int
-	// Late is the number of those without a token though it is due.
+	// Late is the number of those whose first token is late for lack of room.
 	Late int
 }
 
