--- a/internal/core/ranked.go
+++ b/internal/core/ranked.go
@@ -16,6 +16,10 @@
 // lateMessage is sent to callers whose requests waited too long for room.
 const lateMessage = "the first token would come too late"
 
+// maxLate is for how long after its token was due a stream counts as waiting for room. One that is late for longer waits for
+// its engine, which holding others back does not help. Gates open within two seconds after the token was due.
+const maxLate = 750 * time.Millisecond
+
 // rankLoads returns the loads of the ranks for the exchange with the other daemons. Requests that wait for servers
 // to return do not wait for room, and are left out.
 func (c *Core) rankLoads(now time.Time) []ranks.ServiceLoads {
@@ -33,7 +37,8 @@
 		s := streams[r.Model][r.Rank]
 		s.Open++
 		// A stalled stream waits for its server, not for room.
-		if !hasOutput(r) && r.StalledOn == "" && !r.FirstTokenDeadline.IsZero() && now.After(r.FirstTokenDeadline) {
+		due := r.FirstTokenDeadline
+		if !hasOutput(r) && r.StalledOn == "" && !due.IsZero() && now.After(due) && now.Before(due.Add(maxLate)) {
 			s.Late++
 		}
 		streams[r.Model][r.Rank] = s
@@ -78,16 +83,40 @@
 	return c.admit.Ranks.Reserve(now, r.Model, r.Rank)
 }
 
+// lostRequest is a request without a route, with what decides when it gets one.
+type lostRequest struct {
+	*table.Request
+	loss        int
+	silentSince time.Time
+}
+
 // reroutingByRank returns the requests without a route in the order in which they get one: begun streams first,
 // then by rank, then by the pause that their callers have had. Requests without ranks come before these, by ID.
 func (c *Core) reroutingByRank() []*table.Request {
-	var waiting []*table.Request
-	for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
-		waiting = append(waiting, c.requests.Get(id))
+	waiting := make([]*table.Request, 0, len(c.requests.Rerouting))
+	if !c.admit.Ranks.Any() {
+		for _, id := range slices.Sorted(maps.Keys(c.requests.Rerouting)) {
+			waiting = append(waiting, c.requests.Get(id))
+		}
+		return waiting
+	}
+	lost := make([]lostRequest, 0, len(c.requests.Rerouting))
+	for id := range c.requests.Rerouting {
+		r := c.requests.Get(id)
+		lost = append(lost, lostRequest{Request: r, loss: c.loss(r), silentSince: c.silentSince(r)})
 	}
-	slices.SortStableFunc(waiting, func(a, b *table.Request) int {
-		return cmp.Or(cmp.Compare(c.loss(a), c.loss(b)), c.comparePauses(a, b))
+	slices.SortFunc(lost, func(a, b lostRequest) int {
+		if a.loss != b.loss {
+			return cmp.Compare(a.loss, b.loss)
+		}
+		if byPause := a.silentSince.Compare(b.silentSince); byPause != 0 {
+			return byPause
+		}
+		return cmp.Compare(a.ID, b.ID)
 	})
+	for _, l := range lost {
+		waiting = append(waiting, l.Request)
+	}
 	return waiting
 }
 
@@ -134,13 +163,6 @@
 	return r.TryAt.Add(time.Duration(rounds) * dispatchRetryInterval)
 }
 
-// sortByRank sorts requests by rank as far as they have ranks, and leaves the order of equal ones.
-func (c *Core) sortByRank(ids []model.RequestID) {
-	slices.SortStableFunc(ids, func(a, b model.RequestID) int {
-		return cmp.Compare(c.requests.Get(a).Order, c.requests.Get(b).Order)
-	})
-}
-
 // refuseLate refuses a request that waited too long for room.
 func (c *Core) refuseLate(now time.Time, r *table.Request, out *msgs.Outbox) {
 	if r.Phase != table.Queued || !c.admit.Ranks.On(r.Model) {
--- a/internal/core/ranks/state.go
+++ b/internal/core/ranks/state.go
@@ -82,6 +82,7 @@
 			s = &service{}
 			st.services[name] = s
 		}
+		s.own = slices.DeleteFunc(s.own, func(r *rank) bool { return r.waiting == 0 && !slices.Contains(services[name], r.rank) })
 		for _, r := range services[name] {
 			st.of(s, r)
 		}
@@ -263,7 +264,7 @@
 // Streams are the open streams of one rank of a service.
 type Streams struct {
 	Open int
-	// Late is the number of those without a token though it is due.
+	// Late is the number of those whose first token is late for lack of room.
 	Late int
 }
 
