--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -231,16 +231,6 @@
 	}
 }
 
-// giveBackRetry takes a retry that reached no server out of the retry budget. It must be called before the end is
-// handled.
-func (c *Core) giveBackRetry(now time.Time, e msgs.StreamEnd) {
-	r := c.requests.Get(e.Request)
-	if c.budget == nil || !e.NotConnected || r == nil || r.Phase != table.Running || e.Epoch != r.Epoch || r.Epoch == 1 {
-		return
-	}
-	c.budget.GiveBack(now, r.Model, r.LastActivityAt)
-}
-
 // applyArrivals admits or rejects new requests.
 func (c *Core) applyArrivals(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	for _, a := range in.Arrivals {
@@ -473,22 +463,6 @@
 	return result
 }
 
-// noOutputBudgetShare is the share of the budget available to requests that have not sent a
-// token to their caller. Such a caller can be told to retry later, while a started
-// stream that is not retried is cut off.
-const noOutputBudgetShare = 0.5
-
-// budgetShare returns the share of the budget that a request may use, in 0..1.
-func budgetShare(r *table.Request) float64 {
-	if hasOutput(r) {
-		return 1
-	}
-	return noOutputBudgetShare
-}
-
-// hasOutput reports whether the caller was sent a token in answer to this request.
-func hasOutput(r *table.Request) bool { return r.Next > r.From }
-
 // nextWake returns the latest time for the next tick, or zero if none is needed.
 func (c *Core) nextWake(now time.Time) time.Time {
 	next := earliest(earliest(c.requests.NextDeadline(), c.drain.NextMove()), earliest(c.crash.NextCheck(), c.requestCrash.NextCheck()))
