--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -34,6 +34,9 @@
 	Streams int `cbor:"3,keyasint"`
 }
 
+// idle reports whether the load is none.
+func (l Load) idle() bool { return l.Tokens == 0 && l.Streams == 0 }
+
 // Pipe identifies the connection between the engines of two availability zones.
 type Pipe struct {
 	// From sorts before To, as both directions share the pipe.
@@ -188,8 +191,10 @@
 type State struct {
 	reports map[model.DaemonID]daemonReport
 	// loads, pipes, suspects, full, leaving and cutOff are the sums over reports, without zero
-	// entries.
-	loads                                     map[model.ServerID]Load
+	// entries but for those of loads that the next sweep removes.
+	loads map[model.ServerID]Load
+	// loadIDs holds the keys of loads, sorted.
+	loadIDs                                   []model.ServerID
 	pipes                                     map[Pipe]int
 	suspects                                  map[model.ServerID]int
 	full                                      map[model.ServerID]int
@@ -232,11 +237,12 @@
 // addToSums adds a report to the sums if sign is 1, or subtracts it if sign is -1.
 func (st *State) addToSums(status DaemonStatus, sign int) {
 	for _, l := range status.Loads {
-		sum := st.loads[l.Server]
-		sum = Load{Server: l.Server, Tokens: sum.Tokens + sign*l.Tokens, Streams: sum.Streams + sign*l.Streams}
-		if st.loads[l.Server] = sum; sum.Tokens == 0 && sum.Streams == 0 {
-			delete(st.loads, l.Server)
+		sum, known := st.loads[l.Server]
+		if !known {
+			index, _ := slices.BinarySearch(st.loadIDs, l.Server)
+			st.loadIDs = slices.Insert(st.loadIDs, index, l.Server)
 		}
+		st.loads[l.Server] = Load{Server: l.Server, Tokens: sum.Tokens + sign*l.Tokens, Streams: sum.Streams + sign*l.Streams}
 	}
 	for _, p := range status.Pipes {
 		if st.pipes[p.Pipe] += sign * p.Tokens; st.pipes[p.Pipe] == 0 {
@@ -279,6 +285,13 @@
 		delete(st.reports, id)
 		return true
 	})
+	st.loadIDs = slices.DeleteFunc(st.loadIDs, func(id model.ServerID) bool {
+		idle := st.loads[id].idle()
+		if idle {
+			delete(st.loads, id)
+		}
+		return idle
+	})
 }
 
 // Suspects returns the engines that any daemon suspects to be dead, sorted by ID.
@@ -355,9 +368,9 @@
 		RequestCrashes: RequestCrashes{ModelRequests: st.modelRequests.union(), PlainRequests: st.plainRequests.union()},
 		Slow:           st.slow.agreed(),
 	}
-	for id, sum := range st.loads {
-		ownLoad := ownLoads[id]
-		if remaining := (Load{Server: id, Tokens: sum.Tokens - ownLoad.Tokens, Streams: sum.Streams - ownLoad.Streams}); remaining.Tokens != 0 || remaining.Streams != 0 {
+	for _, id := range st.loadIDs {
+		sum, ownLoad := st.loads[id], ownLoads[id]
+		if remaining := (Load{Server: id, Tokens: sum.Tokens - ownLoad.Tokens, Streams: sum.Streams - ownLoad.Streams}); !remaining.idle() {
 			v.Loads = append(v.Loads, remaining)
 		}
 	}
@@ -366,7 +379,6 @@
 			v.Pipes = append(v.Pipes, PipeLoad{Pipe: p, Tokens: remaining})
 		}
 	}
-	slices.SortFunc(v.Loads, func(a, b Load) int { return cmp.Compare(a.Server, b.Server) })
 	slices.SortFunc(v.Pipes, func(a, b PipeLoad) int { return a.Pipe.compare(b.Pipe) })
 	return v
 }
--- a/internal/core/board/board_test.go
+++ b/internal/core/board/board_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"testing"
@@ -107,3 +109,23 @@
 	assert.DeepEqual(t, st.Others(now, "b").PromptParts, PromptParts{CrashEvidence: []crash.Evidence{{Server: "e", Part: 2}}, SoundParts: []uint64{1}})
 	assert.DeepEqual(t, st.Others(now.Add(StatusTTL), "b"), View{})
 }
+
+// BenchmarkExchange measures one daemon's exchange with the hub of 300 daemons with 60 of 3,000 engines in use each.
+func BenchmarkExchange(b *testing.B) {
+	const daemons, engines, inUse = 300, 3000, 60
+	st, now, random := New(), time.Unix(1000, 0), rand.New(rand.NewPCG(1, 2))
+	statuses := make([]DaemonStatus, daemons)
+	for i := range statuses {
+		for range inUse {
+			id := model.ServerID(fmt.Sprintf("engine-%04d", random.IntN(engines)))
+			statuses[i].Loads = append(statuses[i].Loads, Load{Server: id, Tokens: 500, Streams: 1})
+		}
+		st.Put(now, model.DaemonID(strconv.Itoa(i)), statuses[i])
+	}
+	for i := 0; b.Loop(); i++ {
+		from := model.DaemonID(strconv.Itoa(i % daemons))
+		st.Put(now, from, statuses[i%daemons])
+		st.Others(now, from)
+		now = now.Add(time.Millisecond)
+	}
+}
