Show a fleet that a large backlog of changes blinds

Review, case 1: one daemon is cut from the store while a configuration of half a megabyte changes 25 times in two seconds.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -34,10 +34,10 @@
 var lastRequest atomic.Int64
 
 // requestText returns an ID and the text of a request with that ID.
-func requestText(method, path string, deadlineMs int, body string) (id, text string) {
+func requestText(key, method, path string, deadlineMs int, body string) (id, text string) {
 	id = fmt.Sprintf("%016x", 0x1c41d07b00000000+lastRequest.Add(1))
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", method, path, callersHost, id, deadlineMs, apiKey)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", method, path, callersHost, id, deadlineMs, key)
 	if strings.HasPrefix(path, "/draft/") {
 		fmt.Fprintf(&b, "Model: m0\r\nToken-Usage: 760,200\r\nPrompt-Prefix: 5c1e07a2:40,%s:720\r\n", id)
 	}
@@ -50,7 +50,12 @@
 
 // send sends a request on a new connection and reads the answer.
 func (w *world) send(address, method, path string, deadline time.Duration, body string) answer {
-	id, text := requestText(method, path, int(deadline.Milliseconds()), body)
+	return w.sendWithKey(apiKey, address, method, path, deadline, body)
+}
+
+// sendWithKey is send with another key.
+func (w *world) sendWithKey(key, address, method, path string, deadline time.Duration, body string) answer {
+	id, text := requestText(key, method, path, int(deadline.Milliseconds()), body)
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return answer{ID: id, Err: err, EndedAt: time.Now()}
--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -6,7 +6,7 @@
 )
 
 // configure writes the next version of the operator's configuration, with extra routes that nobody uses.
-func (w *world) configure(keys []string, extraRoutes int) (uint64, error) {
+func (w *world) configure(keys []string, extraRoutes int) error {
 	w.version += 3
 	route := func(name, prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
 		return map[string]any{
@@ -40,9 +40,9 @@
 		"tenants": []any{map[string]any{"name": "north", "apiKeys": keys}},
 	})
 	if err != nil {
-		return 0, err
+		return err
 	}
 	at := w.store.put("op/config", raw)
 	w.record.printf("conf  version %d with %d keys, %d bytes, acknowledged at revision %d", w.version, len(keys), len(raw), at)
-	return uint64(w.version), nil
+	return nil
 }
--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -22,6 +22,8 @@
 	// exited is closed when the process has ended.
 	exited chan struct{}
 	log    string
+	// storeAddress is where the store answers this machine.
+	storeAddress string
 }
 
 func (d *daemon) front() string     { return fmt.Sprintf("%s:%d", d.ip, d.world.frontPort) }
@@ -91,7 +93,7 @@
 platform.valueBytes=1048576
 platform.ttlMinMs=1000
 `, d.name, d.ip, d.zone, d.front(), d.readiness(), d.ip, d.world.controlPort, d.world.peerPort, d.world.peerPort+15,
-		strings.Join(seeds, ","), d.world.storeAddress)
+		strings.Join(seeds, ","), d.storeAddress)
 }
 
 // start writes the settings and starts the process.
@@ -151,7 +153,7 @@
 
 // world is the deployment of one case.
 type world struct {
-	program, dir, storeAddress                      string
+	program, dir                                    string
 	frontPort, readinessPort, controlPort, peerPort int
 	store                                           *store
 	fleet                                           *fleet
@@ -181,17 +183,17 @@
 			return nil, err
 		}
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	w.storeAddress = l.Addr().String()
-	w.store.serve(ctx, l)
+	go w.store.maintain(ctx)
 	pid := os.Getpid()
 	for i := range daemons {
-		w.daemons = append(w.daemons, &daemon{
-			name: fmt.Sprintf("edge-north-a-%d", i+1), ip: fmt.Sprintf("127.%d.%d.%d", 1+pid%200, 1+pid/200%200, 11+i), zone: "north-a", world: w,
-		})
+		d := &daemon{name: fmt.Sprintf("edge-north-a-%d", i+1), ip: fmt.Sprintf("127.%d.%d.%d", 1+pid%200, 1+pid/200%200, 11+i), zone: "north-a", world: w}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		d.storeAddress = l.Addr().String()
+		w.store.serve(ctx, l, d.name)
+		w.daemons = append(w.daemons, d)
 	}
 	return w, nil
 }
--- a/review/stand/late.go
+++ b/review/stand/late.go
@@ -11,7 +11,7 @@
 // startSmall starts three model engines, which hold the whole model together, one plain engine and the daemons, and waits
 // until requests of both services are served at each daemon.
 func (w *world) startSmall() (models []*engine, plain *engine, err error) {
-	if _, err = w.configure([]string{apiKey}, 0); err != nil {
+	if err = w.configure([]string{apiKey}, 0); err != nil {
 		return nil, nil, err
 	}
 	for _, id := range []string{"i-7f3a91c2", "i-91c27f3a", "i-c27f3a91"} {
@@ -75,7 +75,7 @@
 		d.signal(syscall.SIGTERM)
 	}
 	time.Sleep(connectAfter)
-	id, text := requestText(http.MethodPost, "/draft/2", int(deadline.Milliseconds()), visitNotes)
+	id, text := requestText(apiKey, http.MethodPost, "/draft/2", int(deadline.Milliseconds()), visitNotes)
 	conn, err := net.DialTimeout("tcp", d.front(), time.Second)
 	if err != nil {
 		return err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -4,18 +4,22 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases are the cases by name.
 var cases = map[string]func(*world) error{
 	"late-request":  lateRequest,
-	"last-engine":   lastEngine,
 	"foreign-entry": foreignEntry,
 	"cut-watch":     cutWatch,
+	"large-changes": largeChanges,
+	"grey-engine":   greyEngine,
 }
 
 func main() { os.Exit(play()) }
@@ -53,5 +57,14 @@
 		return rec.close(err)
 	}
 	defer w.close()
-	return rec.close(playCase(w))
+	interrupted, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	result := make(chan error, 1)
+	go func() { result <- playCase(w) }()
+	select {
+	case err := <-result:
+		return rec.close(err)
+	case <-interrupted.Done():
+		return rec.close(errors.New("interrupted"))
+	}
 }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -22,22 +22,36 @@
 	Removed  bool   `json:"removed,omitempty"`
 }
 
-// store is an in-memory key-value service as the platform's page describes it. It keeps its whole history.
+// datedItem is a change and when it was made.
+type datedItem struct {
+	item
+	at time.Time
+}
+
+// store is an in-memory key-value service as the platform's page describes it.
 type store struct {
-	mu       sync.Mutex
-	items    map[string]item
-	history  []item
-	revision uint64
-	leases   map[uint64]time.Time
-	ttls     map[uint64]time.Duration
-	changed  chan struct{}
+	mu      sync.Mutex
+	items   map[string]item
+	history []datedItem
+	// compacted is the last revision whose change is no longer in history.
+	compacted uint64
+	revision  uint64
+	leases    map[uint64]time.Time
+	ttls      map[uint64]time.Duration
+	changed   chan struct{}
 	// cutUntil is until when watches that wait are cut, and cuts wakes them.
 	cutUntil time.Time
 	cuts     chan struct{}
+	// leader is the machine that last wrote under a condition.
+	leader string
+
+	// cutMu guards cutOff, which is until when the calls of a machine get no answer.
+	cutMu  sync.Mutex
+	cutOff map[string]time.Time
 }
 
 func newStore() *store {
-	return &store{items: map[string]item{}, revision: 1, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, changed: make(chan struct{}), cuts: make(chan struct{})}
+	return &store{items: map[string]item{}, revision: 1, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, changed: make(chan struct{}), cuts: make(chan struct{}), cutOff: map[string]time.Time{}}
 }
 
 // put writes a key as the operator or a server does, and returns its revision.
@@ -63,6 +77,23 @@
 	s.cuts = make(chan struct{})
 }
 
+// cutLeader partitions the machine that last wrote under a condition from the store, for a time, and returns its name.
+func (s *store) cutLeader(lasts time.Duration) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutMu.Lock()
+	defer s.cutMu.Unlock()
+	s.cutOff[s.leader] = time.Now().Add(lasts)
+	return s.leader
+}
+
+// reaches reports whether a machine reaches the store.
+func (s *store) reaches(machine string) bool {
+	s.cutMu.Lock()
+	defer s.cutMu.Unlock()
+	return !time.Now().Before(s.cutOff[machine])
+}
+
 // apply makes a change. The caller holds mu.
 func (s *store) apply(change item) uint64 {
 	s.revision++
@@ -77,7 +108,7 @@
 		}
 		s.items[change.Key] = change
 	}
-	s.history = append(s.history, change)
+	s.history = append(s.history, datedItem{item: change, at: time.Now()})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
@@ -102,27 +133,62 @@
 	}
 }
 
-// serve answers calls until the context ends.
-func (s *store) serve(ctx context.Context, l net.Listener) {
+// handler returns the handler of one machine's calls.
+func (s *store) handler(machine string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", s.handleKey)
 	mux.HandleFunc("GET /-/kv-range", s.handleRange)
 	mux.HandleFunc("GET /-/kv-watch", s.handleWatch)
-	mux.HandleFunc("POST /-/kv-txn", s.handleTxn)
+	mux.HandleFunc("POST /-/kv-txn", func(w http.ResponseWriter, r *http.Request) { s.handleTxn(w, r, machine) })
 	mux.HandleFunc("POST /-/kv-lease", s.handleLease)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.handleKeep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.handleLeaseEnd)
-	go func() {
-		ticker := time.NewTicker(50 * time.Millisecond)
-		defer ticker.Stop()
-		for ctx.Err() == nil {
-			<-ticker.C
-			s.mu.Lock()
-			s.expire()
-			s.mu.Unlock()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.reaches(machine) {
+			<-r.Context().Done()
+			return
 		}
-	}()
-	serveUntil(ctx, l, mux)
+		mux.ServeHTTP(&cuttable{ResponseWriter: w, cut: func() bool { return !s.reaches(machine) }}, r)
+	})
+}
+
+// cuttable breaks off an answer that is written while its machine is cut off.
+type cuttable struct {
+	http.ResponseWriter
+	cut func() bool
+}
+
+func (c *cuttable) Write(b []byte) (int, error) {
+	if c.cut() {
+		panic(http.ErrAbortHandler)
+	}
+	return c.ResponseWriter.Write(b)
+}
+
+// serve answers the calls of one machine until the context ends.
+func (s *store) serve(ctx context.Context, l net.Listener, machine string) {
+	serveUntil(ctx, l, s.handler(machine))
+}
+
+// historyTime is how long changes can be watched.
+const historyTime = 20 * time.Second
+
+// maintain ends leases and drops old history until the context ends.
+func (s *store) maintain(ctx context.Context) {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		<-ticker.C
+		s.mu.Lock()
+		s.expire()
+		kept := 0
+		for kept < len(s.history) && time.Since(s.history[kept].at) > historyTime {
+			s.compacted = s.history[kept].Revision
+			kept++
+		}
+		s.history = slices.Delete(s.history, 0, kept)
+		s.mu.Unlock()
+	}
 }
 
 // serveUntil serves HTTP until the context ends.
@@ -187,10 +253,15 @@
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
 	for last := false; ; {
 		s.mu.Lock()
+		if after < s.compacted {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events, at, changed, cuts, cut := []item{}, s.revision, s.changed, s.cuts, time.Now().Before(s.cutUntil)
 		for _, change := range s.history {
 			if change.Revision > after && strings.HasPrefix(change.Key, query.Get("prefix")) {
-				events = append(events, change)
+				events = append(events, change.item)
 			}
 		}
 		s.mu.Unlock()
@@ -213,7 +284,7 @@
 	}
 }
 
-func (s *store) handleTxn(w http.ResponseWriter, r *http.Request) {
+func (s *store) handleTxn(w http.ResponseWriter, r *http.Request, machine string) {
 	var txn struct {
 		Expected []item   `json:"expected"`
 		Writes   []item   `json:"writes"`
@@ -247,6 +318,9 @@
 	for _, key := range txn.Remove {
 		s.apply(item{Key: key, Removed: true})
 	}
+	if len(txn.Expected) > 0 {
+		s.leader = machine
+	}
 	writeJSON(w, http.StatusOK, map[string]uint64{"revision": s.revision})
 }
 
--- a/review/stand/watch.go
+++ b/review/stand/watch.go
@@ -20,20 +20,20 @@
 	}
 	const (
 		drain, slack   = 2 * time.Second, 100 * time.Millisecond
-		servesOn       = drain + 400*time.Millisecond
+		ends           = drain + 400*time.Millisecond
 		settle         = 4 * time.Second
-		work, pause    = 150 * time.Millisecond, 50 * time.Millisecond
+		pause          = 50 * time.Millisecond
 		bookAfter      = 3 * time.Second
 		bookingTimeout = 2500 * time.Millisecond
 	)
-	first.setWork(work)
-	second.setWork(work)
+	first.workLonger()
+	second.workLonger()
 	// The daemons were started over contactMs ago.
 	time.Sleep(settle)
 	var mu sync.Mutex
 	answers := map[string]answer{}
 	var wg sync.WaitGroup
-	stop := time.Now().Add(time.Second + servesOn + bookAfter)
+	stop := time.Now().Add(time.Second + ends + bookAfter)
 	for _, d := range w.daemons {
 		wg.Go(func() {
 			for time.Now().Before(stop) {
@@ -56,7 +56,7 @@
 	at := second.withdraw()
 	removed := time.Now()
 	w.record.printf("gone  the entry of %s was removed at revision %d", second.id, at)
-	time.Sleep(time.Until(removed.Add(servesOn)))
+	time.Sleep(time.Until(removed.Add(ends)))
 	second.end()
 	w.record.printf("end   %s ended", second.id)
 	wg.Wait()
