--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -24,6 +24,8 @@
 	log    string
 	// storeAddress is where the store answers this machine.
 	storeAddress string
+	// toStore accepts this machine's connections to the store.
+	toStore *silentListener
 }
 
 func (d *daemon) front() string     { return fmt.Sprintf("%s:%d", d.ip, d.world.frontPort) }
@@ -192,7 +194,8 @@
 			return nil, err
 		}
 		d.storeAddress = l.Addr().String()
-		w.store.serve(ctx, l, d.name)
+		d.toStore = &silentListener{Listener: l}
+		w.store.serve(ctx, d.toStore, d.name)
 		w.daemons = append(w.daemons, d)
 	}
 	return w, nil
--- a/review/stand/engines.go
+++ b/review/stand/engines.go
@@ -53,9 +53,7 @@
 	state    string
 	// silent keeps publish from writing the entry.
 	silent bool
-	// failEvery is of how many requests one is failed after it has run; 0 for none.
-	failEvery int
-	ended     atomic.Bool
+	ended  atomic.Bool
 	// fleet finds the engines of a path by their addresses.
 	fleet *fleet
 }
@@ -214,12 +212,6 @@
 	e.mu.Unlock()
 	time.Sleep(work)
 	text := fmt.Sprintf("%s done by %s", id, e.id)
-	if e.fails() {
-		e.record.printf("fails %s at %s with 503 after it has run", id, e.id)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		e.complete(begun)
-		return
-	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if _, err := io.WriteString(w, text); err == nil {
 		e.complete(begun)
@@ -332,17 +324,3 @@
 	defer e.mu.Unlock()
 	e.work = longWork
 }
-
-// failEach makes a plain engine answer each nth request with 503 after it has run it.
-func (e *engine) failEach(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.failEvery = n
-}
-
-// fails reports whether the engine fails a request that it has run.
-func (e *engine) fails() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.failEvery > 0 && len(e.runs)%e.failEvery == 0
-}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,11 +15,11 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*world) error{
-	"late-request":  lateRequest,
-	"foreign-entry": foreignEntry,
-	"cut-watch":     cutWatch,
-	"large-changes": largeChanges,
-	"grey-engine":   greyEngine,
+	"late-request":       lateRequest,
+	"foreign-entry":      foreignEntry,
+	"cut-watch":          cutWatch,
+	"large-changes":      largeChanges,
+	"silent-connections": silentConnections,
 }
 
 func main() { os.Exit(play()) }
