--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -5,7 +5,8 @@
 	"fmt"
 )
 
-// configure writes the next version of the operator's configuration, with extra routes that nobody uses.
+// configure writes the next version of the operator's configuration, with extra routes that nobody uses. Once
+// w.noteRoute is set, it has a streaming route to the plain service as well.
 func (w *world) configure(keys []string, extraRoutes int) error {
 	w.version += 3
 	route := func(name, prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
@@ -20,6 +21,9 @@
 		route("r-book", "/book/", "non_idempotent", plainService, 1200, 150, 1),
 		route("r-read", "/read/", "idempotent", plainService, 1200, 150, 2),
 	}
+	if w.noteRoute {
+		routes = append(routes, route("r-note", "/note/", "streaming", plainService, 20000, 500, 2))
+	}
 	for i := range extraRoutes {
 		routes = append(routes, route(fmt.Sprintf("r-idle-%d", i), fmt.Sprintf("/idle%d/", i), "idempotent", plainService, 1200, 150, 2))
 	}
--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -162,8 +162,10 @@
 	record                                          *record
 	daemons                                         []*daemon
 	version                                         int
-	ctx                                             context.Context
-	trouble                                         bool
+	// noteRoute adds the route of newStream to the configuration.
+	noteRoute bool
+	ctx       context.Context
+	trouble   bool
 }
 
 // freePort returns a port that nobody listens on at 127.0.0.1 now.
--- a/review/stand/engines.go
+++ b/review/stand/engines.go
@@ -203,7 +203,7 @@
 	e.mu.Unlock()
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Signature", e.id+"."+id)
-	if e.kind != "" {
+	if e.kind != "" || strings.HasPrefix(r.RequestURI, "/note/") {
 		e.stream(w, r, begun)
 		return
 	}
@@ -264,7 +264,7 @@
 	control := http.NewResponseController(w)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= e.events; i++ {
-		if status, at := e.checkPath(r.Header.Get("Hop-Count")); status != 0 {
+		if status, at := e.checkPath(r.Header.Get("Hop-Count")); e.kind != "" && status != 0 {
 			e.record.printf("stall %s at %s after event %d: %s is not there", begun.Request, e.id, i-1, at)
 			select {
 			case <-r.Context().Done():
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,7 +15,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*world) error{
-	"late-request":       lateRequest,
+	"new-stream":         newStream,
 	"foreign-entry":      foreignEntry,
 	"cut-watch":          cutWatch,
 	"large-changes":      largeChanges,
