--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -38,7 +38,7 @@
 	id = fmt.Sprintf("%016x", 0x1c41d07b00000000+lastRequest.Add(1))
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", method, path, callersHost, id, deadlineMs, key)
-	if strings.HasPrefix(path, "/draft/") {
+	if strings.HasPrefix(path, "/draft/") || strings.HasPrefix(path, "/once/") {
 		fmt.Fprintf(&b, "Model: m0\r\nToken-Usage: 760,200\r\nPrompt-Prefix: 5c1e07a2:40,%s:720\r\n", id)
 	}
 	if method == http.MethodPost {
--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -24,17 +24,33 @@
 	if w.noteRoute {
 		routes = append(routes, route("r-note", "/note/", "streaming", plainService, 20000, 500, 2))
 	}
+	if w.rootRoute {
+		routes = append(routes, route("r-visits", "/", "non_idempotent", plainService, 1200, 150, 1))
+	}
+	if w.onceRoute {
+		once := route("r-once", "/once/", "streaming", modelService, 20000, 500, 2)
+		once["resumable"] = false
+		routes = append(routes, once)
+	}
+	layerMb := 1750.0
+	if w.smallModel {
+		layerMb = 400
+	}
 	for i := range extraRoutes {
 		routes = append(routes, route(fmt.Sprintf("r-idle-%d", i), fmt.Sprintf("/idle%d/", i), "idempotent", plainService, 1200, 150, 2))
 	}
+	slots := 192
+	if w.modelSlots > 0 {
+		slots = w.modelSlots
+	}
 	raw, err := json.Marshal(map[string]any{
 		"version": w.version, "routes": routes,
 		"services": []any{
 			map[string]any{"name": modelService, "healthPath": "/health", "maxConnections": 1068, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 192, "kvCapacity": 100000, "kvTokenBytes": 590000, "linkMbps": 400000.0, "stride": 4,
+				"slots": slots, "kvCapacity": 100000, "kvTokenBytes": 590000, "linkMbps": 400000.0, "stride": 4,
 				"models":  []any{map[string]any{"name": "m0", "pace": 1.0, "loadS": 1.0, "warmS": 1.0}},
 				"step_ms": 1.02, "per_seq_ms": 0.00459, "context_per_k": 0.00615, "read_per_s": 164000.0, "pairs_per_m": 0.199, "chunk": 512,
-				"report_lag_ms": 200.0, "usual": map[string]int{"prompt": 775, "answer": 216}, "layers": modelLayers, "layerMb": 1750.0,
+				"report_lag_ms": 200.0, "usual": map[string]int{"prompt": 775, "answer": 216}, "layers": modelLayers, "layerMb": layerMb,
 				"activationBytes": 29500, "pipeMbps": 13000.0,
 				"kinds": []any{map[string]any{"name": "a100", "sizeMb": 72000.0, "pace": 2.4, "readFactor": 3.2}},
 			}},
--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -164,6 +164,14 @@
 	version                                         int
 	// noteRoute adds the route of newStream to the configuration.
 	noteRoute bool
+	// rootRoute adds a route with the prefix "/" to the configuration.
+	rootRoute bool
+	// smallModel makes the model so small that one engine holds all its layers.
+	smallModel bool
+	// modelSlots is the number of slots of each model engine; 0 for 192.
+	modelSlots int
+	// onceRoute adds a route for streams that may not be resumed to the configuration.
+	onceRoute bool
 	ctx       context.Context
 	trouble   bool
 }
--- a/review/stand/engines.go
+++ b/review/stand/engines.go
@@ -27,9 +27,11 @@
 // run is one run of a request at an engine.
 type run struct {
 	Request, Path, Tenant, Server string
-	Body                          string
-	Began                         time.Time
-	Completed                     bool
+	Host, Body                    string
+	// Sent is what was sent of a stream.
+	Sent      string
+	Began     time.Time
+	Completed bool
 }
 
 // engine is a server of one of the two services: a model engine if kind is set.
@@ -41,6 +43,13 @@
 	// events and eventInterval shape the streams of a model engine.
 	events        int
 	eventInterval time.Duration
+	// lineBytes is the length of the longest line of the first event of a stream; 0 for short ones. Each event's line is
+	// a byte longer than the one before.
+	lineBytes int
+	// slots is the number of streams that a model engine takes at once, and active how many it serves now.
+	slots, active int
+	// extra lets the engine send second copies of answers.
+	extra *extraCopies
 	// work is how long a plain engine works on a request.
 	work   time.Duration
 	server *http.Server
@@ -84,13 +93,16 @@
 	}
 	e := &engine{
 		id: id, kind: kind, zone: "north-a", address: l.Addr().String(), store: w.store, fleet: w.fleet, record: w.record, born: time.Now().UnixMilli(),
-		events: 20, eventInterval: 20 * time.Millisecond, work: 30 * time.Millisecond, state: "ready",
+		events: 20, eventInterval: 20 * time.Millisecond, work: 30 * time.Millisecond, state: "ready", slots: 192,
+	}
+	if w.modelSlots > 0 {
+		e.slots = w.modelSlots
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/report", e.handleReport)
 	mux.HandleFunc("POST /-/order", e.handleOrder)
 	mux.HandleFunc("/", e.handleRequest)
-	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ConnContext: withConn}
 	context.AfterFunc(w.ctx, func() { _ = e.server.Close() })
 	go func() { _ = e.server.Serve(l) }()
 	w.fleet.add(e)
@@ -110,7 +122,7 @@
 		"coldRemainingMs": 0, "sequence": 1, "born": e.born,
 	}
 	if e.kind != "" {
-		entry["service"], entry["slots"], entry["routeType"], entry["stage"] = modelService, 192, e.kind, "hybrid"
+		entry["service"], entry["slots"], entry["routeType"], entry["stage"] = modelService, e.slots, e.kind, "hybrid"
 		if e.to > e.from {
 			entry["layers"] = map[string]int{"source": e.from, "target": e.to, "version": 1}
 		}
@@ -187,7 +199,13 @@
 	if err != nil {
 		return
 	}
+	e.extra.send(r, e)
 	if e.kind != "" {
+		if !e.enter() {
+			e.shed(w, r)
+			return
+		}
+		defer e.leave()
 		if status, at := e.checkPath(r.Header.Get("Hop-Count")); status != 0 {
 			w.Header().Set("Request-Id", id)
 			w.Header().Set("Not-Executed", "1")
@@ -197,7 +215,7 @@
 		}
 	}
 	e.record.printf("run   %s at %s, tenant %q, %d bytes", id, e.id, r.Header.Get("Tenant"), len(body))
-	begun := &run{Request: id, Path: r.RequestURI, Tenant: r.Header.Get("Tenant"), Server: e.id, Body: string(body), Began: time.Now()}
+	begun := &run{Request: id, Path: r.RequestURI, Tenant: r.Header.Get("Tenant"), Server: e.id, Host: r.Host, Body: string(body), Began: time.Now()}
 	e.mu.Lock()
 	e.runs = append(e.runs, begun)
 	e.mu.Unlock()
@@ -263,7 +281,10 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for i := last + 1; i <= e.events; i++ {
+	e.mu.Lock()
+	events := e.events
+	e.mu.Unlock()
+	for i := last + 1; i <= events; i++ {
 		if status, at := e.checkPath(r.Header.Get("Hop-Count")); e.kind != "" && status != 0 {
 			e.record.printf("stall %s at %s after event %d: %s is not there", begun.Request, e.id, i-1, at)
 			select {
@@ -272,7 +293,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s piece %d of %d\n\n", i, begun.Request, i, e.events)
+		e.sendEvent(w, begun, i)
 		_ = control.Flush()
 		select {
 		case <-r.Context().Done():
@@ -284,6 +305,26 @@
 	e.complete(begun)
 }
 
+// sendEvent sends one event of a stream.
+func (e *engine) sendEvent(w io.Writer, begun *run, i int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data := fmt.Sprintf("data: %s piece %d of %d", begun.Request, i, e.events)
+	if e.lineBytes > 0 {
+		data += " " + strings.Repeat("x", e.lineBytes+i-2-len(data))
+	}
+	text := fmt.Sprintf("id: %d\n%s\n\n", i, data)
+	begun.Sent += text
+	_, _ = io.WriteString(w, text)
+}
+
+// shapeEvents sets the number of events of a stream and the length of the first one's longest line.
+func (e *engine) shapeEvents(events, lineBytes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.events, e.lineBytes = events, lineBytes
+}
+
 func (e *engine) complete(r *run) {
 	e.mu.Lock()
 	r.Completed = true
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,6 +20,10 @@
 	"cut-watch":          cutWatch,
 	"large-changes":      largeChanges,
 	"silent-connections": silentConnections,
+	"long-events":        longEvents,
+	"two-slashes":        twoSlashes,
+	"last-engine":        lastEngine,
+	"second-copies":      secondCopies,
 }
 
 func main() { os.Exit(play()) }
