--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -5,7 +5,8 @@
 	"fmt"
 )
 
-// configure writes the next version of the operator's configuration, with extra routes that nobody uses. Once
+// configure writes the next version of the operator's configuration, with extra routes that nobody uses. Without keys, the
+// list of tenants is empty. Once
 // w.noteRoute is set, it has a streaming route to the plain service as well.
 func (w *world) configure(keys []string, extraRoutes int) error {
 	w.version += 3
@@ -39,6 +40,10 @@
 	for i := range extraRoutes {
 		routes = append(routes, route(fmt.Sprintf("r-idle-%d", i), fmt.Sprintf("/idle%d/", i), "idempotent", plainService, 1200, 150, 2))
 	}
+	tenants := []any{}
+	if len(keys) > 0 {
+		tenants = append(tenants, map[string]any{"name": "north", "apiKeys": keys})
+	}
 	slots := 192
 	if w.modelSlots > 0 {
 		slots = w.modelSlots
@@ -57,7 +62,7 @@
 			map[string]any{"name": plainService, "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "north", "apiKeys": keys}},
+		"tenants": tenants,
 	})
 	if err != nil {
 		return err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,7 @@
 	"two-slashes":        twoSlashes,
 	"last-engine":        lastEngine,
 	"second-copies":      secondCopies,
+	"last-key":           lastKey,
 }
 
 func main() { os.Exit(play()) }
