--- a/review/stand/copies.go
+++ b/review/stand/copies.go
@@ -94,14 +94,30 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// secondCopies lets one of three model engines, a first one of chains, send second copies of a few answers. Clients ask in bursts for streams that
-// may not be repeated, so that the engines are full at times.
+// secondCopies lets one of five model engines, a first one of chains, send second copies of a few answers. Clients ask in
+// bursts for streams that may not be repeated, so that the engines are full at times.
 func secondCopies(w *world) error {
+	const settle, bursts, perBurst, pause, timeout = 6 * time.Second, 60, 5, 600 * time.Millisecond, 5 * time.Second
 	w.modelSlots, w.onceRoute = 4, true
 	models, _, err := w.startSmall()
 	if err != nil {
 		return err
 	}
+	for _, id := range []string{"i-2d44c0aa", "i-c0aa2d44"} {
+		more, err := w.startEngine(id, "a100")
+		if err != nil {
+			return err
+		}
+		models = append(models, more)
+	}
+	time.Sleep(settle)
+	firsts := 0
+	for _, m := range models {
+		if m.isFirst() {
+			firsts++
+		}
+	}
+	w.record.printf("%d of %d engines hold the first layer", firsts, len(models))
 	if w.trouble {
 		for _, m := range models {
 			if m.isFirst() {
@@ -112,8 +128,7 @@
 			}
 		}
 	}
-	const bursts, perBurst, pause, timeout = 60, 4, 600 * time.Millisecond, 5 * time.Second
-	var wg sync.WaitGroup
+		var wg sync.WaitGroup
 	var mu sync.Mutex
 	var answers []answer
 	for range bursts {
--- a/review/stand/last.go
+++ b/review/stand/last.go
@@ -26,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := w.startEngine("i-02d9e6b4", ""); err != nil {
+		return err
+	}
 	if err := w.startDaemons(); err != nil {
 		return err
 	}
