--- a/review/stand/copies.go
+++ b/review/stand/copies.go
@@ -128,7 +128,7 @@
 			}
 		}
 	}
-		var wg sync.WaitGroup
+	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var answers []answer
 	for range bursts {
