--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -157,6 +157,9 @@
 	// the key-value service; both guarded by mu.
 	roster      *roster.State
 	changesAsOf time.Time
+	// rejectedSpans holds the layers of the entries that are not used because their model does not have them, by key;
+	// guarded by mu.
+	rejectedSpans map[string]model.Span
 	// peers are the addresses of a few other daemons; daemonCount is the number of all
 	// daemons, at least 1; both guarded by mu.
 	peers       []string
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"bulrushpond.example/bulrushpond/internal/core/elect"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/route"
@@ -12,6 +14,7 @@
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/mirror"
 	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/setts"
 	"bulrushpond.example/bulrushpond/platform"
 )
 
@@ -152,18 +155,13 @@
 	if routing == nil {
 		return
 	}
-	var members []model.Member
+	members := d.usableMembers(routing)
 	known := map[string]bool{}
-	for _, member := range d.roster.Members() {
-		service, found := routing.Services[member.Service]
-		if !found || service.Engine == nil {
-			member.Role = model.Service
+	for _, member := range members {
+		if member.Role == model.Service {
 			d.edge.SetServer(member)
-		} else {
-			member.Role = model.Engine
 		}
 		known[member.ID] = true
-		members = append(members, member)
 	}
 	d.edge.RetainServers(known)
 	d.streams.SetList(members, d.daemonCount)
@@ -174,6 +172,32 @@
 	}
 }
 
+// usableMembers returns the backend servers that the routing allows to use, with the role that their service has there.
+// An entry with layers that the service's model does not have names no server to use: it comes from another writer. The
+// caller holds mu.
+func (d *EdgeDaemon) usableMembers(routing *setts.Routing) []model.Member {
+	var members []model.Member
+	rejected := map[string]model.Span{}
+	for key, member := range d.roster.Members() {
+		service := routing.Services[member.Service]
+		member.Role = model.Service
+		if service.Engine != nil {
+			member.Role = model.Engine
+			if !service.Engine.HasLayers(member.Span) {
+				rejected[key] = member.Span
+				if d.rejectedSpans[key] != member.Span {
+					err := trace.BadParameter("the model of %s has %d layers", member.Service, service.Engine.Layers)
+					d.deps.Log.Error(err, evlog.MemberUnreadable, "key", key, "from", member.Span.From, "to", member.Span.To)
+				}
+				continue
+			}
+		}
+		members = append(members, member)
+	}
+	d.rejectedSpans = rejected
+	return members
+}
+
 // OwnerView implements drive.DutyView with the owner of the placement.
 func (d *EdgeDaemon) OwnerView() elect.OwnerView {
 	item, position, ok := d.feed.Get(placementKey)
@@ -203,13 +227,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	suspects := d.loadBoard.Suspects(time.Now())
+	members := d.usableMembers(routing)
 	var pools []drive.Pool
 	for name, service := range routing.Services {
 		if service.Engine == nil {
 			continue
 		}
 		pool := drive.Pool{Service: name, Profile: service.Engine}
-		for _, member := range d.roster.Members() {
+		for _, member := range members {
 			if member.Service == name {
 				if slices.Contains(suspects, model.ServerID(member.ID)) {
 					// Its layers are reassigned before its entry expires.
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -124,7 +124,8 @@
 
 func (e engine) empty() bool { return e.span.To == e.span.From }
 
-// Tick returns the new orders for the engines of one service, and records them as pending.
+// Tick returns the new orders for the engines of one service, and records them as pending. Members with layers that
+// the model does not have are ignored.
 func (st *State) Tick(now time.Time, p *setts.EngineProfile, members []model.Member) []Order {
 	if p == nil || p.Layers == 0 {
 		return nil
@@ -153,10 +154,10 @@
 	}
 	held, loadedAt := make([]bool, p.Layers), make([]time.Time, p.Layers)
 	for _, m := range members {
-		if m.State != model.Live {
+		if m.State != model.Live || !p.HasLayers(m.Span) {
 			continue
 		}
-		for layer := m.Span.From; layer < min(m.Span.To, p.Layers); layer++ {
+		for layer := m.Span.From; layer < m.Span.To; layer++ {
 			held[layer] = true
 		}
 		order, pending := st.orders[model.ServerID(m.ID)]
@@ -182,14 +183,14 @@
 	return end
 }
 
-// liveEngines returns the live engines of a known kind, fastest first, and drops the
-// pending orders that were carried out or expired.
+// liveEngines returns the live engines of a known kind whose layers the model has, fastest first, and drops the pending
+// orders that were carried out or expired.
 func (st *State) liveEngines(now time.Time, p *setts.EngineProfile, members []model.Member) []engine {
 	var engines []engine
 	for _, m := range members {
 		id := model.ServerID(m.ID)
 		kind, knownKind := p.Kinds[m.Kind]
-		if m.State != model.Live || !knownKind {
+		if m.State != model.Live || !knownKind || !p.HasLayers(m.Span) {
 			delete(st.orders, id)
 			continue
 		}
@@ -202,7 +203,7 @@
 		}
 		e := engine{member: m, id: id, span: m.Span, stepPace: kind.StepTimeFactor}
 		if o, ok := st.orders[id]; ok {
-			if o.span == m.Span || !now.Before(o.expiresAt) {
+			if o.span == m.Span || !now.Before(o.expiresAt) || !p.HasLayers(o.span) {
 				delete(st.orders, id)
 			} else {
 				e.span, e.orderPending = o.span, true
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -78,7 +79,7 @@
 	held := make([]int, f.profile.Layers)
 	for _, m := range f.members {
 		if m.Zone == "a" && m.State == model.Live {
-			for l := m.Span.From; l < m.Span.To; l++ {
+			for l := m.Span.From; l < min(m.Span.To, len(held)) && m.ID != "foreign"; l++ {
 				held[l]++
 			}
 		}
@@ -306,3 +307,23 @@
 	delete(st.orders, "b")
 	assert.Assert(t, st.OutageEnd(now, p, members).IsZero())
 }
+
+// TestLayersBeyondModel guards against a planner that fails on an entry with layers that the model does not have, in
+// any position relative to the model: the engines of the group still get the layers that a crash left missing.
+func TestLayersBeyondModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		f.add("a", "large", 5)
+		f.run(t, 10*time.Second, noneLost)
+		assert.Equal(t, f.missingLayers(), 0)
+		from := rapid.IntRange(0, 200).Draw(t, "from")
+		to := rapid.OneOf(rapid.IntRange(from+1, 400), rapid.Just(math.MaxInt)).Draw(t, "to")
+		f.members = append(f.members, model.Member{ID: "foreign", Zone: "a", Kind: "large", Role: model.Engine, Span: model.Span{From: from, To: max(f.profile.Layers+1, to)}})
+		crashed := rapid.IntRange(0, 4).Draw(t, "crashed")
+		f.members = slices.Delete(f.members, crashed, crashed+1)
+		f.run(t, time.Second, noneLost)
+		f.add("a", "large", 1)
+		f.run(t, 10*time.Second, noneLost)
+		assert.Equal(t, f.missingLayers(), 0)
+	})
+}
--- a/pkg/setts/routing.go
+++ b/pkg/setts/routing.go
@@ -111,6 +111,12 @@
 	StepTimeFactor, PrefillTimeFactor float64
 }
 
+// HasLayers reports whether the model has all layers of a span. An empty span is part of every model, and every span
+// is one of a model that each engine holds whole.
+func (p EngineProfile) HasLayers(span model.Span) bool {
+	return p.Layers == 0 || (span.From >= 0 && span.From <= span.To && span.To <= p.Layers)
+}
+
 // MaxLayers returns the maximum number of layers that an engine of an accelerator type
 // can hold together with the KV caches of a number of tokens.
 func (p EngineProfile) MaxLayers(kind string, tokens float64) int {
