Keep a failed placement inside its service: no lock stays held, nothing waits for a tick

Cause: Duty.tick unlocked Duty.mu without a defer. The supervisor restarted the service, which waited for that lock for ever, as did Duty.Stop in the planned stop, before anything was closed, and ReplacingLayers in each exchange with the hub.

Evidence: TestDutyOutlivesFailedPlanning failed: Serve ended with the planner's panic.

Change: the tick decides under the lock with a deferred unlock. Each service is planned on its own (guard.Run): one that fails gets no orders, others do, and the election goes on (event 412 plan_failed, once a reason). What others read of the duty is a status that each tick publishes, and Stop sets a flag, so neither waits for the lock.

Measured: TestDutyOutlivesFailedPlanning passes (lease renewed, sound service placed, duty released); drive, evlog and guard pass.

--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/core/elect"
 	"bulrushpond.example/bulrushpond/internal/core/place"
 	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/guard"
 	"bulrushpond.example/bulrushpond/internal/plat"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
@@ -56,19 +59,46 @@
 	placer Placer
 	view   DutyView
 
+	// stopping is set once Stop was called.
+	stopping atomic.Bool
+	// status is what the latest tick left. It is read without mu: the exchange between the daemons and the planned stop must
+	// not wait for a tick.
+	status atomic.Pointer[dutyStatus]
+
 	mu        sync.Mutex
 	election  *elect.State
 	placement *place.State
 	// ownedFence is the fencing token in use; 0 while this daemon does not own the duty.
 	ownedFence uint64
+	// failedPlans holds why the latest planning of a service failed, by service; guarded by mu.
+	failedPlans map[string]string
+	wg          sync.WaitGroup
+}
+
+// dutyStatus is what others read of a Duty. It is immutable.
+type dutyStatus struct {
+	// fence is the fencing token in use; 0 while this daemon does not own the duty.
+	fence uint64
+	// replacingLayers are the engines that were ordered to change their layers and have not done so yet.
+	replacingLayers []model.ServerID
 	// outageEnds holds when the models of services without a whole chain are expected to be whole again.
 	outageEnds map[string]time.Time
-	wg         sync.WaitGroup
+}
+
+// dutyActions are what a tick decided to do.
+type dutyActions struct {
+	call   elect.Call
+	orders []place.Order
+	// members holds the engines of all services, by ID.
+	members map[model.ServerID]model.Member
+	fence   uint64
 }
 
 // NewDuty returns a Duty that this daemon does not own yet.
 func NewDuty(log evlog.Log, store plat.LeaseStore, placer Placer, view DutyView, election *elect.State) *Duty {
-	return &Duty{log: log, store: store, placer: placer, view: view, election: election, placement: place.New()}
+	d := &Duty{log: log, store: store, placer: placer, view: view, election: election, placement: place.New(), failedPlans: map[string]string{}}
+	d.status.Store(&dutyStatus{})
+	return d
 }
 
 // Serve runs a tick every dutyInterval until the context ends. It implements
@@ -90,69 +120,91 @@
 // String returns the name of this suture.Service in log events.
 func (d *Duty) String() string { return "duty" }
 
-// Stop starts the release of the duty, and prevents a new claim.
-func (d *Duty) Stop() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.election.Stop()
-}
+// Stop lets the next tick start the release of the duty, and prevents a new claim. It does not wait for a tick.
+func (d *Duty) Stop() { d.stopping.Store(true) }
 
-// FencingToken returns the fencing token in use; 0 while this daemon does not own the duty.
-func (d *Duty) FencingToken() uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.ownedFence
-}
+// FencingToken returns the fencing token in use as of the latest tick; 0 while this daemon does not own the duty.
+func (d *Duty) FencingToken() uint64 { return d.status.Load().fence }
 
 // ReplacingLayers returns the engines that were ordered to change their layers and have not
-// done so yet; nil while this daemon does not own the duty.
-func (d *Duty) ReplacingLayers() []model.ServerID {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ownedFence == 0 {
-		return nil
-	}
-	return d.placement.ReplacingLayers()
-}
+// done so as of the latest tick; nil while this daemon does not own the duty.
+func (d *Duty) ReplacingLayers() []model.ServerID { return d.status.Load().replacingLayers }
 
 // OutageEnds returns when the models of services without a whole chain are expected to be whole again, as far as
-// that is known here.
-func (d *Duty) OutageEnds() map[string]time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.outageEnds
-}
+// that is known here. The map must not be changed.
+func (d *Duty) OutageEnds() map[string]time.Time { return d.status.Load().outageEnds }
 
 // tick evaluates the election and, while this daemon owns the duty, the placement. The
 // resulting calls run in the background.
 func (d *Duty) tick(ctx context.Context) {
-	now := time.Now()
-	seen, yields := d.view.OwnerView(), d.view.Yields()
+	a := d.decide(time.Now(), d.view.OwnerView(), d.view.Yields())
+	if a.call.Kind != elect.None {
+		d.wg.Go(func() { d.callStore(ctx, a.call) })
+	}
+	for _, o := range a.orders {
+		d.wg.Go(func() { d.sendOrder(ctx, a.members[o.Server], o, a.fence) })
+	}
+}
+
+// decide evaluates the election and the placement.
+func (d *Duty) decide(now time.Time, seen elect.OwnerView, yields bool) dutyActions {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopping.Load() {
+		d.election.Stop()
+	}
 	d.election.Yield(yields)
-	storeCall := d.election.Next(now, seen)
+	a := dutyActions{call: d.election.Next(now, seen), members: map[model.ServerID]model.Member{}}
 	fence, owned := d.election.Owner(now, seen)
 	d.updateOwnership(fence, owned)
-	var orders []place.Order
-	members := map[model.ServerID]model.Member{}
-	d.outageEnds = map[string]time.Time{}
+	status := &dutyStatus{fence: d.ownedFence, outageEnds: map[string]time.Time{}}
 	if owned {
-		for _, pool := range d.view.Pools() {
-			for _, m := range pool.Members {
-				members[model.ServerID(m.ID)] = m
-			}
-			orders = append(orders, d.placement.Tick(now, pool.Profile, pool.Members)...)
-			if end := d.placement.OutageEnd(now, pool.Profile, pool.Members); !end.IsZero() {
-				d.outageEnds[pool.Service] = end
-			}
+		a.fence = fence
+		var pools []Pool
+		if err := guard.Run(func() { pools = d.view.Pools() }); err != nil {
+			d.notePlanFailure("", err)
 		}
+		for _, pool := range pools {
+			d.planPool(now, pool, &a, status)
+		}
+		status.replacingLayers = d.placement.ReplacingLayers()
 	}
-	d.mu.Unlock()
-	if storeCall.Kind != elect.None {
-		d.wg.Go(func() { d.callStore(ctx, storeCall) })
+	d.status.Store(status)
+	return a
+}
+
+// planPool plans the layers of one service's engines. A failure leaves out this service only, until a later tick
+// succeeds. The caller holds mu.
+func (d *Duty) planPool(now time.Time, pool Pool, a *dutyActions, status *dutyStatus) {
+	var orders []place.Order
+	err := guard.Run(func() {
+		orders = d.placement.Tick(now, pool.Profile, pool.Members)
+		if end := d.placement.OutageEnd(now, pool.Profile, pool.Members); !end.IsZero() {
+			status.outageEnds[pool.Service] = end
+		}
+	})
+	if err != nil {
+		d.notePlanFailure(pool.Service, err)
+		return
+	}
+	delete(d.failedPlans, pool.Service)
+	for _, m := range pool.Members {
+		a.members[model.ServerID(m.ID)] = m
+	}
+	a.orders = append(a.orders, orders...)
+}
+
+// notePlanFailure logs why the planning of a service, or of all if it is empty, failed, unless the tick before failed
+// alike. The caller holds mu.
+func (d *Duty) notePlanFailure(service string, err error) {
+	var failure *guard.PanicError
+	reason := err.Error()
+	if errors.As(err, &failure) {
+		reason = fmt.Sprint(failure.Value)
 	}
-	for _, o := range orders {
-		d.wg.Go(func() { d.sendOrder(ctx, members[o.Server], o, fence) })
+	if d.failedPlans[service] != reason {
+		d.failedPlans[service] = reason
+		d.log.Error(err, evlog.PlanFailed, "service", service)
 	}
 }
 
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -126,6 +126,8 @@
 	DutyLost Event = 410
 	// StoreRestored means that the key-value service came back from an older copy of itself.
 	StoreRestored Event = 411
+	// PlanFailed means that the layers of a service's engines could not be planned.
+	PlanFailed Event = 412
 	// PeerUnreachable means that another daemon does not answer.
 	PeerUnreachable Event = 500
 	// RequestFailed means that a caller was sent an error.
