Keep a panic inside one request, entry, message or part of the daemon

One piece of malformed data on which any part panics would take requests, store changes or the whole process with it.

Cause: four kinds of work shared their fate. A panic in a tick of the decisions lost the events of all requests in it, kept the inbox and met the same event again after the restart. A panic at one entry of the key-value service lost the changes behind it for good, since the copy had them already. Goroutines (streams, orders, diagnoses, probes, requests of other daemons) had no recover: the process ended. And the supervisor pauses all restarts for 15 s once one part failed six times.

Without the recover in guard.Run, TestHandlerPanicEndsOneRequest ends with 'panic: no such revision' and TestStoreChangesOutliveFailedEntry with a nil dereference; without a supervisor a part, TestPartsRestartApart waited 5 s in vain.

Entries are applied one by one (event 108). Goroutines of the edge daemon run under guard.Go. Each part has a supervisor of its own. Locks around decisions of plain services and around the copy of the store are released by defer.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
 
 	"bulrushpond.example/bulrushpond/internal/burn"
 	"bulrushpond.example/bulrushpond/internal/core"
@@ -247,7 +248,7 @@
 		return err
 	}
 	d.client = peer.NewClient(tlsConfig, func(model.DaemonID) (string, bool) { return "", false })
-	if d.server, err = peer.Listen(d.vm.PeersAddress, tlsConfig, d); err != nil {
+	if d.server, err = peer.Listen(d.vm.PeersAddress, tlsConfig, d, peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
 	}
 	if d.callerListener, err = net.Listen("tcp", d.vm.CallersAddress); err != nil {
@@ -278,20 +279,23 @@
 	defer stopServices()
 	callerServer := platform.NewIngress(d.edge)
 	supervisor := newSupervisor("edge", d.deps.Log)
-	supervisor.Add(d.streams)
-	supervisor.Add(d.feed)
-	supervisor.Add(periodicTask{name: "hub", interval: drive.HubInterval, run: d.feed.AskHub})
-	supervisor.Add(d.duty)
-	supervisor.Add(periodicTask{name: "reach", interval: drive.ReachInterval, run: d.edge.CheckReach})
-	supervisor.Add(periodicTask{name: "board", interval: ownLoadInterval, run: d.recordOwnLoad})
-	supervisor.Add(periodicTask{name: "fleet", interval: fleetInterval, run: d.storeFleet})
-	supervisor.Add(periodicTask{name: "blocks", interval: blocksInterval, run: d.storeBlocks})
-	supervisor.Add(d.server)
-	supervisor.Add(httpService{name: "callers", server: callerServer, listener: d.callerListener})
-	supervisor.Add(httpService{name: "readiness", server: platform.NewReadinessServer(d.ready), listener: d.readinessListener})
+	parts := []suture.Service{
+		d.streams,
+		d.feed,
+		periodicTask{name: "hub", interval: drive.HubInterval, run: d.feed.AskHub},
+		d.duty,
+		periodicTask{name: "reach", interval: drive.ReachInterval, run: d.edge.CheckReach},
+		periodicTask{name: "board", interval: ownLoadInterval, run: d.recordOwnLoad},
+		periodicTask{name: "fleet", interval: fleetInterval, run: d.storeFleet},
+		periodicTask{name: "blocks", interval: blocksInterval, run: d.storeBlocks},
+		d.server,
+		httpService{name: "callers", server: callerServer, listener: d.callerListener},
+		httpService{name: "readiness", server: platform.NewReadinessServer(d.ready), listener: d.readinessListener},
+	}
 	if d.metricsListener != nil {
-		supervisor.Add(httpService{name: "metrics", server: &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: requestTimeout}, listener: d.metricsListener})
+		parts = append(parts, httpService{name: "metrics", server: &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: requestTimeout}, listener: d.metricsListener})
 	}
+	addParts(supervisor, d.deps.Log, parts...)
 	supervisorDone := supervisor.ServeBackground(servicesContext)
 	d.deps.Log.Info(evlog.DaemonStarted, "daemon", d.vm.VMName, "zone", d.vm.Zone, "process", d.processID,
 		"version", d.deps.Build.Version, "callers", d.vm.CallersAddress, "peers", d.vm.PeersAddress, "store", d.vm.StoreAddress)
--- a/internal/boot/edge_entries_test.go
+++ b/internal/boot/edge_entries_test.go
@@ -1,13 +1,18 @@
 package boot
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"io"
 	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/mirror"
+	"bulrushpond.example/bulrushpond/platform"
 	"bulrushpond.example/bulrushpond/platform/fakes"
 )
 
@@ -53,3 +58,71 @@
 		assert.Assert(t, time.Since(began) < 4*time.Second)
 	}
 }
+
+// TestStoreChangesOutliveFailedEntry guards against one entry that cannot be applied and that takes the changes after it
+// with it: they would not come again.
+func TestStoreChangesOutliveFailedEntry(t *testing.T) {
+	env := newTestEnvironment(t, 0)
+	var log bytes.Buffer
+	daemon, err := NewEdgeDaemon(Dependencies{Log: NewLog(&log, false), Out: io.Discard}, platform.VMSettings{
+		VMName: "d", Zone: "a", IP: "127.0.0.1", CallersAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0",
+		StoreAddress: env.platform.Address(), Cores: 1,
+	}, 0)
+	assert.NilError(t, err)
+	// Without a roster, the entry of any server makes the daemon panic.
+	daemon.roster = nil
+	config := env.platform.Store.Value(platform.KeyRouting)
+	daemon.applyStoreChanges(time.Now(), mirror.Changes{Items: []mirror.Item{
+		{Key: platform.ServerKeyPrefix + "i", Revision: 1, Removed: true},
+		{Key: platform.KeyRouting, Revision: 2, Value: config},
+	}})
+	assert.Assert(t, daemon.edge.Routing() != nil, "the configuration is not in force")
+	assert.Assert(t, bytes.Contains(log.Bytes(), []byte(`"work_failed"`)), "%s", log.String())
+	assert.Assert(t, daemon.mu.TryLock())
+}
+
+// failingPart fails whenever it is started.
+type failingPart struct{ starts chan struct{} }
+
+func (p failingPart) Serve(context.Context) error {
+	select {
+	case p.starts <- struct{}{}:
+	default:
+	}
+	panic("broken")
+}
+
+func (p failingPart) String() string { return "broken" }
+
+// TestPartsRestartApart guards against a part that fails again and again and keeps the supervisor from restarting the
+// others.
+func TestPartsRestartApart(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	supervisor := newSupervisor("test", NewLog(io.Discard, false))
+	broken := failingPart{starts: make(chan struct{}, 100)}
+	addParts(supervisor, NewLog(io.Discard, false), broken)
+	fail := make(chan struct{})
+	restarted := make(chan struct{}, 10)
+	addParts(supervisor, NewLog(io.Discard, false), periodicTask{name: "sound", interval: time.Hour, run: func(ctx context.Context) {
+		restarted <- struct{}{}
+		select {
+		case <-ctx.Done():
+		case <-fail:
+			panic("once")
+		}
+	}})
+	done := supervisor.ServeBackground(ctx)
+	<-restarted
+	for range 6 {
+		<-broken.starts
+	}
+	time.Sleep(100 * time.Millisecond)
+	fail <- struct{}{}
+	select {
+	case <-restarted:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the sound part was not restarted")
+	}
+	cancel()
+	<-done
+}
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -12,6 +12,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/guard"
 	"bulrushpond.example/bulrushpond/internal/mirror"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
@@ -25,25 +26,36 @@
 	d.changesAsOf = now
 	serversChanged := false
 	for _, item := range changes.Items {
-		switch {
-		case item.Key == platform.KeyRouting:
-			if d.applyRouting(item) {
-				serversChanged = true
-			}
-		case d.applyStoredBlocks(item):
-		case item.Key == fleetKey:
-			d.applyStoredFleet(item)
-		case strings.HasPrefix(item.Key, platform.ServerKeyPrefix):
-			if d.applyServer(now, item, changes.Restored) {
-				serversChanged = true
-			}
-		}
-	}
-	if d.roster.Expire(now) {
-		serversChanged = true
+		d.contain("store changes", item.Key, func() {
+			serversChanged = d.applyItem(now, item, changes.Restored) || serversChanged
+		})
 	}
+	d.contain("store changes", "", func() { serversChanged = d.roster.Expire(now) || serversChanged })
 	if serversChanged {
-		d.distributeServers(now)
+		d.contain("servers", "", func() { d.distributeServers(now) })
+	}
+}
+
+// applyItem applies one changed entry and reports whether the backend servers changed. restored is set for an entry from
+// the first snapshot of a restored service. The caller holds mu.
+func (d *EdgeDaemon) applyItem(now time.Time, item mirror.Item, restored bool) bool {
+	switch {
+	case item.Key == platform.KeyRouting:
+		return d.applyRouting(item)
+	case d.applyStoredBlocks(item):
+	case item.Key == fleetKey:
+		d.applyStoredFleet(item)
+	case strings.HasPrefix(item.Key, platform.ServerKeyPrefix):
+		return d.applyServer(now, item, restored)
+	}
+	return false
+}
+
+// contain does one piece of the work of a part. If it panics, it is logged and left out, so that the part goes on with
+// the rest.
+func (d *EdgeDaemon) contain(part, key string, work func()) {
+	if err := guard.Run(work); err != nil {
+		d.deps.Log.Error(err, evlog.WorkFailed, "part", part, "key", key)
 	}
 }
 
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -128,7 +128,7 @@
 	}
 	d.client = peer.NewClient(tlsConfig, d.peerAddress)
 	d.calls.Connect(d.client, d)
-	if d.server, err = peer.Listen(d.file.Peers, tlsConfig, d); err != nil {
+	if d.server, err = peer.Listen(d.file.Peers, tlsConfig, d, peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
 	}
 	if d.callerListener, err = net.Listen("tcp", d.file.Callers); err != nil {
@@ -195,16 +195,18 @@
 // newDaemonSupervisor returns a supervisor with all services of the daemon.
 func (d *Daemon) newDaemonSupervisor(callerServer, adminServer *http.Server) *suture.Supervisor {
 	supervisor := newSupervisor("daemon", d.deps.Log)
-	supervisor.Add(d.streams)
-	supervisor.Add(d.calls)
-	supervisor.Add(d.orders)
-	supervisor.Add(d.keeper)
-	supervisor.Add(d.server)
-	supervisor.Add(periodicTask{name: "gossip", interval: gossipInterval, run: d.gossip, trigger: d.gossipTrigger})
-	supervisor.Add(periodicTask{name: "members", interval: listInterval, run: d.readMembers})
-	supervisor.Add(periodicTask{name: "reports", interval: reportInterval, run: d.readReports})
-	supervisor.Add(httpService{name: "callers", server: callerServer, listener: d.callerListener})
-	supervisor.Add(httpService{name: "admin", server: adminServer, listener: d.adminListener})
+	addParts(supervisor, d.deps.Log,
+		d.streams,
+		d.calls,
+		d.orders,
+		d.keeper,
+		d.server,
+		periodicTask{name: "gossip", interval: gossipInterval, run: d.gossip, trigger: d.gossipTrigger},
+		periodicTask{name: "members", interval: listInterval, run: d.readMembers},
+		periodicTask{name: "reports", interval: reportInterval, run: d.readReports},
+		httpService{name: "callers", server: callerServer, listener: d.callerListener},
+		httpService{name: "admin", server: adminServer, listener: d.adminListener},
+	)
 	return supervisor
 }
 
--- a/internal/boot/parts.go
+++ b/internal/boot/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -70,6 +71,16 @@
 	})
 }
 
+// addParts adds each service under a supervisor of its own. One that fails again and again is restarted less often then,
+// and the others are not. Services have a String method that returns their name.
+func addParts(parent *suture.Supervisor, log evlog.Log, services ...suture.Service) {
+	for _, service := range services {
+		part := newSupervisor(fmt.Sprintf("supervisor of %s", service), log)
+		part.Add(service)
+		parent.Add(part)
+	}
+}
+
 // httpService is a supervised service that runs an HTTP server.
 type httpService struct {
 	name     string
--- a/internal/drive/calls.go
+++ b/internal/drive/calls.go
@@ -123,6 +123,9 @@
 // Connect sets the access to the other daemons. It must be called before Serve.
 func (c *CallExecutor) Connect(f Forwarder, p Peers) { c.forwarder, c.peers = f, p }
 
+// String returns the name of this suture.Service in log events.
+func (c *CallExecutor) String() string { return "calls" }
+
 // Serve runs the event loop until the context ends. It implements suture.Service.
 func (c *CallExecutor) Serve(ctx context.Context) error {
 	c.mu.Lock()
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -139,13 +139,18 @@
 func (d *Duty) tick(ctx context.Context) {
 	a := d.decide(time.Now(), d.view.OwnerView(), d.view.Yields())
 	if a.call.Kind != elect.None {
-		d.wg.Go(func() { d.callStore(ctx, a.call) })
+		d.background(func() { d.callStore(ctx, a.call) })
 	}
 	for _, o := range a.orders {
-		d.wg.Go(func() { d.sendOrder(ctx, a.members[o.Server], o, a.fence) })
+		d.background(func() { d.sendOrder(ctx, a.members[o.Server], o, a.fence) })
 	}
 }
 
+// background runs f in a goroutine that Serve waits for. A panic ends f only.
+func (d *Duty) background(f func()) {
+	guard.Go(&d.wg, func(err error) { d.log.Error(err, evlog.WorkFailed, "part", d.String()) }, f)
+}
+
 // decide evaluates the election and the placement.
 func (d *Duty) decide(now time.Time, seen elect.OwnerView, yields bool) dutyActions {
 	d.mu.Lock()
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -14,6 +14,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/relay"
 	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/guard"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -135,9 +136,7 @@
 // PauseServer keeps requests from a backend server of a plain service that asked for a pause.
 func (e *Edge) PauseServer(id string, until time.Time) {
 	now := time.Now()
-	e.mu.Lock()
-	paused := e.relayState.Pause(now, id, until)
-	e.mu.Unlock()
+	paused := guard.Locked(&e.mu, func() bool { return e.relayState.Pause(now, id, until) })
 	if paused {
 		e.log.Info(evlog.ServerPaused, "server", id, "detail", until.Sub(now).String())
 	}
@@ -146,9 +145,7 @@
 // RecordLimit records what a backend server of a plain service said about its limit.
 func (e *Edge) RecordLimit(said limit.Statement) {
 	now := time.Now()
-	e.mu.Lock()
-	news := e.relayState.RecordLimit(now, said)
-	e.mu.Unlock()
+	news := guard.Locked(&e.mu, func() bool { return e.relayState.RecordLimit(now, said) })
 	if news {
 		e.log.Info(evlog.ServerLimited, "server", said.Server, "detail", said.String())
 	}
@@ -165,9 +162,7 @@
 // ApplyLimits applies this daemon's shares of limits and what servers said to other daemons.
 func (e *Edge) ApplyLimits(grants []limit.Grant) {
 	now := time.Now()
-	e.mu.Lock()
-	news := e.relayState.ApplyLimits(now, grants)
-	e.mu.Unlock()
+	news := guard.Locked(&e.mu, func() []limit.Statement { return e.relayState.ApplyLimits(now, grants) })
 	for _, said := range news {
 		e.log.Info(evlog.ServerLimited, "server", said.Server, "detail", said.String()+", said to another daemon")
 	}
@@ -256,9 +251,7 @@
 	if limit := req.arrived.Add(rule.Timeout); req.deadline.IsZero() || limit.Before(req.deadline) {
 		req.deadline = limit
 	}
-	e.mu.Lock()
-	req.service = match.PickService(rule, e.rng.Float64())
-	e.mu.Unlock()
+	req.service = match.PickService(rule, guard.Locked(&e.mu, e.rng.Float64))
 	if service, ok := table.Routing.Services[req.service]; ok && service.Engine != nil {
 		e.serveStream(ctx, req, rule, out)
 		return
--- a/internal/drive/edgecrashes.go
+++ b/internal/drive/edgecrashes.go
@@ -5,6 +5,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/guard"
 )
 
 // CrashReport returns what this daemon tells the others about requests that crash plain servers.
@@ -17,9 +18,7 @@
 // ApplyCrashes applies what the other daemons know about requests that crash plain servers.
 func (e *Edge) ApplyCrashes(r crash.Report) {
 	now := time.Now()
-	e.mu.Lock()
-	changes := e.relayState.ApplyCrashes(now, r)
-	e.mu.Unlock()
+	changes := guard.Locked(&e.mu, func() []crash.Change { return e.relayState.ApplyCrashes(now, r) })
 	for _, change := range changes {
 		event := evlog.RequestUnblocked
 		switch change.Kind {
--- a/internal/drive/edgerelay.go
+++ b/internal/drive/edgerelay.go
@@ -20,9 +20,7 @@
 		Service: req.service, Repeatable: rule.Repetition == setts.Idempotent, Deadline: req.deadline, MaxAttempts: rule.MaxAttempts,
 		Digest: req.in.Digest, Proxied: req.proxied,
 	}
-	e.mu.Lock()
-	e.relayState.CountRequest(req.arrived, relayReq)
-	e.mu.Unlock()
+	e.countRelayed(req.arrived, relayReq)
 	var lastAnswer *engine.Answer
 	var next *relay.Attempt
 	for {
@@ -59,6 +57,13 @@
 	}
 }
 
+// countRelayed counts a request towards the retry budget.
+func (e *Edge) countRelayed(now time.Time, relayReq *relay.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.relayState.CountRequest(now, relayReq)
+}
+
 // finishRelayed ends a relayed request with the last answer of a server, or with the
 // failure if there was none.
 func (e *Edge) finishRelayed(req *requestState, lastAnswer *engine.Answer, failure *verdt.Error, out AnswerWriter) {
--- a/internal/drive/feed.go
+++ b/internal/drive/feed.go
@@ -58,7 +58,7 @@
 	log    evlog.Log
 	source plat.PrefixReader
 	hub    HubClient
-	// onChange receives the changes in order, one call at a time.
+	// onChange receives the changes in order, one call at a time, and each only once: it must not panic.
 	onChange func(now time.Time, changes mirror.Changes)
 	// applying is a semaphore, held from applying a delta until onChange has returned.
 	applying chan struct{}
@@ -214,7 +214,14 @@
 func (f *StoreMirror) apply(asOf time.Time, d mirror.Delta) {
 	f.applying <- struct{}{}
 	defer func() { <-f.applying }()
+	changes, asOf := f.merge(asOf, d)
+	f.onChange(asOf, changes)
+}
+
+// merge merges a delta that was current at a given time into the copy, and returns the changes and the time to report.
+func (f *StoreMirror) merge(asOf time.Time, d mirror.Delta) (mirror.Changes, time.Time) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	before := f.state.Position()
 	changes := f.state.Apply(d)
 	if changes.Restored {
@@ -224,9 +231,7 @@
 	if asOf.After(f.appliedAsOf) {
 		f.appliedAsOf = asOf
 	}
-	asOf = f.appliedAsOf
-	f.mu.Unlock()
-	f.onChange(asOf, changes)
+	return changes, f.appliedAsOf
 }
 
 // markDown records and logs the start of an outage of the service, as seen from here.
--- a/internal/drive/loop.go
+++ b/internal/drive/loop.go
@@ -70,9 +70,11 @@
 	in := l.in
 	l.in, l.spare = l.spare, in
 	l.mu.Unlock()
-	wake := l.handle(time.Now(), in)
-	l.mu.Lock()
-	in.Reset()
-	l.mu.Unlock()
-	return wake
+	// If handle panics, its events must not come again with a later tick.
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		in.Reset()
+	}()
+	return l.handle(time.Now(), in)
 }
--- a/internal/drive/orders.go
+++ b/internal/drive/orders.go
@@ -68,6 +68,9 @@
 	o.inbox.Reports = append(o.inbox.Reports, r)
 }
 
+// String returns the name of this suture.Service in log events.
+func (o *OrderSender) String() string { return "orders" }
+
 // Serve reconciles every orderInterval until the context ends. It implements
 // suture.Service.
 func (o *OrderSender) Serve(ctx context.Context) error {
--- a/internal/drive/reach.go
+++ b/internal/drive/reach.go
@@ -10,6 +10,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/reach"
 	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/guard"
 )
 
 // ReachInterval is how often the requests in progress are checked for signs that a service is cut off.
@@ -28,9 +29,7 @@
 	now := time.Now()
 	var models, plain []reach.Probe
 	e.streams.View(func(c *core.Core) { models = c.ReachProbes(now) })
-	e.mu.Lock()
-	plain = e.relayState.ReachProbes(now)
-	e.mu.Unlock()
+	plain = guard.Locked(&e.mu, func() []reach.Probe { return e.relayState.ReachProbes(now) })
 	results := e.probe(ctx, slices.Concat(models, plain))
 	if ctx.Err() != nil {
 		return
@@ -38,14 +37,19 @@
 	for _, r := range results[:len(models)] {
 		e.streams.ApplyReach(r)
 	}
+	e.applyPlainReach(results[len(models):])
+	e.noteCutOff()
+}
+
+// applyPlainReach applies the results of probes of plain services.
+func (e *Edge) applyPlainReach(results []reach.Result) {
 	e.mu.Lock()
-	for _, r := range results[len(models):] {
+	defer e.mu.Unlock()
+	for _, r := range results {
 		if e.relayState.ApplyReach(time.Now(), r) {
 			e.logReach(r.Service, slices.Contains(e.relayState.CutOff(), r.Service))
 		}
 	}
-	e.mu.Unlock()
-	e.noteCutOff()
 }
 
 // probe makes probes and returns their results in the same order.
@@ -59,7 +63,7 @@
 	for i, p := range probes {
 		results[i] = reach.Result{Service: p.Service, Tried: len(p.Addresses)}
 		for _, address := range p.Addresses {
-			wg.Go(func() {
+			guard.Go(&wg, func(err error) { e.log.Error(err, evlog.WorkFailed, "part", "reach", "address", address) }, func() {
 				if e.connector.Connect(ctx, address) == nil {
 					mu.Lock()
 					defer mu.Unlock()
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -16,6 +16,7 @@
 	"bulrushpond.example/bulrushpond/internal/core/route"
 	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/guard"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -71,7 +72,9 @@
 	// pending is guarded by mu.
 	pending map[model.RequestID]*pendingRequest
 	lastID  model.RequestID
-	wg      sync.WaitGroup
+	// failedTicks is the number of the latest ticks that failed in a row; guarded by mu.
+	failedTicks int
+	wg          sync.WaitGroup
 }
 
 // NewStreamExecutor returns a StreamExecutor that knows no server. idBase must differ between
@@ -98,6 +101,9 @@
 	return err
 }
 
+// String returns the name of this suture.Service in log events.
+func (s *StreamExecutor) String() string { return "streams" }
+
 // ModelRequest is a model request from a caller.
 type ModelRequest struct {
 	Team      model.Team
@@ -143,11 +149,11 @@
 	if a.PromptTokens == 0 {
 		a.PromptTokens = len(a.Prompt) / bytesPerToken
 	}
-	s.mu.Lock()
-	s.lastID++
-	id := s.lastID
-	s.pending[id] = pending
-	s.mu.Unlock()
+	id := guard.Locked(&s.mu, func() model.RequestID {
+		s.lastID++
+		s.pending[s.lastID] = pending
+		return s.lastID
+	})
 	s.loop.post(func(in *msgs.Inbox) {
 		in.Arrivals = append(in.Arrivals, msgs.Arrival{
 			ID: id, Team: a.Team, Model: a.Model, Prefix: a.Prefix,
@@ -228,7 +234,10 @@
 func (s *StreamExecutor) tick(now time.Time, in *msgs.Inbox) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.Tick(now, in, &s.outbox)
+	if err := guard.Run(func() { s.core.Tick(now, in, &s.outbox) }); err != nil {
+		return s.recoverTick(now, in, err)
+	}
+	s.failedTicks = 0
 	s.execute()
 	return s.outbox.Wake
 }
@@ -281,7 +290,7 @@
 	if !ok {
 		return
 	}
-	s.wg.Go(func() {
+	s.background(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, diagnosisTimeout)
 		defer cancel()
 		askedAt := time.Now()
@@ -307,7 +316,7 @@
 		return
 	}
 	for _, h := range c.Route.Hops {
-		s.wg.Go(func() {
+		s.background(func() {
 			ctx, cancel := context.WithTimeout(s.ctx, cancelTimeout)
 			defer cancel()
 			_ = s.engine.Cancel(ctx, h.Address, c.Request, c.Epoch)
@@ -333,12 +342,17 @@
 	if pending.origin != nil {
 		s.log.Info(evlog.StreamOpened, "request", pending.origin.ID, "epoch", o.Epoch, "from", o.From, "chain", formatRoute(o.Route), "digest", crash.FormatPart(pending.origin.Digest), "expected", o.Expected, "held", o.Held)
 	}
-	s.wg.Go(func() {
+	s.background(func() {
 		defer cancel()
 		s.runStream(ctx, stream)
 	})
 }
 
+// background runs f in a goroutine that Serve waits for. A panic ends f only.
+func (s *StreamExecutor) background(f func()) {
+	guard.Go(&s.wg, func(err error) { s.log.Error(err, evlog.WorkFailed, "part", s.String()) }, f)
+}
+
 // formatRoute formats a route for the log: each server with its span of layers.
 func formatRoute(r model.Route) string {
 	var b strings.Builder
@@ -363,9 +377,15 @@
 // runStream runs one epoch of a request's stream until its end and posts its tokens
 // and its end to the core.
 func (s *StreamExecutor) runStream(ctx context.Context, stream engine.Stream) {
-	err := s.engine.Open(ctx, stream, func(tok model.Token) {
-		s.loop.post(func(in *msgs.Inbox) { in.Tokens = append(in.Tokens, tok) })
-	})
+	var err error
+	if panicErr := guard.Run(func() {
+		err = s.engine.Open(ctx, stream, func(tok model.Token) {
+			s.loop.post(func(in *msgs.Inbox) { in.Tokens = append(in.Tokens, tok) })
+		})
+	}); panicErr != nil {
+		s.log.Error(panicErr, evlog.WorkFailed, "part", s.String(), "epoch", stream.Epoch)
+		err = verdt.New(verdt.MayHaveRun, verdt.Internal, "this daemon failed while it read the stream")
+	}
 	end := msgs.StreamEnd{Request: stream.Request, Epoch: stream.Epoch}
 	if err != nil {
 		end.Failure = verdt.AsError(err, verdt.MayHaveRun)
--- a/internal/drive/streams_test.go
+++ b/internal/drive/streams_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/engine"
 	"bulrushpond.example/bulrushpond/internal/evlog"
@@ -22,7 +23,7 @@
 
 // newTestStreams starts a StreamExecutor with four in-memory engines, each of which holds half
 // of a model's 32 layers: a0 and a1 the first half, b0 and b1 the second.
-func newTestStreams(t *testing.T) (*StreamExecutor, *fakes.Local) {
+func newTestStreams(t *testing.T, opts ...core.Option) (*StreamExecutor, *fakes.Local) {
 	t.Helper()
 	engines := fakes.NewLocal()
 	for i, id := range []model.ServerID{"a0", "a1", "b0", "b1"} {
@@ -33,7 +34,7 @@
 		e := engines.Add(model.Report{Server: id, Model: "m", Span: span, Slots: 8, TokensPerSecond: 100})
 		e.StepTime = 10 * time.Millisecond
 	}
-	s := NewStreamExecutor(evlog.New(logr.Discard()), engines, 1)
+	s := NewStreamExecutor(evlog.New(logr.Discard()), engines, 1, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(ctx) }()
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	_EventName_0      = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_dropped"
-	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_dropped"
+	_EventName_0      = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_droppedwork_failed"
+	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_droppedwork_failed"
 	_EventName_1      = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
 	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
-	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failed"
-	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failed"
+	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failed"
+	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failed"
 	_EventName_4      = "peer_unreachable"
 	_EventLowerName_4 = "peer_unreachable"
 	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalledrequest_proxiedrequest_proxy_failed"
@@ -23,17 +23,17 @@
 )
 
 var (
-	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113}
+	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113, 124}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
 	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314, 331, 346, 363, 378, 393}
-	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132, 143}
+	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132, 143, 154}
 	_EventIndex_4 = [...]uint8{0, 16}
 	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96, 111, 131}
 )
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 107:
+	case 100 <= i && i <= 108:
 		i -= 100
 		return _EventName_0[_EventIndex_0[i]:_EventIndex_0[i+1]]
 	case 200 <= i && i <= 204:
@@ -42,7 +42,7 @@
 	case 300 <= i && i <= 326:
 		i -= 300
 		return _EventName_2[_EventIndex_2[i]:_EventIndex_2[i+1]]
-	case 400 <= i && i <= 412:
+	case 400 <= i && i <= 413:
 		i -= 400
 		return _EventName_3[_EventIndex_3[i]:_EventIndex_3[i+1]]
 	case i == 500:
@@ -67,6 +67,7 @@
 	_ = x[FileReloaded-(105)]
 	_ = x[FileUnreadable-(106)]
 	_ = x[LinesDropped-(107)]
+	_ = x[WorkFailed-(108)]
 	_ = x[SettingsInForce-(200)]
 	_ = x[SettingsUnreadable-(201)]
 	_ = x[SettingsStale-(202)]
@@ -112,6 +113,7 @@
 	_ = x[DutyLost-(410)]
 	_ = x[StoreRestored-(411)]
 	_ = x[PlanFailed-(412)]
+	_ = x[TickFailed-(413)]
 	_ = x[PeerUnreachable-(500)]
 	_ = x[RequestFailed-(600)]
 	_ = x[RequestServed-(601)]
@@ -124,7 +126,7 @@
 	_ = x[RequestProxyFailed-(608)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PlanFailed, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, WorkFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PlanFailed, TickFailed, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:    DaemonStarted,
@@ -135,6 +137,7 @@
 	_EventName_0[72:85]:   FileReloaded,
 	_EventName_0[85:100]:  FileUnreadable,
 	_EventName_0[100:113]: LinesDropped,
+	_EventName_0[113:124]: WorkFailed,
 	_EventName_1[0:17]:    SettingsInForce,
 	_EventName_1[17:36]:   SettingsUnreadable,
 	_EventName_1[36:50]:   SettingsStale,
@@ -180,6 +183,7 @@
 	_EventName_3[109:118]: DutyLost,
 	_EventName_3[118:132]: StoreRestored,
 	_EventName_3[132:143]: PlanFailed,
+	_EventName_3[143:154]: TickFailed,
 	_EventName_4[0:16]:    PeerUnreachable,
 	_EventName_5[0:14]:    RequestFailed,
 	_EventName_5[14:28]:   RequestServed,
@@ -201,6 +205,7 @@
 	_EventLowerName_0[72:85]:   FileReloaded,
 	_EventLowerName_0[85:100]:  FileUnreadable,
 	_EventLowerName_0[100:113]: LinesDropped,
+	_EventLowerName_0[113:124]: WorkFailed,
 	_EventLowerName_1[0:17]:    SettingsInForce,
 	_EventLowerName_1[17:36]:   SettingsUnreadable,
 	_EventLowerName_1[36:50]:   SettingsStale,
@@ -246,6 +251,7 @@
 	_EventLowerName_3[109:118]: DutyLost,
 	_EventLowerName_3[118:132]: StoreRestored,
 	_EventLowerName_3[132:143]: PlanFailed,
+	_EventLowerName_3[143:154]: TickFailed,
 	_EventLowerName_4[0:16]:    PeerUnreachable,
 	_EventLowerName_5[0:14]:    RequestFailed,
 	_EventLowerName_5[14:28]:   RequestServed,
@@ -267,6 +273,7 @@
 	_EventName_0[72:85],
 	_EventName_0[85:100],
 	_EventName_0[100:113],
+	_EventName_0[113:124],
 	_EventName_1[0:17],
 	_EventName_1[17:36],
 	_EventName_1[36:50],
@@ -312,6 +319,7 @@
 	_EventName_3[109:118],
 	_EventName_3[118:132],
 	_EventName_3[132:143],
+	_EventName_3[143:154],
 	_EventName_4[0:16],
 	_EventName_5[0:14],
 	_EventName_5[14:28],
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -29,6 +29,8 @@
 	// LinesDropped says how many log lines were dropped because the reader of the log was
 	// too slow.
 	LinesDropped Event = 107
+	// WorkFailed means that one piece of work of a part failed and is left out.
+	WorkFailed Event = 108
 	// SettingsInForce means that this daemon applied a new revision of the settings.
 	SettingsInForce Event = 200
 	// SettingsUnreadable means that the settings log cannot be decoded.
@@ -128,6 +130,8 @@
 	StoreRestored Event = 411
 	// PlanFailed means that the layers of a service's engines could not be planned.
 	PlanFailed Event = 412
+	// TickFailed means that the decisions of one tick failed.
+	TickFailed Event = 413
 	// PeerUnreachable means that another daemon does not answer.
 	PeerUnreachable Event = 500
 	// RequestFailed means that a caller was sent an error.
--- a/internal/force/keeper.go
+++ b/internal/force/keeper.go
@@ -61,6 +61,9 @@
 	return k.follower.Revision()
 }
 
+// String returns the name of this suture.Service in log events.
+func (k *Keeper) String() string { return "settings" }
+
 // Serve follows the platform's settings log until ctx ends. It implements
 // suture.Service.
 func (k *Keeper) Serve(ctx context.Context) error {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -33,6 +33,15 @@
 	return nil
 }
 
+// Go calls f in a goroutine of wg. If f panics, the goroutine ends with a call of onPanic.
+func Go(wg *sync.WaitGroup, onPanic func(error), f func()) {
+	wg.Go(func() {
+		if err := Run(f); err != nil {
+			onPanic(err)
+		}
+	})
+}
+
 // Locked calls f with a lock held, which is released even if f panics.
 func Locked[T any](mu sync.Locker, f func() T) T {
 	mu.Lock()
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -19,6 +19,16 @@
 	assert.Assert(t, len(failure.Stack) <= maxStackBytes)
 }
 
+func TestGo(t *testing.T) {
+	var wg sync.WaitGroup
+	failures := make(chan error, 2)
+	Go(&wg, func(err error) { failures <- err }, func() { panic("x") })
+	Go(&wg, func(err error) { failures <- err }, func() {})
+	wg.Wait()
+	assert.Equal(t, len(failures), 1)
+	assert.ErrorContains(t, <-failures, "panic: x")
+}
+
 func TestLockedReleasesTheLock(t *testing.T) {
 	var mu sync.Mutex
 	assert.Equal(t, Locked(&mu, func() int { return 7 }), 7)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -74,6 +74,31 @@
 	assert.DeepEqual(t, <-received, sent)
 }
 
+// TestHandlerPanicEndsOneRequest guards against a message on which a handler panics and that ends the whole process.
+func TestHandlerPanicEndsOneRequest(t *testing.T) {
+	authority := newTestAuthority(t)
+	tlsConfig, err := issueKeys(t, authority, "d1").TLS()
+	assert.NilError(t, err)
+	panics := make(chan error, 1)
+	server, err := Listen("127.0.0.1:0", tlsConfig, handlerFunc(func(_ context.Context, q Request) Answer {
+		if q.Mirror != nil {
+			panic("no such revision")
+		}
+		return Answer{}
+	}), WithPanicHook(func(err error) { panics <- err }))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-served })
+	client := newTestClient(t, issueKeys(t, authority, "d0"), server.Address())
+	_, err = client.Ask(t.Context(), "d1", Request{Mirror: &MirrorRequest{}})
+	assert.Equal(t, verdt.AsError(err, verdt.Ran).Verdict, verdt.MayHaveRun)
+	assert.ErrorContains(t, <-panics, "no such revision")
+	_, err = client.Ask(t.Context(), "d1", Request{})
+	assert.NilError(t, err)
+}
+
 // TestForwardFailureVerdicts checks that the verdict is not_run only if no byte of the
 // call was sent.
 func TestForwardFailureVerdicts(t *testing.T) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/quic-go/quic-go"
 
 	"bulrushpond.example/bulrushpond/internal/drive"
+	"bulrushpond.example/bulrushpond/internal/guard"
 )
 
 // alpnProtocol is the ALPN protocol ID with the protocol version; a daemon with another
@@ -37,12 +38,22 @@
 type Server struct {
 	listener *quic.Listener
 	handler  Handler
+	// onPanic gets the panics of handlers, each of which ends one request only.
+	onPanic func(error)
 	// inFlight counts the requests without a response yet.
 	inFlight atomic.Int64
 }
 
+// ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithPanicHook sets what gets the panics of handlers. By default they are not reported.
+func WithPanicHook(hook func(error)) ServerOption {
+	return func(s *Server) { s.onPanic = hook }
+}
+
 // Listen returns a server that listens on an address, given as "IP:port".
-func Listen(address string, tlsConfig *tls.Config, handler Handler) (*Server, error) {
+func Listen(address string, tlsConfig *tls.Config, handler Handler, opts ...ServerOption) (*Server, error) {
 	tlsConfig = tlsConfig.Clone()
 	tlsConfig.NextProtos = []string{alpnProtocol}
 	udpAddress, err := net.ResolveUDPAddr("udp", address)
@@ -57,12 +68,19 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Server{listener: listener, handler: handler}, nil
+	s := &Server{listener: listener, handler: handler, onPanic: func(error) {}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s, nil
 }
 
 // Address returns the listening address.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// String returns the name of this suture.Service in log events.
+func (s *Server) String() string { return "peers" }
+
 // Idle reports whether no request is in flight.
 func (s *Server) Idle() bool { return s.inFlight.Load() == 0 }
 
@@ -88,7 +106,7 @@
 			_ = conn.CloseWithError(0, "")
 			return
 		}
-		wg.Go(func() { s.serveStream(stream) })
+		guard.Go(&wg, s.onPanic, func() { s.serveStream(stream) })
 	}
 }
 
