--- a/internal/boot/edge_entries_test.go
+++ b/internal/boot/edge_entries_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -35,6 +37,7 @@
 			`{"service":%q,"address":"127.0.0.1:9","state":"ready",%s"routeType":"card","layers":{"source":%d,"target":%d}}`,
 			fakes.EngineService, s.fields, s.from, s.to)))
 	}
+	putBrokenEntries(t, env.platform)
 	env.waitUntil("a stream completes beside the entries", func() bool { return env.stream(0, "/draft/x").complete })
 	// No engine holds all layers afterwards.
 	for _, e := range env.platform.Servers() {
@@ -59,6 +62,37 @@
 	}
 }
 
+// putBrokenEntries writes entries of both services that each have one field missing, of another type or out of range.
+func putBrokenEntries(t *testing.T, p *fakes.Platform) {
+	t.Helper()
+	odd := []string{"", "null", `[]`, `{}`, `{"a":{"a":{"a":[[[[[[1]]]]]]}}}`, "-1", "1e400", "1.5", "99999999999999999999", `"x:99999"`, `""`, "false"}
+	for _, service := range []string{fakes.EngineService, fakes.PlainService} {
+		for _, field := range []string{"service", "address", "zone", "version", "slots", "state", "coldRemainingMs", "sequence", "layers"} {
+			for i, value := range odd {
+				entry := map[string]json.RawMessage{}
+				for name, text := range map[string]string{
+					"service": strconv.Quote(service), "address": `"127.0.0.1:9"`, "zone": `"a"`, "version": `"v1"`, "slots": "8", "state": `"ready"`,
+					"coldRemainingMs": "0", "sequence": "1", "routeType": `"card"`, "layers": fmt.Sprintf(`{"source":0,"target":%d}`, fakes.Layers),
+				} {
+					entry[name] = json.RawMessage(text)
+				}
+				delete(entry, field)
+				if value != "" {
+					entry[field] = json.RawMessage(value)
+				}
+				raw, err := json.Marshal(entry)
+				assert.NilError(t, err)
+				key := fmt.Sprintf("servers/%s-%s-%d", service, field, i)
+				if _, err := platform.DecodeMember(key, raw); err == nil {
+					// The value is a legal one of this field.
+					continue
+				}
+				p.Store.Put(key, raw)
+			}
+		}
+	}
+}
+
 // TestStoreChangesOutliveFailedEntry guards against one entry that cannot be applied and that takes the changes after it
 // with it: they would not come again.
 func TestStoreChangesOutliveFailedEntry(t *testing.T) {
--- a/internal/boot/edge_resume_test.go
+++ b/internal/boot/edge_resume_test.go
@@ -159,7 +159,7 @@
 	assert.NilError(env.t, err)
 	defer func() { _ = conn.Close() }()
 	env.requests++
-	_, err = fmt.Fprintf(conn, "POST /draft/x HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer key-n\r\nRequest-Id: r%d\r\nDeadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx", env.requests)
+	_, err = fmt.Fprintf(conn, "POST /draft/x HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer key-n\r\nRequest-Id: r%d\r\nDeadline-Ms: 3000\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", env.requests)
 	assert.NilError(env.t, err)
 	assert.NilError(env.t, conn.SetReadDeadline(time.Now().Add(6*time.Second)))
 	// An aborted answer ends with a reset.
