--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -136,7 +136,11 @@
 	if err != nil {
 		return cborCodec{}, trace.Wrap(err)
 	}
-	dec, err := cbor.DecOptions{MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17, MaxNestedLevels: 16}.DecMode()
+	dec, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17, MaxNestedLevels: 16,
+		// Request targets, headers and events are passed on byte for byte.
+		UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	return cborCodec{enc: enc, dec: dec}, trace.Wrap(err)
 })
 
--- a/internal/peer/proxy_test.go
+++ b/internal/peer/proxy_test.go
@@ -26,16 +26,17 @@
 	h.serve(ctx, q, write)
 }
 
-// TestProxiedRequestAndFramesArriveUnchanged guards against fields that are lost between two daemons.
+// TestProxiedRequestAndFramesArriveUnchanged guards against fields that are lost or changed between two daemons, and
+// against bytes that are no UTF-8 and make a request fail there.
 func TestProxiedRequestAndFramesArriveUnchanged(t *testing.T) {
 	authority := newTestAuthority(t)
 	sent := drive.ProxyRequest{
-		ID: "1", Method: "POST", Target: "/a?b=c", Host: "h", Header: http.Header{"X": {"y", "z"}}, Body: []byte("body"), Team: "t", Priority: 3, AtMostOnce: true,
+		ID: "1", Method: "POST", Target: "//a\xff?b=c\x80", Host: "h", Header: http.Header{"X": {"y", "z\xe4"}}, Body: []byte("body"), Team: "t", Priority: 3, AtMostOnce: true,
 		Service: "s", Streamed: true, PromptTokens: 4, MaxTokens: 5, Parts: []uint64{6}, From: 7, MaxAttempts: 2, TimeLeft: time.Second, TargetLatency: time.Millisecond, Route: "r",
 	}
 	frames := []drive.ProxyFrame{
 		{},
-		{Head: &drive.ProxyHead{Status: 200, Header: http.Header{"A": {"b"}}}, Events: []string{"id: 1\n\n", "id: 2\n\n"}},
+		{Head: &drive.ProxyHead{Status: 200, Header: http.Header{"A": {"b\xe4"}}}, Events: []string{"id: 1\ndata: \xff\n\n", "id: 2\n\n"}},
 		{Events: []string{"id: 3\n\n"}},
 		{Answer: &engine.Answer{Status: 200, Header: http.Header{"C": {"d"}}, Body: []byte("e")}},
 		{Failure: &drive.ProxyFailure{Verdict: verdt.MayHaveRun, Reason: verdt.StageFailed, Message: "m", Server: "s", RetryAfter: time.Second}},
@@ -51,7 +52,12 @@
 	stream, err := newTestClient(t, issueKeys(t, authority, "d0"), address).OpenProxy(t.Context(), address, sent)
 	assert.NilError(t, err)
 	defer stream.Close()
-	assert.DeepEqual(t, <-received, sent)
+	select {
+	case got := <-received:
+		assert.DeepEqual(t, got, sent)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request did not arrive")
+	}
 	for _, want := range frames {
 		got, err := stream.Next(time.Now().Add(5 * time.Second))
 		assert.NilError(t, err)
