Pass on the bytes of an event as the engine sent them, whatever its length

Cause: readEvent took the line feed of a line that fills the read buffer for the blank line that ends an event. Besides, CR alone and comments failed a stream, and blank lines around events were dropped.

What follows the last event comes with the End token.

--- a/internal/boot/edge_resume_test.go
+++ b/internal/boot/edge_resume_test.go
@@ -18,10 +18,10 @@
 	"bulrushpond.example/bulrushpond/platform/fakes"
 )
 
-// rawEngine is a model engine that holds all layers. It breaks off a new stream within the event after the given one, and
-// writes its answer to a resumed one as it is.
+// rawEngine is a model engine that holds all layers. Its new streams have the given body, or break off within the event
+// after brokenAfter if that is empty. It writes its answer to a resumed one as it is.
 type rawEngine struct {
-	address string
+	address, body string
 	// resumed counts the resumed streams.
 	resumed atomic.Int64
 }
@@ -30,12 +30,12 @@
 const brokenAfter = 7
 
 // startRawEngine starts an engine and publishes its entry. ID stands for the request's in the answer to a resumed stream.
-func startRawEngine(t *testing.T, p *fakes.Platform, id, answer string) *rawEngine {
+func startRawEngine(t *testing.T, p *fakes.Platform, id, body, answer string) *rawEngine {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	e := &rawEngine{address: l.Addr().String()}
+	e := &rawEngine{address: l.Addr().String(), body: body}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -76,6 +76,10 @@
 			return
 		}
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\nResponse-Signature: s.%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+		if e.body != "" {
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(e.body), e.body)
+			continue
+		}
 		for i := 1; i <= brokenAfter; i++ {
 			event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
@@ -132,7 +136,7 @@
 			assert.NilError(t, err)
 			t.Cleanup(p.Close)
 			env := &testEnvironment{t: t, platform: p}
-			engines := []*rawEngine{startRawEngine(t, p, "e1", answer), startRawEngine(t, p, "e2", answer)}
+			engines := []*rawEngine{startRawEngine(t, p, "e1", "", answer), startRawEngine(t, p, "e2", "", answer)}
 			env.configure(fakes.Config{Keys: map[string][]string{"north": {"key-n"}}})
 			env.start(nil)
 			var raw string
@@ -153,6 +157,42 @@
 	}
 }
 
+// TestStreamArrivesUnchanged guards against streams that lose bytes between the engine and the caller: long lines, all ends
+// of lines, comments, and what comes before the first event and after the last one.
+func TestStreamArrivesUnchanged(t *testing.T) {
+	var long strings.Builder
+	for i := range 40 {
+		fmt.Fprintf(&long, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", 1000+i))
+	}
+	for name, body := range map[string]string{
+		"lines of about a kilobyte": long.String(),
+		"CR":                        "id: 1\rdata: x\r\rid: 2\rdata: y\r\r",
+		"CRLF":                      "id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n",
+		"comments and blank lines":  "\n: hello\n\nid: 1\ndata: x\ndata: y\n\n: wait\n\n\nid: 2\ndata: y\n\n\n: end\n\n",
+		"no UTF-8":                  "id: 1\ndata: \xff\xfe\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, err := fakes.New()
+			assert.NilError(t, err)
+			t.Cleanup(p.Close)
+			env := &testEnvironment{t: t, platform: p}
+			startRawEngine(t, p, "e1", body, "")
+			env.configure(fakes.Config{Keys: map[string][]string{"north": {"key-n"}}})
+			env.start(nil)
+			var raw string
+			env.waitUntil("a stream is answered", func() bool {
+				raw = env.rawStream(0)
+				return strings.HasPrefix(raw, "HTTP/1.1 200 ")
+			})
+			_, chunks, _ := strings.Cut(raw, "\r\n\r\n")
+			decoded, complete := decodeChunks(chunks)
+			assert.Assert(t, complete)
+			assert.Equal(t, decoded, body)
+		})
+	}
+}
+
 // rawStream sends a stream request on a connection of its own and returns all bytes of the answer.
 func (env *testEnvironment) rawStream(daemon int) string {
 	conn, err := net.Dial("tcp", env.daemons[daemon].CallersAddress())
--- a/internal/core/recov/recov.go
+++ b/internal/core/recov/recov.go
@@ -74,8 +74,8 @@
 	t.Requests.SetStalled(r, "")
 	r.Switched = false
 	if tok.End {
-		if tok.Head != nil {
-			// An answer without any event still has a head to send.
+		if tok.Head != nil || tok.Text != "" {
+			// An answer without any event still has a head to send, and comments may follow the last one.
 			out.Sends = append(out.Sends, tok)
 		}
 		st.finish(r, t, out, msgs.Finish{Request: r.ID, Tokens: r.Next})
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -359,10 +359,12 @@
 				return err
 			}
 		}
-		if tok.End {
+		if tok.End && tok.Text == "" {
 			continue
 		}
-		req.eventCount++
+		if !tok.End {
+			req.eventCount++
+		}
 		req.epoch = tok.Epoch
 		if err := out.Event(tok.Text); err != nil {
 			return err
