--- a/internal/core/lint/compare.go
+++ b/internal/core/lint/compare.go
@@ -184,7 +184,7 @@
 
 // describeRevoked says what becomes of requests with keys that a team no longer has.
 func (c *comparison) describeRevoked(keys []string) string {
-	if len(c.after.Teams) == 0 {
+	if c.after.Teams == nil {
 		return "no request needs an API key any more"
 	}
 	newTeams := map[model.Team]int{}
--- a/internal/core/lint/lint.go
+++ b/internal/core/lint/lint.go
@@ -67,6 +67,7 @@
 	c := &checker{Draft: d, table: match.New(d.Routing)}
 	c.checkRoutes()
 	c.checkServices()
+	c.checkKeys()
 	c.checkTeams()
 	c.checkLimits()
 	return c.found
@@ -183,6 +184,26 @@
 	}
 }
 
+// checkKeys finds that all routes are open or shut.
+func (c *checker) checkKeys() {
+	keys, protected := 0, 0
+	for _, team := range c.Routing.Teams {
+		keys += len(team.Keys)
+	}
+	for i := range c.Routing.Routes {
+		if !c.Routing.Routes[i].Public {
+			protected++
+		}
+	}
+	switch {
+	case protected == 0:
+	case c.Routing.Teams == nil:
+		c.add(Place{}, "there is no list of teams: no request needs an API key, on any route")
+	case keys == 0:
+		c.add(Place{}, "no team has an API key: all requests are refused on the routes that are not public")
+	}
+}
+
 func (c *checker) checkTeams() {
 	listed, owner := map[model.Team]bool{}, map[string]model.Team{}
 	for _, team := range c.Teams {
--- a/internal/core/lint/lint_test.go
+++ b/internal/core/lint/lint_test.go
@@ -72,6 +72,11 @@
 		{"service without a route", func(d *Draft, _, _ *setts.RouteRule) { d.Services = append(d.Services, "x") }, Place{Service: "x"}, "no route names"},
 		{"service twice", func(d *Draft, _, _ *setts.RouteRule) { d.Services = append(d.Services, "shop") }, Place{Service: "shop"}, "listed twice"},
 		{"team without keys", func(d *Draft, _, _ *setts.RouteRule) { d.Routing.Teams["north"] = setts.TeamRule{} }, Place{Team: "north"}, "no API key"},
+		{"no list of teams", func(d *Draft, _, _ *setts.RouteRule) { d.Routing.Teams, d.Teams = nil, nil }, Place{}, "no request needs an API key"},
+		{"empty list of teams", func(d *Draft, _, _ *setts.RouteRule) { d.Routing.Teams, d.Teams = map[model.Team]setts.TeamRule{}, nil }, Place{}, "no team has an API key"},
+		{"teams without keys", func(d *Draft, _, _ *setts.RouteRule) {
+			d.Routing.Teams, d.Teams = map[model.Team]setts.TeamRule{"north": {}}, []model.Team{"north"}
+		}, Place{}, "no team has an API key"},
 		{"team twice", func(d *Draft, _, _ *setts.RouteRule) { d.Teams = append(d.Teams, "south") }, Place{Team: "south"}, "listed twice"},
 		{"key of two teams", func(d *Draft, _, _ *setts.RouteRule) { d.Routing.Teams["south"].Keys[0] = "k1" }, Place{Team: "south"}, `one of the team "north"`},
 		{"key twice", func(d *Draft, _, _ *setts.RouteRule) { d.Routing.Teams["north"].Keys[1] = "k1" }, Place{Team: "north"}, "key 2 is listed twice"},
@@ -170,6 +175,8 @@
 		{"dropped team", func(r *setts.Routing, _, _ *setts.RouteRule) { delete(r.Teams, "north") }, Place{}, `dropped team "north": revoked: 2 API keys`},
 		{"new team", func(r *setts.Routing, _, _ *setts.RouteRule) { r.Teams["west"] = setts.TeamRule{} }, Place{Team: "west"}, "new team"},
 		{"no teams", func(r *setts.Routing, _, _ *setts.RouteRule) { r.Teams = nil }, Place{Route: 1}, "without an API key are then served"},
+		{"dropped team, but no list any more", func(r *setts.Routing, _, _ *setts.RouteRule) { r.Teams = nil }, Place{}, "no request needs an API key any more"},
+		{"all teams dropped", func(r *setts.Routing, _, _ *setts.RouteRule) { clear(r.Teams) }, Place{}, `dropped team "north": revoked: 2 API keys, its callers are refused`},
 		{"engines", func(r *setts.Routing, _, _ *setts.RouteRule) { r.Services["models"].Engine.Slots = 4 }, Place{Service: "models"}, "slots 0 -> 4"},
 		{"other servers", func(r *setts.Routing, _, _ *setts.RouteRule) {
 			r.Services["models"] = setts.ServiceRule{Name: "models"}
--- a/internal/core/match/match.go
+++ b/internal/core/match/match.go
@@ -59,10 +59,9 @@
 	return team, ok && key != ""
 }
 
-// NeedsKey reports whether a route requires an API key: unless the route is public or no
-// team is configured.
+// NeedsKey reports whether a route requires an API key: unless the route is public or the settings have no list of teams.
 func (t *Table) NeedsKey(rule *setts.RouteRule) bool {
-	return len(t.Routing.Teams) > 0 && !rule.Public
+	return t.Routing.Teams != nil && !rule.Public
 }
 
 // Priority returns the priority of a request, 0 for the highest: its team's priority if
--- a/internal/core/match/match_test.go
+++ b/internal/core/match/match_test.go
@@ -57,6 +57,7 @@
 	assert.Assert(t, table.NeedsKey(&setts.RouteRule{}))
 	assert.Assert(t, !table.NeedsKey(&setts.RouteRule{Public: true}))
 	assert.Assert(t, !New(&setts.Routing{}).NeedsKey(&setts.RouteRule{}))
+	assert.Assert(t, New(&setts.Routing{Teams: map[model.Team]setts.TeamRule{}}).NeedsKey(&setts.RouteRule{}))
 }
 
 func TestPriority(t *testing.T) {
--- a/pkg/setts/routing.go
+++ b/pkg/setts/routing.go
@@ -13,7 +13,7 @@
 	Revision model.Revision
 	Routes   []RouteRule
 	Services map[string]ServiceRule
-	// Teams is empty if callers need no API key.
+	// Teams is nil if callers need no API key. If it is empty or no team has a key, every request that needs one is refused.
 	Teams  map[model.Team]TeamRule
 	Limits CallerLimits
 }
