Read the newest state if there are too many changes in the key-value service

Cause: a watch whose answer exceeds the client's bound was asked for again and again; only lost history made the mirror read the keys.

The mirror takes what another daemon has more, or else reads all keys. The read of all keys has its own timeout.

--- a/internal/drive/feed.go
+++ b/internal/drive/feed.go
@@ -21,6 +21,8 @@
 	longPollWait = 700 * time.Millisecond
 	// longPollTimeout bounds a read. After it the service counts as unavailable.
 	longPollTimeout = longPollWait + 400*time.Millisecond
+	// readAllTimeout bounds a read of all keys, which takes some pages.
+	readAllTimeout = longPollTimeout
 	// HubInterval is the interval at which the hub, the daemon that reads the service for
 	// the others, is asked.
 	HubInterval = 250 * time.Millisecond
@@ -45,7 +47,7 @@
 	// last answered the hub.
 	Ask(ctx context.Context, after model.Position) (d mirror.Delta, age time.Duration, ok bool)
 	// AskAnyDaemon asks any other daemon for the changes after a position. It is used while
-	// the service does not answer here.
+	// the service does not answer here, or has too many changes.
 	AskAnyDaemon(ctx context.Context, after model.Position) (mirror.Delta, bool)
 }
 
@@ -158,20 +160,28 @@
 var errEarlierEra = errors.New("the key-value service answered with an earlier era than before")
 
 // readService reads the changes from the service itself, or all keys if there was no read
-// yet, the service no longer has the history, or the service was restored since the last read.
+// yet, the service no longer has the history, or the service was restored since the last read. If there are too many
+// changes, the newest state is read instead: from another daemon that has more, as that takes the least, or else from the
+// service.
 func (f *StoreMirror) readService(ctx context.Context) error {
 	f.mu.Lock()
 	hasRead, after := f.hasRead, f.state.Position()
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
-	defer cancel()
 	var d mirror.Delta
 	var err error
 	if hasRead {
-		d, err = f.source.Changes(ctx, "", after, longPollWait)
+		d, err = f.changes(ctx, after)
+	}
+	if errors.Is(err, plat.ErrTooManyChanges) {
+		f.log.Info(evlog.StoreHistorySkipped, "after_revision", after.Revision)
+		f.askAnyDaemon(ctx)
+		if f.Position() != after {
+			// The next poll reads what that daemon had not read yet.
+			return nil
+		}
 	}
-	if !hasRead || errors.Is(err, plat.ErrCompacted) || (err == nil && d.Era > after.Era) {
-		d, err = f.source.Read(ctx, "")
+	if !hasRead || errors.Is(err, plat.ErrCompacted) || errors.Is(err, plat.ErrTooManyChanges) || (err == nil && d.Era > after.Era) {
+		d, err = f.readAll(ctx)
 	}
 	if err == nil && d.Era < after.Era {
 		err = errEarlierEra
@@ -187,6 +197,20 @@
 	return nil
 }
 
+// changes reads the changes after a position from the service.
+func (f *StoreMirror) changes(ctx context.Context, after model.Position) (mirror.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
+	defer cancel()
+	return f.source.Changes(ctx, "", after, longPollWait)
+}
+
+// readAll reads all keys from the service.
+func (f *StoreMirror) readAll(ctx context.Context) (mirror.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, readAllTimeout)
+	defer cancel()
+	return f.source.Read(ctx, "")
+}
+
 // askAnyDaemon asks another daemon, which may still reach the service, for changes.
 func (f *StoreMirror) askAnyDaemon(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, hubTimeout)
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -14,8 +14,8 @@
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
 	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
-	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failed"
-	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failed"
+	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failedstore_history_skipped"
+	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failedstore_history_skipped"
 	_EventName_4      = "peer_unreachable"
 	_EventLowerName_4 = "peer_unreachable"
 	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalledrequest_proxiedrequest_proxy_failed"
@@ -26,7 +26,7 @@
 	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113, 124}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
 	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314, 331, 346, 363, 378, 393}
-	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132, 143, 154}
+	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132, 143, 154, 175}
 	_EventIndex_4 = [...]uint8{0, 16}
 	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96, 111, 131}
 )
@@ -42,7 +42,7 @@
 	case 300 <= i && i <= 326:
 		i -= 300
 		return _EventName_2[_EventIndex_2[i]:_EventIndex_2[i+1]]
-	case 400 <= i && i <= 413:
+	case 400 <= i && i <= 414:
 		i -= 400
 		return _EventName_3[_EventIndex_3[i]:_EventIndex_3[i+1]]
 	case i == 500:
@@ -114,6 +114,7 @@
 	_ = x[StoreRestored-(411)]
 	_ = x[PlanFailed-(412)]
 	_ = x[TickFailed-(413)]
+	_ = x[StoreHistorySkipped-(414)]
 	_ = x[PeerUnreachable-(500)]
 	_ = x[RequestFailed-(600)]
 	_ = x[RequestServed-(601)]
@@ -126,7 +127,7 @@
 	_ = x[RequestProxyFailed-(608)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, WorkFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PlanFailed, TickFailed, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, WorkFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PlanFailed, TickFailed, StoreHistorySkipped, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:    DaemonStarted,
@@ -184,6 +185,7 @@
 	_EventName_3[118:132]: StoreRestored,
 	_EventName_3[132:143]: PlanFailed,
 	_EventName_3[143:154]: TickFailed,
+	_EventName_3[154:175]: StoreHistorySkipped,
 	_EventName_4[0:16]:    PeerUnreachable,
 	_EventName_5[0:14]:    RequestFailed,
 	_EventName_5[14:28]:   RequestServed,
@@ -252,6 +254,7 @@
 	_EventLowerName_3[118:132]: StoreRestored,
 	_EventLowerName_3[132:143]: PlanFailed,
 	_EventLowerName_3[143:154]: TickFailed,
+	_EventLowerName_3[154:175]: StoreHistorySkipped,
 	_EventLowerName_4[0:16]:    PeerUnreachable,
 	_EventLowerName_5[0:14]:    RequestFailed,
 	_EventLowerName_5[14:28]:   RequestServed,
@@ -320,6 +323,7 @@
 	_EventName_3[118:132],
 	_EventName_3[132:143],
 	_EventName_3[143:154],
+	_EventName_3[154:175],
 	_EventName_4[0:16],
 	_EventName_5[0:14],
 	_EventName_5[14:28],
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -132,6 +132,8 @@
 	PlanFailed Event = 412
 	// TickFailed means that the decisions of one tick failed.
 	TickFailed Event = 413
+	// StoreHistorySkipped means that there were too many changes in the key-value service to read them one by one.
+	StoreHistorySkipped Event = 414
 	// PeerUnreachable means that another daemon does not answer.
 	PeerUnreachable Event = 500
 	// RequestFailed means that a caller was sent an error.
--- a/internal/plat/feed.go
+++ b/internal/plat/feed.go
@@ -13,13 +13,18 @@
 // all keys have to be read again.
 var ErrCompacted = errors.New("key-value history after the requested revision is compacted")
 
+// ErrTooManyChanges means that the changes after the requested revision are more than a daemon reads at once, so that the
+// newest state has to be read instead.
+var ErrTooManyChanges = errors.New("too many key-value changes after the requested revision")
+
 // PrefixReader reads ranges of keys of the platform's key-value service.
 type PrefixReader interface {
 	// Read returns all keys with a prefix.
 	Read(ctx context.Context, prefix string) (mirror.Delta, error)
 	// Changes returns the changes to keys with a prefix after a position. It blocks
 	// until there is a change; after the wait it returns an empty delta. If the service
-	// was restored since, the delta has a later era and may lack changes.
+	// was restored since, the delta has a later era and may lack changes. It fails with ErrCompacted or
+	// ErrTooManyChanges if the changes cannot be had.
 	Changes(ctx context.Context, prefix string, after model.Position, wait time.Duration) (mirror.Delta, error)
 }
 
