Believe a list without model engines on the platform

Cause: drain.ApplyList ignores a list without engines, a guard against lists that are fetched whole and empty by mistake. On the platform each entry is removed by itself, and internal/core/roster keeps those that expired in an outage.

Evidence: TestEmptyAuthoritativeListIsApplied failed without the option: the request was opened.

Change: the edge daemon's list is authoritative; the guard stays for the own interface.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -218,7 +218,7 @@
 		return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow, retry.WithShares())
 	}
 	d.streams = drive.NewStreamExecutor(deps.Log, d.engines, base,
-		append(d.routing(base), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base))...)
+		append(d.routing(base), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base), core.WithAuthoritativeList())...)
 	d.burnRecorder = burn.NewRecorder(d.burnLimits)
 	d.edge = drive.NewEdge(deps.Log, d.streams, d.engines, relay.New(vm.Zone, budget(), base), base, d.burnRecorder, drive.WithProxies(d.engines, proxyClient{d}))
 	d.feed = drive.NewStoreMirror(deps.Log, d.store, d, d.applyStoreChanges)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,6 +97,10 @@
 // engines must answer.
 func WithStallCheck() Option { return func(c *Core) { c.stall = stall.New() } }
 
+// WithAuthoritativeList lets a membership list without engines count. The source of the list then has to keep engines that
+// are missing from it by mistake.
+func WithAuthoritativeList() Option { return func(c *Core) { c.drain.ListIsAuthoritative = true } }
+
 // WithSeed seeds the times of this daemon's requests to servers with limits, the choice of the servers
 // that are probed, and the times at which refused requests come back by rank.
 func WithSeed(seed uint64) Option {
--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -22,6 +22,8 @@
 	Grace time.Duration
 	// Drained lists the servers that the settings drain.
 	Drained []string
+	// ListIsAuthoritative is set if a list without engines means that there are none.
+	ListIsAuthoritative bool
 	// scheduledMoves holds when the work of each leaving server has to be moved,
 	// earliest first.
 	scheduledMoves *table.Heap[scheduledMove]
@@ -50,7 +52,7 @@
 	}
 }
 
-// ApplyList applies the platform's list. A list without engines is ignored if servers
+// ApplyList applies the platform's list. Unless the list is authoritative, one without engines is ignored if servers
 // are known: a failure of the platform is likelier than that of all servers at once.
 func (st *State) ApplyList(now time.Time, list []model.Member, servers *table.Servers, out *msgs.Outbox) {
 	engines := map[model.ServerID]model.Member{}
@@ -59,7 +61,7 @@
 			engines[model.ServerID(m.ID)] = m
 		}
 	}
-	if len(engines) == 0 && servers.Len() > 0 {
+	if len(engines) == 0 && servers.Len() > 0 && !st.ListIsAuthoritative {
 		out.Notify(msgs.Notice{Kind: msgs.ListEmpty})
 		return
 	}
--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -426,6 +426,21 @@
 	})
 }
 
+// TestEmptyAuthoritativeListIsApplied guards against streams to the last engine after it has gone: where the list says for
+// certain which engines there are, one without engines counts as well.
+func TestEmptyAuthoritativeListIsApplied(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		w := newCoreHarness(t)
+		w.core.drain.ListIsAuthoritative = true
+		w.in.List = []model.Member{}
+		w.tick()
+		w.arrive()
+		w.tick()
+		assert.Assert(t, !w.requests[w.lastID].opened)
+		assert.Equal(t, w.core.servers.Len(), 0)
+	})
+}
+
 // TestEmptyListKeepsServing: requests are still served after the platform sends an empty
 // membership list.
 func TestEmptyListKeepsServing(t *testing.T) {
