Count no cut watch as an outage of the key-value service

Cause: each failed read counted as an outage, and for 2.2 s after one a server whose entry is missing is kept, as entries expire in an outage.

Evidence: TestCutWatchIsNoOutage failed at 1 ms with the bound taken out.

Change: only the time since the last current answer decides, a heartbeat or more. Reads of a service that is down ask for an answer at once.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -221,7 +221,9 @@
 		append(d.routing(base), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base), core.WithAuthoritativeList())...)
 	d.burnRecorder = burn.NewRecorder(d.burnLimits)
 	d.edge = drive.NewEdge(deps.Log, d.streams, d.engines, relay.New(vm.Zone, budget(), base), base, d.burnRecorder, drive.WithProxies(d.engines, proxyClient{d}))
-	d.feed = drive.NewStoreMirror(deps.Log, d.store, d, d.applyStoreChanges)
+	// Entries expire after some missed heartbeats, of which the latest may have come long before an outage, and the next
+	// long after it.
+	d.feed = drive.NewStoreMirror(deps.Log, d.store, d, d.applyStoreChanges, drive.WithMinOutage((entryExpiryBeats-2)*vm.HeartbeatInterval))
 	if err := d.listen(metricsPort); err != nil {
 		return nil, err
 	}
--- a/internal/drive/feed.go
+++ b/internal/drive/feed.go
@@ -77,6 +77,10 @@
 	// recoveredAt is when the last outage of the service ended, or when it was restored from
 	// an older copy, or zero.
 	recoveredAt time.Time
+	// minOutage is how long the service must not have answered for an outage that recoveredAt counts.
+	minOutage time.Duration
+	// currentAsOf is the time of the last delta that was current.
+	currentAsOf time.Time
 	// hasRead is set once this daemon has a complete copy, from the service or the hub.
 	// From then on only changes are read, unless the service has lost their history.
 	hasRead    bool
@@ -85,9 +89,22 @@
 	appliedAsOf time.Time
 }
 
+// StoreMirrorOption configures a StoreMirror.
+type StoreMirrorOption func(*StoreMirror)
+
+// WithMinOutage sets how long the service must not have answered for RecoveredAt to count it as an outage. By default each
+// read that failed is one.
+func WithMinOutage(d time.Duration) StoreMirrorOption {
+	return func(f *StoreMirror) { f.minOutage = d }
+}
+
 // NewStoreMirror returns a StoreMirror with an empty copy.
-func NewStoreMirror(log evlog.Log, source plat.PrefixReader, hub HubClient, onChange func(time.Time, mirror.Changes)) *StoreMirror {
-	return &StoreMirror{log: log, source: source, hub: hub, onChange: onChange, applying: make(chan struct{}, 1), state: mirror.New()}
+func NewStoreMirror(log evlog.Log, source plat.PrefixReader, hub HubClient, onChange func(time.Time, mirror.Changes), opts ...StoreMirrorOption) *StoreMirror {
+	f := &StoreMirror{log: log, source: source, hub: hub, onChange: onChange, applying: make(chan struct{}, 1), state: mirror.New()}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // Serve reads the service until the context ends, except while the hub's answers are
@@ -201,7 +218,19 @@
 func (f *StoreMirror) changes(ctx context.Context, after model.Position) (mirror.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
 	defer cancel()
-	return f.source.Changes(ctx, "", after, longPollWait)
+	wait := longPollWait
+	if f.isDown() {
+		// The answer shows at once that the service is back.
+		wait = 0
+	}
+	return f.source.Changes(ctx, "", after, wait)
+}
+
+// isDown reports whether the service does not answer, as seen from here.
+func (f *StoreMirror) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.downSince.IsZero()
 }
 
 // readAll reads all keys from the service.
@@ -226,7 +255,13 @@
 	f.hasRead = true
 	if !f.downSince.IsZero() {
 		f.log.Info(evlog.StoreUp, "away_ms", asOf.Sub(f.downSince).Milliseconds(), "revision", d.Revision)
-		f.downSince, f.recoveredAt = time.Time{}, asOf
+		f.downSince = time.Time{}
+		if asOf.Sub(f.currentAsOf) >= f.minOutage {
+			f.recoveredAt = asOf
+		}
+	}
+	if asOf.After(f.currentAsOf) {
+		f.currentAsOf = asOf
 	}
 	f.mu.Unlock()
 	f.apply(asOf, d)
--- a/internal/drive/feed_test.go
+++ b/internal/drive/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -139,6 +140,75 @@
 	})
 }
 
+// cutService answers watches after their wait, except while it is cut: then they fail at once.
+type cutService struct {
+	restoredService
+	cut bool
+
+	watches int
+}
+
+func (s *cutService) Changes(ctx context.Context, prefix string, after model.Position, wait time.Duration) (mirror.Delta, error) {
+	s.watches++
+	for began := time.Now(); time.Since(began) < wait; {
+		time.Sleep(10 * time.Millisecond)
+		if s.cut {
+			return mirror.Delta{}, errors.New("connection reset")
+		}
+	}
+	if s.cut {
+		return mirror.Delta{}, errors.New("connection reset")
+	}
+	return s.restoredService.Changes(ctx, prefix, after, wait)
+}
+
+func (s *cutService) Read(ctx context.Context, prefix string) (mirror.Delta, error) {
+	if s.cut {
+		return mirror.Delta{}, errors.New("connection reset")
+	}
+	return s.restoredService.Read(ctx, prefix)
+}
+
+// noHub is a HubClient of a daemon without others.
+type noHub struct{}
+
+func (noHub) Ask(context.Context, model.Position) (mirror.Delta, time.Duration, bool) {
+	return mirror.Delta{}, 0, false
+}
+
+func (noHub) AskAnyDaemon(context.Context, model.Position) (mirror.Delta, bool) {
+	return mirror.Delta{}, false
+}
+
+// TestCutWatchIsNoOutage guards against servers that are kept in use after their entries were removed, because a watch was
+// cut: only an outage in which entries can have expired makes their removal doubtful.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	const beat = 1200 * time.Millisecond
+	for _, tc := range []struct {
+		lasts  time.Duration
+		outage bool
+	}{{time.Millisecond, false}, {20 * time.Millisecond, false}, {2 * beat, true}, {10 * time.Second, true}} {
+		for phase := range 8 {
+			synctest.Test(t, func(t *testing.T) {
+				service := &cutService{restoredService: restoredService{position: model.Position{Era: 1, Revision: 100}}}
+				f := NewStoreMirror(evlog.New(logr.Discard()), service, noHub{}, func(time.Time, mirror.Changes) {}, WithMinOutage(beat))
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				go func() { ended <- f.Serve(ctx) }()
+				time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
+				assert.Assert(t, f.RecoveredAt().IsZero())
+				service.cut = true
+				time.Sleep(max(tc.lasts, 11*time.Millisecond))
+				service.cut = false
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, !f.RecoveredAt().IsZero(), tc.outage, "%s, phase %d", tc.lasts, phase)
+				cancel()
+				<-ended
+			})
+		}
+	}
+}
+
 // restoredService is at an era and a revision, and has one key whose value names both.
 type restoredService struct {
 	position  model.Position
