Pass on the streams of plain services as they arrive

Cause: answers of plain services were read to their end before the caller got any of them.

Evidence: TestPlainServiceStreams timed out: no event came before the answer's end.

Change: on streaming routes each event of a plain service's answer is passed on as it arrives, with the reader of model engines' events. Before the head the request may go to another server; afterwards a broken stream ends visibly incomplete.

--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -60,6 +60,8 @@
 	log         evlog.Log
 	streams     *StreamExecutor
 	relaySender engine.Relay
+	// streamRelay is relaySender if that passes on streams; nil otherwise.
+	streamRelay engine.StreamRelay
 	observer    Observer
 	table       atomic.Pointer[match.Table]
 	// stopping makes answers ask callers to close their connections.
@@ -100,6 +102,7 @@
 		log: log, streams: streams, relaySender: relaySender, relayState: relayState, rng: rand.New(rand.NewPCG(seed, 2)), observer: observer,
 		meter: NewMeter(), proxies: newProxies(),
 	}
+	e.streamRelay, _ = relaySender.(engine.StreamRelay)
 	for _, opt := range opts {
 		opt(e)
 	}
--- a/internal/drive/edgerelay.go
+++ b/internal/drive/edgerelay.go
@@ -38,12 +38,21 @@
 			"in_progress", attempt.InProgress, "left_ms", time.Until(req.deadline).Milliseconds(), "digest", crash.FormatPart(req.in.Digest))
 		var answer *engine.Answer
 		var outcome relay.Outcome
-		answer, outcome, next = e.sendAttempt(ctx, req, rule, relayReq, attempt)
+		begun := false
+		if rule.Repetition == setts.Streaming && e.streamRelay != nil {
+			answer, outcome, begun = e.streamAttempt(ctx, req, attempt, out)
+		} else {
+			answer, outcome, next = e.sendAttempt(ctx, req, rule, relayReq, attempt)
+		}
 		if answer != nil {
 			lastAnswer = answer
 		}
 		failure = outcome.Failure
 		retry := e.recordAttempt(relayReq, attempt, outcome) || next != nil
+		if begun {
+			e.finishPlainStream(ctx, req, failure, out)
+			return
+		}
 		if ctx.Err() != nil {
 			e.withdrawAttempt(relayReq, next)
 			e.failCallerGone(req, out, false)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -193,6 +193,13 @@
 	Send(ctx context.Context, to model.Member, o Origin, deadline time.Time) (Answer, error)
 }
 
+// StreamRelay forwards callers' requests whose answers are streams of events. Errors are *AnswerError.
+type StreamRelay interface {
+	// Open sends a request to the server of a route and passes each event of the answer to sink as soon as it has
+	// arrived, and at last the end token. It returns nil only after it has passed the end token.
+	Open(ctx context.Context, s Stream, sink func(model.Token)) error
+}
+
 // Service is a plain service. Errors are *verdt.Error.
 type Service interface {
 	Do(ctx context.Context, c Call) (Answer, error)
