Begin no stream whose caller left before the tick that brings it

What callers saw: nothing; engines worked on.

Cause: a tick handled the callers that left before the new requests, so one that is both was begun and never cancelled.

Evidence: TestCallerGoneBeforeTick failed: the request was opened.

Change: callers that left come after new requests, in the order of the inbox's fields.

Measured: TestCallerGoneBeforeTick, TestStreams and TestEmpty* pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -134,7 +134,7 @@
 
 // Tick processes the events in the inbox and replaces the contents of out by the resulting
 // commands. The order is: settings and servers, streams, prompt parts that crash engines, new
-// requests, deadlines, leaving servers, stalled engines, requests for other daemons, and then the dispatch of
+// requests, callers that left, deadlines, leaving servers, stalled engines, requests for other daemons, and then the dispatch of
 // requests that wait for a route.
 func (c *Core) Tick(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	out.Reset()
@@ -143,6 +143,7 @@
 	c.applyStreams(now, in, out)
 	c.checkCrashes(now, out)
 	c.applyArrivals(now, in, out)
+	c.applyCallersGone(now, in, out)
 	c.expire(now, out)
 	c.moveFromLeaving(now)
 	c.checkStalls(now, in, out)
@@ -213,7 +214,7 @@
 	}
 }
 
-// applyStreams processes tokens, ends of streams and closed connections of callers.
+// applyStreams processes tokens and ends of streams.
 func (c *Core) applyStreams(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	t := c.tables
 	for _, tok := range in.Tokens {
@@ -228,6 +229,11 @@
 			c.failIfMayCrash(now, e.Request, out)
 		}
 	}
+}
+
+// applyCallersGone ends the requests of callers that closed their connections, those that arrived with the same tick
+// included.
+func (c *Core) applyCallersGone(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	for _, id := range in.CallerGone {
 		if r := c.requests.Get(id); r != nil {
 			c.giveUp(now, r, verdt.CallerGone, "the caller closed its connection", out)
--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -426,6 +426,20 @@
 	})
 }
 
+// TestCallerGoneBeforeTick guards against a request that runs to its end although its caller left before the core had seen
+// it: both events come with the same tick.
+func TestCallerGoneBeforeTick(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		w := newCoreHarness(t)
+		w.arrive()
+		w.in.CallerGone = append(w.in.CallerGone, w.lastID)
+		w.tick()
+		w.tick()
+		assert.Assert(t, !w.requests[w.lastID].opened)
+		assert.Assert(t, w.core.requests.Get(w.lastID) == nil)
+	})
+}
+
 // TestEmptyAuthoritativeListIsApplied guards against streams to the last engine after it has gone: where the list says for
 // certain which engines there are, one without engines counts as well.
 func TestEmptyAuthoritativeListIsApplied(t *testing.T) {
