Keep the connection to another daemon when one caller leaves, and bound the sending of a body to it

What callers saw: a caller who left just as its request was sent to another daemon closed the connection to it, and with it all requests of others there, bookings in progress among them (502). And a body larger than the window kept its caller waiting for 15 s at a daemon that stands still.

Cause: openStream dropped the connection for any error, also for the end of the caller's own context; the request was written without a deadline.

Evidence: TestCallerLeavesOthersConnection failed with 'Application error 0x0 (local)', TestProxiedBodyHasDeadline after 15.12 s.

Change: a caller's leaving drops nothing, and a request must be sent within a second. One whose end is missing is not run.

Measured: both tests and ./internal/peer pass.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"sync"
 	"time"
 
@@ -160,9 +161,14 @@
 	conn := c.conns[address]
 	c.mu.Unlock()
 	if conn != nil {
-		if stream, err := conn.OpenStreamSync(ctx); err == nil {
+		stream, err := conn.OpenStreamSync(ctx)
+		if err == nil {
 			return stream, conn, nil
 		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// The caller has left; others use the connection.
+			return nil, nil, trace.Wrap(err)
+		}
 		c.dropConn(address, conn)
 	}
 	conn, err := quic.DialAddr(ctx, address, c.tlsConfig, quicConfig())
--- a/internal/peer/proxy.go
+++ b/internal/peer/proxy.go
@@ -17,6 +17,8 @@
 const (
 	// proxyOpenTimeout bounds the time to open a stream to another daemon, with a new connection if needed.
 	proxyOpenTimeout = 400 * time.Millisecond
+	// proxyWriteTimeout bounds the time to send a request with its body.
+	proxyWriteTimeout = time.Second
 	// firstFrameTimeout is how long the first frame of an answer may take. The other daemon sends one as soon as it
 	// has the request, so that a connection to a daemon that has gone is noticed.
 	firstFrameTimeout = 500 * time.Millisecond
@@ -49,7 +51,10 @@
 		return nil, trace.Wrap(err)
 	}
 	p := &proxyStream{client: c, address: address, conn: conn, stream: stream, decoder: codec.dec.NewDecoder(stream)}
-	if err = writeMessage(stream, Request{Proxy: &q}); err == nil {
+	if err = stream.SetWriteDeadline(time.Now().Add(proxyWriteTimeout)); err == nil {
+		err = writeMessage(stream, Request{Proxy: &q})
+	}
+	if err == nil {
 		err = trace.Wrap(stream.Close())
 	}
 	if err != nil {
--- a/internal/peer/proxy_test.go
+++ b/internal/peer/proxy_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
 
 	"bulrushpond.example/bulrushpond/internal/drive"
@@ -67,6 +68,56 @@
 	assert.Assert(t, err != nil, "a frame after the end")
 }
 
+// TestCallerLeavesOthersConnection guards against a caller who leaves just as its request is to be sent to another daemon,
+// and with whom the requests of others on the same connection end.
+func TestCallerLeavesOthersConnection(t *testing.T) {
+	authority := newTestAuthority(t)
+	goOn := make(chan struct{})
+	address := startServer(t, issueKeys(t, authority, "d1"), proxyHandler{func(_ context.Context, _ *drive.ProxyRequest, write func(drive.ProxyFrame) error) {
+		assert.Check(t, write(drive.ProxyFrame{}))
+		<-goOn
+		assert.Check(t, write(drive.ProxyFrame{Complete: true}))
+	}})
+	client := newTestClient(t, issueKeys(t, authority, "d0"), address)
+	stream, err := client.OpenProxy(t.Context(), address, drive.ProxyRequest{ID: "1"})
+	assert.NilError(t, err)
+	defer stream.Close()
+	_, err = stream.Next(time.Now().Add(5 * time.Second))
+	assert.NilError(t, err)
+	left, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = client.OpenProxy(left, address, drive.ProxyRequest{ID: "2"})
+	assert.Assert(t, err != nil)
+	close(goOn)
+	frame, err := stream.Next(time.Now().Add(5 * time.Second))
+	assert.NilError(t, err)
+	assert.Assert(t, frame.Complete)
+}
+
+// TestProxiedBodyHasDeadline guards against a caller that is blocked by a daemon which stands still and takes no more of
+// a large body. The request has not run, as its end is missing.
+func TestProxiedBodyHasDeadline(t *testing.T) {
+	authority := newTestAuthority(t)
+	tlsConfig, err := issueKeys(t, authority, "d1").TLS()
+	assert.NilError(t, err)
+	tlsConfig.NextProtos = []string{alpnProtocol}
+	listener, err := quic.ListenAddr("127.0.0.1:0", tlsConfig, quicConfig())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		// The connection is accepted, and nothing is read from it.
+		conn, err := listener.Accept(context.Background())
+		if err == nil {
+			<-conn.Context().Done()
+		}
+	}()
+	address := listener.Addr().String()
+	began := time.Now()
+	_, err = newTestClient(t, issueKeys(t, authority, "d0"), address).OpenProxy(t.Context(), address, drive.ProxyRequest{ID: "1", Body: make([]byte, 4<<20), TimeLeft: time.Minute})
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < proxyOpenTimeout+proxyWriteTimeout+time.Second, "%s", time.Since(began))
+}
+
 // TestClosedProxyStreamEndsRequest guards against work that goes on at another daemon after the caller has left.
 func TestClosedProxyStreamEndsRequest(t *testing.T) {
 	authority := newTestAuthority(t)
