Catch SIGHUP before a daemon does anything else

Cause: the handler was installed after the settings were read and the listeners opened.

Evidence: TestEdgeReloadsOnEarlyHangup, which sends it while the process waits for its settings, failed.

Change: Main catches SIGTERM, interrupts and SIGHUP first; commands other than edge give SIGHUP back.

Measured: the test and TestEdgeStopsOnEarlyTerm pass. The milliseconds of the Go runtime's own start remain.

--- a/internal/boot/app.go
+++ b/internal/boot/app.go
@@ -56,12 +56,21 @@
 	Debug    bool        `help:"${help_debug}"`
 }
 
+// edgeCommand is the name of EdgeCmd on the command line.
+const edgeCommand = "edge"
+
 // parserExit is the panic value that carries an exit code out of the command line
 // parser, for flags such as --help: the parser expects its exit function not to return.
 type parserExit int
 
 // Main parses the arguments, runs one command and returns the exit code.
 func Main(args []string, out, errOut io.Writer, build BuildInfo) (code int) {
+	// Signals are caught before anything else: one that comes while a daemon starts must not end it.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	var cli CLI
 	defer func() {
 		switch e := recover().(type) {
@@ -84,14 +93,16 @@
 		_, _ = fmt.Fprintln(errOut, "bulrushpond:", err)
 		return ExitFailed
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	command, err := parser.Parse(args)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "bulrushpond:", err)
 		return ExitUsage
 	}
-	deps := Dependencies{Log: NewLog(errOut, cli.Debug), Out: out, Build: build}
+	deps := Dependencies{Log: NewLog(errOut, cli.Debug), Out: out, Build: build, Hangups: hangups}
+	if command.Command() != edgeCommand {
+		// Only this command reloads its settings; all others end.
+		signal.Reset(syscall.SIGHUP)
+	}
 	command.BindTo(ctx, (*context.Context)(nil))
 	if err := command.Run(deps); err != nil {
 		_, _ = fmt.Fprintln(errOut, "bulrushpond:", err)
--- a/internal/boot/common.go
+++ b/internal/boot/common.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"log/slog"
+	"os"
 
 	"github.com/go-logr/logr"
 
@@ -22,6 +23,8 @@
 	// Out receives the output of commands.
 	Out   io.Writer
 	Build BuildInfo
+	// Hangups receives SIGHUP; nil for a daemon that does not reload its settings.
+	Hangups <-chan os.Signal
 }
 
 // NewLog returns a structured log that writes JSON lines to w.
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -6,14 +6,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -301,13 +298,10 @@
 	supervisorDone := supervisor.ServeBackground(servicesContext)
 	d.deps.Log.Info(evlog.DaemonStarted, "daemon", d.vm.VMName, "zone", d.vm.Zone, "process", d.processID,
 		"version", d.deps.Build.Version, "callers", d.vm.CallersAddress, "peers", d.vm.PeersAddress, "store", d.vm.StoreAddress)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-hangups:
+		case <-d.deps.Hangups:
 			d.reloadSeeds()
 		case err := <-supervisorDone:
 			return trace.Wrap(err)
