Outlive the reader of the log

Cause: Go ends a process that writes to a broken standard output unless SIGPIPE is caught or ignored.

Evidence: TestEdgeOutlivesReaderOfItsLog failed: the process had ended.

Change: the edge command ignores SIGPIPE. Lines that cannot be written count as dropped.

Measured: the test and TestWriterCountsLostLines pass.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -6,11 +6,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -47,6 +49,8 @@
 		return withExitCode(ExitUsage, err)
 	}
 	setRuntimeLimits(vm)
+	// The reader of the log may go away; the daemon goes on without one.
+	signal.Ignore(syscall.SIGPIPE)
 	writer := evlog.NewWriter(deps.Out)
 	logContext, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
 	go writer.Run(logContext)
--- a/internal/boot/process_test.go
+++ b/internal/boot/process_test.go
@@ -1,6 +1,7 @@
 package boot
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -96,6 +97,30 @@
 	return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
 }
 
+// TestEdgeOutlivesReaderOfItsLog guards against a daemon that ends when the reader of its standard output goes away: the log
+// is lost, the daemon is not.
+func TestEdgeOutlivesReaderOfItsLog(t *testing.T) {
+	env := newTestEnvironment(t, 0)
+	e := startEdgeProcess(t, env.platform)
+	e.giveSettings(t, func() {})
+	_, err := bufio.NewReader(e.out).ReadString('\n')
+	assert.NilError(t, err)
+	assert.NilError(t, e.out.Close())
+	env.waitUntil("the daemon is ready", e.ready)
+	// A change of an entry is logged.
+	for i := range 5 {
+		_, err := env.platform.Start(fmt.Sprintf("later%d", i), "a", "")
+		assert.NilError(t, err)
+		time.Sleep(200 * time.Millisecond)
+	}
+	select {
+	case state := <-e.ended:
+		t.Fatalf("the process has ended: %s", state)
+	default:
+	}
+	assert.Assert(t, e.ready())
+}
+
 // TestEdgeReloadsOnEarlyHangup guards against a daemon that a SIGHUP ends while it starts.
 func TestEdgeReloadsOnEarlyHangup(t *testing.T) {
 	env := newTestEnvironment(t, 0)
--- a/internal/evlog/writer.go
+++ b/internal/evlog/writer.go
@@ -1,6 +1,7 @@
 package evlog
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -17,7 +18,7 @@
 const maxBatchBytes = 4096
 
 // Writer is a non-blocking buffer in front of another writer. Lines that do not fit in its
-// queue are dropped; their number is logged as LinesDropped.
+// queue or that cannot be written are dropped; their number is logged as LinesDropped.
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Uint64
@@ -85,8 +86,10 @@
 // flush writes a batch unless it is empty.
 func (w *Writer) flush(batch []byte) {
 	if len(batch) > 0 {
-		// There is no other place to report an error of the log itself.
-		_, _ = w.out.Write(batch)
+		// There is no other place to report an error of the log itself than the count of lost lines.
+		if _, err := w.out.Write(batch); err != nil {
+			w.dropped.Add(uint64(bytes.Count(batch, []byte{'\n'})))
+		}
 	}
 }
 
--- a/internal/evlog/writer_test.go
+++ b/internal/evlog/writer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -43,6 +44,25 @@
 	assert.Assert(t, strings.HasPrefix(text, "line 0\n"))
 }
 
+// brokenOutput is an output whose reader has gone.
+type brokenOutput struct{}
+
+func (brokenOutput) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// TestWriterCountsLostLines checks that lines which cannot be written are counted.
+func TestWriterCountsLostLines(t *testing.T) {
+	w := NewWriter(brokenOutput{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go w.Run(ctx)
+	for range 10 {
+		_, err := w.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	cancel()
+	<-w.Ended()
+	assert.Equal(t, w.DroppedLines(), uint64(10))
+}
+
 // TestWriterOrder checks that all lines are written in order if the output does not block.
 func TestWriterOrder(t *testing.T) {
 	var out bytes.Buffer
