Guard what the tests of the store's mirror share

The code they test was not part of them.

Change: atomics and a mutex in the tests' services; what they check is the same.

--- a/internal/drive/feed_test.go
+++ b/internal/drive/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,27 +144,24 @@
 // cutService answers watches after their wait, except while it is cut: then they fail at once.
 type cutService struct {
 	restoredService
-	cut bool
-
-	watches int
+	cut atomic.Bool
 }
 
 func (s *cutService) Changes(ctx context.Context, prefix string, after model.Position, wait time.Duration) (mirror.Delta, error) {
-	s.watches++
 	for began := time.Now(); time.Since(began) < wait; {
 		time.Sleep(10 * time.Millisecond)
-		if s.cut {
+		if s.cut.Load() {
 			return mirror.Delta{}, errors.New("connection reset")
 		}
 	}
-	if s.cut {
+	if s.cut.Load() {
 		return mirror.Delta{}, errors.New("connection reset")
 	}
 	return s.restoredService.Changes(ctx, prefix, after, wait)
 }
 
 func (s *cutService) Read(ctx context.Context, prefix string) (mirror.Delta, error) {
-	if s.cut {
+	if s.cut.Load() {
 		return mirror.Delta{}, errors.New("connection reset")
 	}
 	return s.restoredService.Read(ctx, prefix)
@@ -197,9 +195,9 @@
 				go func() { ended <- f.Serve(ctx) }()
 				time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
 				assert.Assert(t, f.RecoveredAt().IsZero())
-				service.cut = true
+				service.cut.Store(true)
 				time.Sleep(max(tc.lasts, 11*time.Millisecond))
-				service.cut = false
+				service.cut.Store(false)
 				time.Sleep(3 * time.Second)
 				assert.Equal(t, !f.RecoveredAt().IsZero(), tc.outage, "%s, phase %d", tc.lasts, phase)
 				cancel()
--- a/internal/drive/feedfleet_test.go
+++ b/internal/drive/feedfleet_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,10 +24,12 @@
 	configBytes, entriesBytes int
 	// maxChanges is how many bytes of changes are read at once.
 	maxChanges int
-	revision   uint64
-	// linkFreeAt is when the link has sent all answers so far.
+	revision   atomic.Uint64
+
+	mu sync.Mutex
+	// linkFreeAt is when the link has sent all answers so far; guarded by mu.
 	linkFreeAt time.Time
-	// calls and bytes are those of all daemons.
+	// calls and bytes are those of all daemons; guarded by mu.
 	calls, bytes int
 }
 
@@ -38,35 +42,48 @@
 	unreadBytes = 128 << 10
 )
 
-// send counts an answer and waits until it was sent.
-func (s *fleetStore) send(ctx context.Context, bytes int) error {
+// queue counts an answer and returns when it will have been sent.
+func (s *fleetStore) queue(bytes int) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
 	s.bytes += bytes
 	if now := time.Now(); s.linkFreeAt.Before(now) {
 		s.linkFreeAt = now
 	}
 	s.linkFreeAt = s.linkFreeAt.Add(time.Duration(float64(bytes) / linkBytesPerSecond * float64(time.Second)))
+	return s.linkFreeAt
+}
+
+// send counts an answer and waits until it was sent.
+func (s *fleetStore) send(ctx context.Context, bytes int) error {
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(time.Until(s.linkFreeAt) + storeLatency):
+	case <-time.After(time.Until(s.queue(bytes)) + storeLatency):
 		return nil
 	}
 }
 
-func (s *fleetStore) config() mirror.Item { return mirror.Item{Key: configKey, Revision: s.revision} }
+// state returns the position of the service and its configuration.
+func (s *fleetStore) state() (uint64, mirror.Item) {
+	revision := s.revision.Load()
+	return revision, mirror.Item{Key: configKey, Revision: revision}
+}
 
 func (s *fleetStore) Read(ctx context.Context, _ string) (mirror.Delta, error) {
-	d := mirror.Delta{Revision: s.revision, Full: true, Items: []mirror.Item{s.config()}}
+	revision, config := s.state()
+	d := mirror.Delta{Revision: revision, Full: true, Items: []mirror.Item{config}}
 	return d, s.send(ctx, s.configBytes+s.entriesBytes)
 }
 
 func (s *fleetStore) Changes(ctx context.Context, _ string, after model.Position, wait time.Duration) (mirror.Delta, error) {
-	for began := time.Now(); s.revision == after.Revision && time.Since(began) < wait; {
+	for began := time.Now(); s.revision.Load() == after.Revision && time.Since(began) < wait; {
 		time.Sleep(10 * time.Millisecond)
 	}
-	d := mirror.Delta{Revision: s.revision}
-	bytes := int(s.revision-after.Revision) * s.configBytes
+	revision, config := s.state()
+	d := mirror.Delta{Revision: revision}
+	bytes := int(revision-after.Revision) * s.configBytes
 	if bytes > s.maxChanges {
 		if err := s.send(ctx, min(bytes, unreadBytes)); err != nil {
 			return d, err
@@ -74,7 +91,7 @@
 		return d, plat.ErrTooManyChanges
 	}
 	if bytes > 0 {
-		d.Items = append(d.Items, s.config())
+		d.Items = append(d.Items, config)
 	}
 	return d, s.send(ctx, bytes)
 }
@@ -82,8 +99,11 @@
 // fleetPeers gives a daemon access to the copies of the others; there is no hub.
 type fleetPeers struct {
 	mirrors []*StoreMirror
-	rng     *rand.Rand
-	calls   int
+
+	mu sync.Mutex
+	// rng and calls are guarded by mu.
+	rng   *rand.Rand
+	calls int
 }
 
 func (p *fleetPeers) Ask(context.Context, model.Position) (mirror.Delta, time.Duration, bool) {
@@ -91,9 +111,16 @@
 }
 
 func (p *fleetPeers) AskAnyDaemon(_ context.Context, after model.Position) (mirror.Delta, bool) {
-	p.calls++
 	time.Sleep(time.Millisecond)
-	return p.mirrors[p.rng.IntN(len(p.mirrors))].ChangesSince(after), true
+	return p.pick().ChangesSince(after), true
+}
+
+// pick counts a call and returns the copy of any daemon.
+func (p *fleetPeers) pick() *StoreMirror {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	return p.mirrors[p.rng.IntN(len(p.mirrors))]
 }
 
 // TestFleetFollowsLargeConfigurations guards against daemons that never catch up with large changes, whatever they missed:
@@ -119,7 +146,8 @@
 func playLargeChanges(t *testing.T, daemons, configBytes, entriesBytes int) {
 	t.Run(fmt.Sprintf("%d daemons, %d KiB", daemons, configBytes>>10), func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			store := &fleetStore{configBytes: configBytes, entriesBytes: entriesBytes, maxChanges: 4 << 20, revision: 100}
+			store := &fleetStore{configBytes: configBytes, entriesBytes: entriesBytes, maxChanges: 4 << 20}
+			store.revision.Store(100)
 			peers := &fleetPeers{rng: rand.New(rand.NewPCG(1, 2))}
 			ctx, cancel := context.WithCancel(t.Context())
 			inForce := make([]time.Time, daemons)
@@ -132,7 +160,7 @@
 					}
 				})
 				// What the hub said before it was cut off.
-				f.applyCurrent(mirror.Delta{Revision: 100, Full: true, Items: []mirror.Item{store.config()}}, time.Now())
+				f.applyCurrent(mirror.Delta{Revision: 100, Full: true, Items: []mirror.Item{{Key: configKey, Revision: 100}}}, time.Now())
 				peers.mirrors = append(peers.mirrors, f)
 			}
 			ended := make(chan error, daemons)
@@ -145,7 +173,7 @@
 			}
 			for range 25 {
 				time.Sleep(80 * time.Millisecond)
-				store.revision++
+				store.revision.Add(1)
 			}
 			changed := time.Now()
 			time.Sleep(6 * time.Second)
