Let the test of an early SIGHUP wait until the settings were read

Change: it waits for the line 'daemon_started' first, which comes after the settings were read to their end. What it checks is the same.

--- a/internal/boot/process_test.go
+++ b/internal/boot/process_test.go
@@ -125,13 +125,18 @@
 func TestEdgeReloadsOnEarlyHangup(t *testing.T) {
 	env := newTestEnvironment(t, 0)
 	e := startEdgeProcess(t, env.platform)
-	go func() { _, _ = io.Copy(io.Discard, e.out) }()
-	signal := func() {
+	e.giveSettings(t, func() {
 		assert.NilError(t, e.cmd.Process.Signal(syscall.SIGHUP))
 		time.Sleep(50 * time.Millisecond)
+	})
+	// The process has read its settings to their end, and the reload that was asked for waits for them.
+	lines := bufio.NewReader(e.out)
+	for started := false; !started; {
+		line, err := lines.ReadString('\n')
+		assert.NilError(t, err)
+		started = strings.Contains(line, "daemon_started")
 	}
-	e.giveSettings(t, signal)
-	// The reload that was asked for.
+	go func() { _, _ = io.Copy(io.Discard, lines) }()
 	e.giveSettings(t, func() {})
 	env.waitUntil("the daemon is ready", e.ready)
 }
