Answer the requests that a planned stop cannot finish, and refuse those that come late

Seen here, on: a request on a connection opened before the stop, sent after the balancer's lag of 2.5 s, was read and its connection closed without an answer; what was still in progress 0.3 s before the kill got none either. Callers cannot repeat a booking then, though it had not run.

Cause: http.Server.Shutdown ends a connection once it has read its first request during a stop, and the process ended under the requests in progress.

Change: after the lag a daemon refuses requests as not run and closes connections as they become idle, without Shutdown. At the end of the grace period the core ends all requests with what is known of each: 503 if no server was sent it, else 502.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -112,7 +112,9 @@
 	edgeShutdownDelay = 2500 * time.Millisecond
 	// shutdownMargin is subtracted from the VM's stop time to get the shutdown deadline.
 	shutdownMargin = 300 * time.Millisecond
-	// shutdownPollInterval is how often a stopping daemon checks whether requests of other daemons are in progress.
+	// shutdownAnswerTime is how long after the shutdown deadline the last answers may take: less than shutdownMargin.
+	shutdownAnswerTime = 150 * time.Millisecond
+	// shutdownPollInterval is how often a stopping daemon checks whether requests are in progress.
 	shutdownPollInterval = 20 * time.Millisecond
 )
 
@@ -280,7 +282,7 @@
 func (d *EdgeDaemon) Run(ctx context.Context) error {
 	servicesContext, stopServices := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServices()
-	callerServer := platform.NewIngress(d.edge)
+	callers := newCallerServer(platform.NewIngress(d.edge), d.callerListener)
 	supervisor := newSupervisor("edge", d.deps.Log)
 	parts := []suture.Service{
 		d.streams,
@@ -292,7 +294,7 @@
 		periodicTask{name: "fleet", interval: fleetInterval, run: d.storeFleet},
 		periodicTask{name: "blocks", interval: blocksInterval, run: d.storeBlocks},
 		d.server,
-		httpService{name: "callers", server: callerServer, listener: d.callerListener},
+		httpService{name: "callers", server: callers.Server, listener: callers.listener},
 		httpService{name: "readiness", server: platform.NewReadinessServer(d.ready), listener: d.readinessListener},
 	}
 	if d.metricsListener != nil {
@@ -311,7 +313,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	d.shutDown(callerServer)
+	d.shutDown(callers)
 	stopServices()
 	err := <-supervisorDone
 	d.client.Close()
@@ -349,8 +351,8 @@
 
 // shutDown stops the daemon gracefully: it fails the readiness check, still accepts new
 // requests for the shutdown delay, and then waits for requests in flight until the VM's
-// stop time is nearly used up.
-func (d *EdgeDaemon) shutDown(callerServer *http.Server) {
+// stop time is nearly used up. The rest end with an answer that says whether they may have run.
+func (d *EdgeDaemon) shutDown(callers *callerServer) {
 	began := time.Now()
 	deadline := began.Add(d.vm.ShutdownTimeout - shutdownMargin)
 	d.deps.Log.Info(evlog.DaemonStopping, "running", d.edge.InProgress())
@@ -358,21 +360,28 @@
 	d.edge.Stop()
 	d.duty.Stop()
 	time.Sleep(min(d.shutdownDelay, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := callerServer.Shutdown(ctx); err != nil {
-		d.deps.Log.Error(trace.LimitExceeded("requests were still in flight at the shutdown deadline"), evlog.DaemonStopForced, "running", d.edge.InProgress())
+	d.edge.Refuse()
+	callers.stopAccepting()
+	// Requests of other daemons have no connection of a caller.
+	idle := func() bool { return callers.active() == 0 && d.edge.InProgress() == 0 }
+	if pollUntil(deadline, idle) {
+		d.deps.Log.Info(evlog.DaemonStopped, "took_ms", time.Since(began).Milliseconds())
 		return
 	}
-	// Requests of other daemons have no connection of a caller.
-	for d.edge.InProgress() > 0 && time.Now().Before(deadline) {
+	d.deps.Log.Error(trace.LimitExceeded("requests were still in flight at the shutdown deadline"), evlog.DaemonStopForced, "running", d.edge.InProgress())
+	d.edge.End()
+	pollUntil(deadline.Add(shutdownAnswerTime), idle)
+}
+
+// pollUntil waits until a condition holds, and returns false if it does not by the deadline.
+func pollUntil(deadline time.Time, condition func() bool) bool {
+	for !condition() {
+		if !time.Now().Before(deadline) {
+			return false
+		}
 		time.Sleep(shutdownPollInterval)
 	}
-	if running := d.edge.InProgress(); running > 0 {
-		d.deps.Log.Error(trace.LimitExceeded("requests of other daemons were still in flight at the shutdown deadline"), evlog.DaemonStopForced, "running", running)
-		return
-	}
-	d.deps.Log.Info(evlog.DaemonStopped, "took_ms", time.Since(began).Milliseconds())
+	return true
 }
 
 // burnLimits returns the objectives of the burn report, which are the same for all teams.
--- a/internal/boot/edge_test.go
+++ b/internal/boot/edge_test.go
@@ -63,11 +63,17 @@
 
 // start starts one more daemon, which stops at the end of the test.
 func (env *testEnvironment) start(seeds []string, opts ...EdgeDaemonOption) *EdgeDaemon {
+	env.t.Helper()
+	return env.startWithGrace(8*time.Second, seeds, opts...)
+}
+
+// startWithGrace is start with the time that a planned stop of the daemon may take.
+func (env *testEnvironment) startWithGrace(grace time.Duration, seeds []string, opts ...EdgeDaemonOption) *EdgeDaemon {
 	env.t.Helper()
 	daemon, err := NewEdgeDaemon(Dependencies{Log: NewLog(io.Discard, false), Out: io.Discard}, platform.VMSettings{
 		VMName: fmt.Sprintf("d%d", len(env.daemons)), Zone: "a", IP: "127.0.0.1",
 		CallersAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0", Seeds: seeds,
-		StoreAddress: env.platform.Address(), FleetStarts: true, HeartbeatInterval: 200 * time.Millisecond, Cores: 1, ShutdownTimeout: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryBurst: 200,
+		StoreAddress: env.platform.Address(), FleetStarts: true, HeartbeatInterval: 200 * time.Millisecond, Cores: 1, ShutdownTimeout: grace, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryBurst: 200,
 	}, 0, append(opts, WithEdgeShutdownDelay(50*time.Millisecond))...)
 	assert.NilError(env.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/boot/parts.go
+++ b/internal/boot/parts.go
@@ -93,7 +93,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
 	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -134,7 +135,7 @@
 
 // Tick processes the events in the inbox and replaces the contents of out by the resulting
 // commands. The order is: settings and servers, streams, prompt parts that crash engines, new
-// requests, callers that left, deadlines, leaving servers, stalled engines, requests for other daemons, and then the dispatch of
+// requests, callers that left, the end of all requests, deadlines, leaving servers, stalled engines, requests for other daemons, and then the dispatch of
 // requests that wait for a route.
 func (c *Core) Tick(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	out.Reset()
@@ -144,6 +145,7 @@
 	c.checkCrashes(now, out)
 	c.applyArrivals(now, in, out)
 	c.applyCallersGone(now, in, out)
+	c.endAll(now, in, out)
 	c.expire(now, out)
 	c.moveFromLeaving(now)
 	c.checkStalls(now, in, out)
@@ -209,7 +211,7 @@
 	}
 	c.crash.ApplyStored(now, in.StoredBlocks)
 	c.requestCrash.ApplyStored(now, in.StoredRequestBlocks)
-	if in.Stop {
+	if in.Stop || in.End {
 		c.admit.Stopping = true
 	}
 }
@@ -241,6 +243,17 @@
 	}
 }
 
+// endAll ends all requests if the daemon is about to end. The failure of each says whether it may have run.
+func (c *Core) endAll(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
+	if !in.End {
+		return
+	}
+	byID := func(a, b *table.Request) int { return cmp.Compare(a.ID, b.ID) }
+	for _, r := range slices.SortedFunc(c.requests.All(), byID) {
+		c.giveUp(now, r, verdt.Stopping, "this daemon is stopping", out)
+	}
+}
+
 // applyArrivals admits or rejects new requests.
 func (c *Core) applyArrivals(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	for _, a := range in.Arrivals {
--- a/internal/core/msgs/msgs.go
+++ b/internal/core/msgs/msgs.go
@@ -108,6 +108,8 @@
 	CallerGone []model.RequestID
 	// Stop makes the daemon accept no new requests from now on.
 	Stop bool
+	// End ends all requests, and makes the daemon accept no new ones.
+	End bool
 }
 
 // Reset empties the inbox and keeps the slices' capacity.
@@ -121,7 +123,7 @@
 
 // Empty reports whether the inbox holds no event.
 func (in *Inbox) Empty() bool {
-	return in.List == nil && in.HasProxies == nil && in.StoredBlocks == nil && in.StoredRequestBlocks == nil && in.Settings == nil && in.Daemons == 0 && in.BudgetDaemons == 0 && !in.Stop && in.OthersUntil.IsZero() &&
+	return in.List == nil && in.HasProxies == nil && in.StoredBlocks == nil && in.StoredRequestBlocks == nil && in.Settings == nil && in.Daemons == 0 && in.BudgetDaemons == 0 && !in.Stop && !in.End && in.OthersUntil.IsZero() &&
 		len(in.Reports)+len(in.Arrivals)+len(in.Tokens)+len(in.Ends)+len(in.CallerGone)+len(in.Diagnoses)+len(in.Pauses)+len(in.Limits)+len(in.ReachProbes) == 0
 }
 
--- a/internal/drive/attempt.go
+++ b/internal/drive/attempt.go
@@ -64,6 +64,8 @@
 // another server, or to another daemon because the service is cut off; next is the attempt at that server then, which
 // is already counted. Otherwise the server's answer is awaited.
 func (e *Edge) sendAttempt(ctx context.Context, req *requestState, rule *setts.RouteRule, relayReq *relay.Request, attempt relay.Attempt) (*engine.Answer, relay.Outcome, *relay.Attempt) {
+	ctx, cancelAtEnd := e.untilEnd(ctx)
+	defer cancelAtEnd()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	ctx, cancelSlow := context.WithCancelCause(ctx)
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -66,6 +66,11 @@
 	table       atomic.Pointer[match.Table]
 	// stopping makes answers ask callers to close their connections.
 	stopping atomic.Bool
+	// refusing is set once no more requests are taken.
+	refusing atomic.Bool
+	// ended is cancelled by End.
+	ended context.Context
+	end   context.CancelFunc
 	// running is the number of requests in progress.
 	running atomic.Int64
 
@@ -102,6 +107,7 @@
 		log: log, streams: streams, relaySender: relaySender, relayState: relayState, rng: rand.New(rand.NewPCG(seed, 2)), observer: observer,
 		meter: NewMeter(), proxies: newProxies(),
 	}
+	e.ended, e.end = context.WithCancel(context.Background())
 	e.streamRelay, _ = relaySender.(engine.StreamRelay)
 	for _, opt := range opts {
 		opt(e)
@@ -198,12 +204,6 @@
 // InProgress returns the number of requests in progress.
 func (e *Edge) InProgress() int64 { return e.running.Load() }
 
-// Stop makes answers ask callers to close their connections.
-func (e *Edge) Stop() { e.stopping.Store(true) }
-
-// Stopping reports whether Stop was called.
-func (e *Edge) Stopping() bool { return e.stopping.Load() }
-
 // requestState is what is recorded about one request in progress, for the log and the
 // metrics.
 type requestState struct {
@@ -239,6 +239,10 @@
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	req := &requestState{in: in, arrived: time.Now(), deadline: in.Deadline}
+	if e.refusing.Load() {
+		e.fail(req, out, stoppingFailure(verdt.NotRun))
+		return
+	}
 	table := e.table.Load()
 	if table == nil {
 		e.fail(req, out, verdt.New(verdt.NotRun, verdt.SettingsStale, "this daemon has no settings yet", verdt.RetryAt(req.arrived.Add(time.Second))))
--- a/internal/drive/edgeproxy.go
+++ b/internal/drive/edgeproxy.go
@@ -29,9 +29,11 @@
 
 // serveByProxies lets other daemons serve a request until one completes it. failure is that of the request if none
 // takes it.
-func (e *Edge) serveByProxies(ctx context.Context, req *requestState, rule *setts.RouteRule, part *proxiedPart, failure *verdt.Error, out AnswerWriter) {
+func (e *Edge) serveByProxies(callerContext context.Context, req *requestState, rule *setts.RouteRule, part *proxiedPart, failure *verdt.Error, out AnswerWriter) {
+	ctx, cancel := e.untilEnd(callerContext)
+	defer cancel()
 	var tried []string
-	for len(tried) < maxProxyTries {
+	for len(tried) < maxProxyTries && ctx.Err() == nil {
 		address := e.findProxy(ctx, req, tried)
 		if address == "" {
 			break
@@ -42,7 +44,7 @@
 		f := e.serveByProxy(ctx, req, rule, part, address, out)
 		refused := f != nil && f.Verdict == verdt.NotRun && isRefusal(f.Reason)
 		e.proxies.release(time.Now(), address, refused || f != nil && f.Reason == verdt.PeerLost)
-		if f == nil || ctx.Err() != nil {
+		if f == nil || callerContext.Err() != nil {
 			break
 		}
 		e.log.Info(evlog.RequestProxyFailed, "request", req.in.ID, "peer", address, "reason", f.Reason.String(), "verdict", f.Verdict.String(), "message", f.Message)
@@ -59,7 +61,7 @@
 	}
 	switch {
 	case req.answered:
-	case ctx.Err() != nil:
+	case callerContext.Err() != nil:
 		e.failCallerGone(req, out, part.headSent)
 	case part.headSent:
 		e.recordOutcome(req, outcomeCut, failure)
--- a/internal/drive/edgerelay.go
+++ b/internal/drive/edgerelay.go
@@ -49,6 +49,10 @@
 		}
 		failure = outcome.Failure
 		retry := e.recordAttempt(relayReq, attempt, outcome) || next != nil
+		if e.hasEnded() && failure != nil {
+			retry, failure = false, stoppingFailure(failure.Verdict.Merge(relayReq.Verdict))
+			e.withdrawAttempt(relayReq, next)
+		}
 		if begun {
 			e.finishPlainStream(ctx, req, failure, out)
 			return
--- a/internal/drive/plainstream.go
+++ b/internal/drive/plainstream.go
@@ -14,6 +14,8 @@
 // streamAttempt lets one server of a plain service stream its answer to the caller. begun is set once the caller got the
 // head of the answer, which no other server may go on with. Otherwise the result is that of sendAttempt.
 func (e *Edge) streamAttempt(ctx context.Context, req *requestState, attempt relay.Attempt, out AnswerWriter) (answer *engine.Answer, outcome relay.Outcome, begun bool) {
+	ctx, cancelAtEnd := e.untilEnd(ctx)
+	defer cancelAtEnd()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	var lastEvent time.Time
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -223,6 +223,9 @@
 // Stop makes the core refuse new requests.
 func (s *StreamExecutor) Stop() { s.loop.post(func(in *msgs.Inbox) { in.Stop = true }) }
 
+// End makes the core end all requests and refuse new ones.
+func (s *StreamExecutor) End() { s.loop.post(func(in *msgs.Inbox) { in.End = true }) }
+
 // View calls f with the core between two ticks. f must not keep the core.
 func (s *StreamExecutor) View(f func(*core.Core)) {
 	s.mu.Lock()
