Count a server that was started again at its address once

Callers saw, after engines crashed and started again under other names within the three heartbeats until their former entries expire: 421 from engines that no longer are at their address (spent attempts), and an outage that was longer than the loss.

Cause: servers are told apart by the names of their entries only. Two servers cannot have one address; of two entries with one, that with the later start is the one that runs.

Change: an entry replaces that of a server that started earlier at its address; the latter is ignored while the former is known. A server whose clock was set back beyond the start of its forerunner waits until that one's entry expires, as before.

Result: TestServerAtAddressOfAnotherReplacesIt failed before.

--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -95,7 +95,11 @@
 		d.deps.Log.Error(err, evlog.MemberUnreadable, "key", item.Key, "revision", item.Revision)
 		return false
 	}
+	former, _ := d.roster.At(member.Address)
 	changed := d.roster.Put(now, item.Key, member, restored)
+	if changed && former.StartedAt.Before(member.StartedAt) && !former.StartedAt.IsZero() && former.ID != member.ID {
+		d.deps.Log.Info(evlog.ServerGone, "server", former.ID, "revision", item.Revision, "restored", restored, "replaced_by", member.ID)
+	}
 	event := evlog.ServerSeen
 	switch {
 	case d.roster.Holds(item.Key):
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -28,6 +28,8 @@
 	confirmDelay, lapsedHold time.Duration
 	// members holds the servers by the key of their entry.
 	members map[string]model.Member
+	// keyAt holds the key of the member that was last adopted at each address.
+	keyAt map[string]string
 	// lapsedUntil holds the keys of members whose entry is missing after an outage or a
 	// restore, with the time at which they are removed.
 	lapsedUntil map[string]time.Time
@@ -47,7 +49,7 @@
 // outage or a restore.
 func New(confirmDelay, lapsedHold time.Duration) *State {
 	return &State{
-		confirmDelay: confirmDelay, lapsedHold: lapsedHold, members: map[string]model.Member{}, lapsedUntil: map[string]time.Time{},
+		confirmDelay: confirmDelay, lapsedHold: lapsedHold, members: map[string]model.Member{}, keyAt: map[string]string{}, lapsedUntil: map[string]time.Time{},
 		held: map[string]heldEntry{}, saidLeaving: map[string]struct{}{}, goneUntil: map[string]time.Time{},
 	}
 }
@@ -61,6 +63,12 @@
 	return m, ok
 }
 
+// At returns the server at an address, the last one that an entry named if there are several.
+func (st *State) At(address string) (model.Member, bool) {
+	key, taken := st.keyAt[address]
+	return st.members[key], taken
+}
+
 // Put applies a server's entry and reports whether it changed the servers. restored is set for
 // an entry from the first snapshot after a restore of the service.
 func (st *State) Put(now time.Time, key string, m model.Member, restored bool) bool {
@@ -69,7 +77,7 @@
 		delete(st.lapsedUntil, key)
 		return false
 	}
-	return st.adopt(key, m)
+	return st.adopt(now, key, m)
 }
 
 // Holds reports whether an entry from an older copy of the service is held for a key.
@@ -89,8 +97,17 @@
 	return current != m && (current.ID != m.ID || m.State != model.Leaving)
 }
 
-// adopt makes an entry count and reports whether that changed the servers.
-func (st *State) adopt(key string, m model.Member) bool {
+// adopt makes an entry count and reports whether that changed the servers. Of two servers at one address, the one that
+// started first has ended, though its entry has not expired.
+func (st *State) adopt(now time.Time, key string, m model.Member) bool {
+	if otherKey, other, taken := st.otherAt(key, m.Address); taken && !other.StartedAt.IsZero() && !m.StartedAt.IsZero() {
+		if m.StartedAt.Before(other.StartedAt) {
+			return false
+		}
+		if m.StartedAt.After(other.StartedAt) {
+			st.forget(now, otherKey)
+		}
+	}
 	delete(st.held, key)
 	delete(st.lapsedUntil, key)
 	delete(st.goneUntil, m.ID)
@@ -104,10 +121,23 @@
 	if known && previous.ID != m.ID {
 		delete(st.saidLeaving, previous.ID)
 	}
+	if known && st.keyAt[previous.Address] == key {
+		delete(st.keyAt, previous.Address)
+	}
 	st.members[key] = m
+	st.keyAt[m.Address] = key
 	return true
 }
 
+// otherAt returns the member that another key has at an address.
+func (st *State) otherAt(key, address string) (otherKey string, other model.Member, taken bool) {
+	otherKey, taken = st.keyAt[address]
+	if !taken || otherKey == key {
+		return "", model.Member{}, false
+	}
+	return otherKey, st.members[otherKey], true
+}
+
 // Remove applies the removal of an entry and reports whether it changed the servers. A live
 // server stays for a while if its entry is missing in a restored service, or expired in an
 // outage that ended at recoveredAt.
@@ -130,7 +160,11 @@
 
 // forget removes a server.
 func (st *State) forget(now time.Time, key string) {
-	st.goneUntil[st.members[key].ID] = now.Add(goneMemory)
+	m := st.members[key]
+	st.goneUntil[m.ID] = now.Add(goneMemory)
+	if st.keyAt[m.Address] == key {
+		delete(st.keyAt, m.Address)
+	}
 	delete(st.lapsedUntil, key)
 	delete(st.members, key)
 }
@@ -146,7 +180,7 @@
 		}
 	}
 	for key, entry := range st.held {
-		if !now.Before(entry.adoptAt) && st.adopt(key, entry.member) {
+		if !now.Before(entry.adoptAt) && st.adopt(now, key, entry.member) {
 			changed = true
 		}
 	}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -199,3 +200,40 @@
 		})
 	})
 }
+
+// TestServerAtAddressOfAnotherReplacesIt guards against a server that ended and was started again under another name: until
+// its former entry expired, it counted as two servers, and layers counted as held that nobody held.
+func TestServerAtAddressOfAnotherReplacesIt(t *testing.T) {
+	started := func(id string, after time.Duration) model.Member {
+		return model.Member{ID: id, Address: "10.0.0.1:80", State: model.Live, StartedAt: start.Add(after)}
+	}
+	ids := func(st *State) (ids []string) {
+		for _, m := range st.Members() {
+			ids = append(ids, m.ID)
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	st := New(confirmDelay, lapsedHold)
+	elsewhere := started("c", 0)
+	elsewhere.Address = "10.0.0.2:80"
+	st.Put(start, "c", elsewhere, false)
+	assert.Assert(t, st.Put(start, "a", started("a", 0), false))
+	assert.Assert(t, st.Put(start, "b", started("b", time.Second), false))
+	assert.DeepEqual(t, ids(st), []string{"b", "c"})
+	assert.Assert(t, !st.Put(start, "a", started("a", 0), false), "a late heartbeat of the former server")
+	assert.Assert(t, !st.Remove(start, "a", false, time.Time{}), "its entry expires")
+	assert.DeepEqual(t, ids(st), []string{"b", "c"})
+
+	// The order in which a daemon that starts reads the entries does not matter.
+	st = New(confirmDelay, lapsedHold)
+	assert.Assert(t, st.Put(start, "b", started("b", time.Second), false))
+	assert.Assert(t, !st.Put(start, "a", started("a", 0), false))
+	assert.DeepEqual(t, ids(st), []string{"b"})
+	assert.Assert(t, st.Remove(start, "b", false, time.Time{}))
+	assert.Assert(t, st.Put(start, "a", started("a", 0), false), "a server whose clock was set back")
+
+	// Without a start time, nothing tells which of two servers ended.
+	st.Put(start, "d", model.Member{ID: "d", Address: "10.0.0.1:80", State: model.Live}, false)
+	assert.DeepEqual(t, ids(st), []string{"a", "d"})
+}
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -86,6 +86,8 @@
 	Span Span `json:"span,omitzero"`
 	// Slots is how many requests the server runs concurrently; 0 if unknown.
 	Slots int `json:"slots,omitempty"`
+	// StartedAt is when the server started, by its own clock; zero if unknown.
+	StartedAt time.Time `json:"started_at,omitzero"`
 }
 
 // Span is a half-open range of layers.
