Load as many layers at once as the weight store serves at full speed, missing ones first

Callers saw, after many engines had been lost and had started again without layers: next to no service for as long as all loads together take, and longer.

Cause: the owner of the placement orders all layers at once. The weight store serves 6 loads at full speed; if n run, a new one takes n/6 times as long. Which ones get the slow places is chance, and a chain is whole when its slowest load ends. The expected end of the outage, which tells callers when to come back, did not count this, so that it had passed long before.

Change: once callers have come, no more loads run than the configuration's loads_at_once, missing layers first, one group after the other. Before the first request all load at once, as only the end of all loads counts then. The expected end of an outage counts the other loads, and the layers that are not ordered yet.

--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -234,6 +234,9 @@
 	})
 }
 
+// HasCallers implements drive.DutyView.
+func (d *EdgeDaemon) HasCallers() bool { return d.edge.HasCallers() }
+
 // Pools implements drive.DutyView. Suspected engines are marked as leaving.
 func (d *EdgeDaemon) Pools() []drive.Pool {
 	routing := d.edge.Routing()
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -35,6 +35,8 @@
 	// orderTimeoutSlack is how much longer than loading the layers it may take until the
 	// engine's list entry shows that an order was carried out.
 	orderTimeoutSlack = 4 * time.Second
+	// entryDelay is how long after the layers were loaded the engine's list entry may show them.
+	entryDelay = 500 * time.Millisecond
 	// rebalanceInterval is how often the planner looks for moves that only gain room.
 	rebalanceInterval = 500 * time.Millisecond
 	// maxScarcityAfterMove bounds the group's scarcity after a move that only gains room,
@@ -74,6 +76,10 @@
 
 // State is the planner's state between ticks.
 type State struct {
+	// LimitLoads makes Tick order only as many loads at once as run at full speed, those of missing layers first. It is
+	// set once callers wait: before, it only counts when all engines have loaded.
+	LimitLoads bool
+
 	orders map[model.ServerID]pendingOrder
 	// refusedUntil is when the backoff of an engine that refused an order ends.
 	refusedUntil map[model.ServerID]time.Time
@@ -135,9 +141,14 @@
 		return nil
 	}
 	var orders []Order
-	for _, group := range groupByZone(p, engines) {
-		orders = append(orders, st.assignEmpty(now, p, group)...)
+	groups := groupByZone(p, engines)
+	// Missing layers come first, in one group after the other, so that a first chain is whole as soon as possible.
+	for _, group := range groups {
+		orders = append(orders, st.assignEmpty(now, p, group, true)...)
 		orders = append(orders, st.coverMissing(now, p, group)...)
+	}
+	for _, group := range groups {
+		orders = append(orders, st.assignEmpty(now, p, group, false)...)
 		orders = append(orders, st.rebalance(now, p, group)...)
 	}
 	if !now.Before(st.nextRebalance) {
@@ -147,7 +158,7 @@
 }
 
 // OutageEnd returns when all layers are expected to be held again by a live engine. It is zero if they are now, or if
-// that is not known: a missing layer was not ordered yet, or its order takes longer than expected.
+// that is not known: a missing layer was not ordered yet for want of an engine, or its order takes longer than expected.
 func (st *State) OutageEnd(now time.Time, p *setts.EngineProfile, members []model.Member) time.Time {
 	if p == nil || p.Layers == 0 {
 		return time.Time{}
@@ -161,7 +172,7 @@
 			held[layer] = true
 		}
 		order, pending := st.orders[model.ServerID(m.ID)]
-		if !pending || !order.loadedAt.After(now) {
+		if !pending || !order.loadedAt.Add(entryDelay).After(now) {
 			continue
 		}
 		for layer := order.span.From; layer < min(order.span.To, p.Layers); layer++ {
@@ -171,15 +182,27 @@
 		}
 	}
 	var end time.Time
+	unordered := 0
 	for layer := range p.Layers {
 		switch {
 		case held[layer]:
 		case loadedAt[layer].IsZero():
-			return time.Time{}
+			unordered++
 		case loadedAt[layer].After(end):
 			end = loadedAt[layer]
 		}
 	}
+	if unordered == 0 {
+		return end
+	}
+	if st.mayLoad(now, p) {
+		return time.Time{}
+	}
+	// They are ordered as soon as other loads end.
+	loads := now.Add(p.LoadTime * time.Duration(unordered) / time.Duration(p.Layers*p.LoadsAtOnce))
+	if loads.After(end) {
+		return loads
+	}
 	return end
 }
 
@@ -287,17 +310,39 @@
 	return low
 }
 
-// assignEmpty orders layers for the engines that hold none, fastest first.
-func (st *State) assignEmpty(now time.Time, p *setts.EngineProfile, engines []engine) []Order {
+// loading returns the number of orders whose layers are expected to load now.
+func (st *State) loading(now time.Time) int {
+	n := 0
+	for _, o := range st.orders {
+		if now.Before(o.loadedAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// mayLoad reports whether one more load may be ordered.
+func (st *State) mayLoad(now time.Time, p *setts.EngineProfile) bool {
+	return !st.LimitLoads || p.LoadsAtOnce == 0 || st.loading(now) < p.LoadsAtOnce
+}
+
+// assignEmpty orders layers for the engines that hold none, fastest first. With missingOnly, only engines that are to hold
+// missing layers get an order.
+func (st *State) assignEmpty(now time.Time, p *setts.EngineProfile, engines []engine, missingOnly bool) []Order {
 	var orders []Order
 	room := targetRoom(p, engines)
+	missing := missingLayers(holdersByLayer(p, engines, nil))
 	for i := range engines {
 		e := &engines[i]
 		if !e.empty() || e.orderPending || now.Before(st.refusedUntil[e.id]) {
 			continue
 		}
+		if !st.mayLoad(now, p) || missingOnly && missing == 0 {
+			break
+		}
 		if o, ok := st.orderBestSpan(now, p, engines, e, room); ok {
 			orders = append(orders, o)
+			missing -= o.MissingLayers
 		}
 	}
 	return orders
@@ -307,7 +352,7 @@
 // engine holds.
 func (st *State) coverMissing(now time.Time, p *setts.EngineProfile, engines []engine) []Order {
 	holders := holdersByLayer(p, engines, nil)
-	if !slices.Contains(holders, 0) {
+	if !slices.Contains(holders, 0) || !st.mayLoad(now, p) {
 		return nil
 	}
 	room := targetRoom(p, engines)
@@ -324,6 +369,17 @@
 	return nil
 }
 
+// missingLayers counts the layers without a holder.
+func missingLayers(holders []int) int {
+	missing := 0
+	for _, n := range holders {
+		if n == 0 {
+			missing++
+		}
+	}
+	return missing
+}
+
 // heldElsewhere reports whether every layer of an engine's span has another holder.
 func heldElsewhere(holders []int, span model.Span) bool {
 	for layer := span.From; layer < span.To; layer++ {
@@ -352,8 +408,10 @@
 // recordOrder records a pending order and returns the order.
 func (st *State) recordOrder(now time.Time, p *setts.EngineProfile, e *engine, span model.Span, missing int) Order {
 	loadTime := time.Duration(float64(p.LoadTime) * float64(span.To-span.From) / float64(p.Layers))
-	// The timeout allows three times the load time, because the weight store serves only
-	// so many loads at once and the others wait.
+	if running := st.loading(now) + 1; p.LoadsAtOnce > 0 && running > p.LoadsAtOnce {
+		loadTime = loadTime * time.Duration(running) / time.Duration(p.LoadsAtOnce)
+	}
+	// The timeout allows three times the load time, because other owners' loads may slow this one down too.
 	st.orders[e.id] = pendingOrder{span: span, replacesLayers: !e.empty(), loadedAt: now.Add(loadTime), expiresAt: now.Add(3*loadTime + orderTimeoutSlack)}
 	e.span, e.orderPending = span, true
 	return Order{Server: e.id, Address: e.member.Address, Span: span, MissingLayers: missing}
@@ -364,7 +422,7 @@
 // what the group serves.
 func (st *State) rebalance(now time.Time, p *setts.EngineProfile, engines []engine) []Order {
 	room := targetRoom(p, engines)
-	if now.Before(st.nextRebalance) || slices.ContainsFunc(engines, func(e engine) bool {
+	if now.Before(st.nextRebalance) || !st.mayLoad(now, p) || slices.ContainsFunc(engines, func(e engine) bool {
 		return e.orderPending || e.empty() && p.MaxLayers(e.member.Kind, room) > 0
 	}) {
 		return nil
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -42,6 +42,8 @@
 	Pools() []Pool
 	// Yields reports whether other daemons reach engines that this one does not.
 	Yields() bool
+	// HasCallers reports whether callers have sent requests.
+	HasCallers() bool
 }
 
 // Pool is the model engines of one service.
@@ -165,6 +167,7 @@
 	status := &dutyStatus{fence: d.ownedFence, outageEnds: map[string]time.Time{}}
 	if owned {
 		a.fence = fence
+		d.placement.LimitLoads = d.view.HasCallers()
 		var pools []Pool
 		if err := guard.Run(func() { pools = d.view.Pools() }); err != nil {
 			d.notePlanFailure("", err)
--- a/internal/drive/duty_test.go
+++ b/internal/drive/duty_test.go
@@ -49,6 +49,7 @@
 
 func (v dutyView) OwnerView() elect.OwnerView { return *v.store.owner.Load() }
 func (v dutyView) Yields() bool               { return false }
+func (v dutyView) HasCallers() bool           { return true }
 
 func (v dutyView) Pools() []Pool {
 	sound := &setts.EngineProfile{
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -71,8 +71,9 @@
 	// ended is cancelled by End.
 	ended context.Context
 	end   context.CancelFunc
-	// running is the number of requests in progress.
+	// running is the number of requests in progress; called is set once there was one.
 	running atomic.Int64
+	called  atomic.Bool
 
 	meter *Meter
 
@@ -204,6 +205,9 @@
 // InProgress returns the number of requests in progress.
 func (e *Edge) InProgress() int64 { return e.running.Load() }
 
+// HasCallers reports whether a caller has sent a request.
+func (e *Edge) HasCallers() bool { return e.called.Load() }
+
 // requestState is what is recorded about one request in progress, for the log and the
 // metrics.
 type requestState struct {
@@ -238,6 +242,7 @@
 func (e *Edge) Serve(ctx context.Context, in *InboundRequest, out AnswerWriter) {
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	e.called.Store(true)
 	req := &requestState{in: in, arrived: time.Now(), deadline: in.Deadline}
 	if e.refusing.Load() {
 		e.fail(req, out, stoppingFailure(verdt.NotRun))
--- a/pkg/setts/routing.go
+++ b/pkg/setts/routing.go
@@ -91,6 +91,8 @@
 	PrefillRate float64
 	// LoadTime is the time to load all layers.
 	LoadTime time.Duration
+	// LoadsAtOnce is how many loads may run at once at full speed; more slow each other down in proportion. 0 if unknown.
+	LoadsAtOnce int
 	// ActivationBytes is the size of the activations of one token that a stage sends to
 	// the next. PipeBandwidth is the bandwidth between two availability zones, shared by all
 	// engines, in bytes per second. 0 if unknown.
