Serve by what can be read of the configuration if a daemon starts and has none

Callers would see: nothing at first, and after a loss of all VMs 503 from every daemon until the next change of the configuration: 0 of N served.

Cause: a configuration with one part that cannot be decoded was kept out whole. Daemons that run go on with the one before; it is only in their memory, so that a daemon that starts has none. The more changes, the likelier is one that is not understood.

Change: a daemon without a configuration uses the routes that it can read. One that it cannot read keeps its host and prefix, so that no other route takes its requests, and they are refused with 503. If the teams, services, limits or the version cannot be read, or no route, there are no settings, as before. Daemons that run keep the configuration before, as before.

--- a/internal/boot/edge_entries_test.go
+++ b/internal/boot/edge_entries_test.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"io"
 	"math"
+	"net/http"
+	"regexp"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -160,3 +163,27 @@
 	cancel()
 	<-done
 }
+
+// TestStartWithUnreadableRoute guards against a configuration with a part that a daemon cannot read: those that run go on with
+// the one before, but one that starts had none and refused all requests, and so did the whole fleet after a loss of all VMs.
+func TestStartWithUnreadableRoute(t *testing.T) {
+	env := newTestEnvironment(t, 1)
+	config := string(env.platform.Store.Value("op/config"))
+	// Versions are below 100 here.
+	next := regexp.MustCompile(`"version":\d+`).ReplaceAllString(strings.Replace(config, `"routeType":"idempotent"`, `"routeType":"sometimes"`, 1), `"version":100`)
+	assert.Assert(t, next != config && strings.Contains(next, "sometimes"))
+	env.platform.Store.Put("op/config", []byte(next))
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, env.call(0, http.MethodGet, "/read/x", "key-n", "").code, http.StatusOK, "a daemon that runs keeps the configuration before")
+
+	assert.NilError(t, env.stops[0]())
+	env.start(nil)
+	env.waitUntil("a stream completes after the start", func() bool { return env.stream(1, "/draft/x").complete })
+	assert.Equal(t, env.call(1, http.MethodPost, "/book/x", "key-n", "b").code, http.StatusOK)
+	assert.Equal(t, env.call(1, http.MethodPost, "/book/x", "key-other", "b").code, http.StatusUnauthorized)
+	refused := env.call(1, http.MethodGet, "/read/x", "key-n", "")
+	assert.Equal(t, refused.code, http.StatusServiceUnavailable)
+	assert.Assert(t, refused.header.Get("Retry-After") != "")
+	env.platform.Store.Put("op/config", []byte(strings.Replace(strings.Replace(next, "sometimes", "idempotent", 1), `"version":100`, `"version":101`, 1)))
+	env.waitUntil("the next whole configuration is in force", func() bool { return env.call(1, http.MethodGet, "/read/x", "key-n", "").code == http.StatusOK })
+}
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -68,7 +68,13 @@
 	routing, err := platform.DecodeRouting(item.Value)
 	if err != nil {
 		d.deps.Log.Error(err, evlog.SettingsUnreadable, "revision", item.Revision)
-		return false
+		if d.edge.Routing() != nil {
+			return false
+		}
+		// A daemon without settings has none that it could keep.
+		if routing, err = platform.DecodeReadableRouting(item.Value); err != nil {
+			return false
+		}
 	}
 	if !d.edge.SetRouting(routing) {
 		return false
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -278,6 +278,9 @@
 	if rule == nil {
 		return nil, verdt.New(verdt.NotRun, verdt.UnknownRoute, "no route for this host and path")
 	}
+	if rule.Unusable {
+		return nil, verdt.New(verdt.NotRun, verdt.SettingsStale, "the settings of this route cannot be read", verdt.RetryAt(time.Now().Add(time.Second)))
+	}
 	team, known := table.Team(in.Key)
 	if table.NeedsKey(rule) && !known {
 		return nil, verdt.New(verdt.NotRun, verdt.Unauthorized, "missing or unknown API key")
--- a/pkg/setts/routing.go
+++ b/pkg/setts/routing.go
@@ -56,6 +56,8 @@
 	// Resumable means that a stream may continue on another engine after its last
 	// event.
 	Resumable bool
+	// Unusable means that the rule cannot be read but for its name, host and prefix. Its requests are refused.
+	Unusable bool
 }
 
 // ServiceShare is a service's share of the requests of a route.
