--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,6 @@
 package core
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -243,17 +242,6 @@
 	}
 }
 
-// endAll ends all requests if the daemon is about to end. The failure of each says whether it may have run.
-func (c *Core) endAll(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
-	if !in.End {
-		return
-	}
-	byID := func(a, b *table.Request) int { return cmp.Compare(a.ID, b.ID) }
-	for _, r := range slices.SortedFunc(c.requests.All(), byID) {
-		c.giveUp(now, r, verdt.Stopping, "this daemon is stopping", out)
-	}
-}
-
 // applyArrivals admits or rejects new requests.
 func (c *Core) applyArrivals(now time.Time, in *msgs.Inbox, out *msgs.Outbox) {
 	for _, a := range in.Arrivals {
--- a/internal/core/place/loads_test.go
+++ b/internal/core/place/loads_test.go
@@ -114,7 +114,7 @@
 			expected := f.outageEnd
 			assert.Assert(t, !expected.IsZero(), "no end is expected")
 			f.run(t, func() bool { return f.outageEnd.IsZero() })
-			assert.Assert(t, missingLayers(holdersByLayer(f.profile, f.planner.liveEngines(f.now, f.profile, f.members), nil)) == 0, "no end is expected, and layers are missing")
+			assert.Assert(t, missingLayers(holdersByLayer(f.profile, f.planner.liveEngines(f.now, f.profile, f.members))) == 0, "no end is expected, and layers are missing")
 			late := f.now.Sub(expected)
 			assert.Assert(t, late <= time.Second && late >= -time.Second, "%s later than expected", late)
 		})
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -160,55 +160,6 @@
 	return orders
 }
 
-// OutageEnd returns when all layers are expected to be held again by a live engine. It is zero if they are now, or if
-// that is not known: a missing layer was not ordered yet for want of an engine, or its order takes longer than expected.
-func (st *State) OutageEnd(now time.Time, p *setts.EngineProfile, members []model.Member) time.Time {
-	if p == nil || p.Layers == 0 {
-		return time.Time{}
-	}
-	held, loadedAt := make([]bool, p.Layers), make([]time.Time, p.Layers)
-	for _, m := range members {
-		if m.State != model.Live || !p.HasLayers(m.Span) {
-			continue
-		}
-		for layer := m.Span.From; layer < m.Span.To; layer++ {
-			held[layer] = true
-		}
-		order, pending := st.orders[model.ServerID(m.ID)]
-		if !pending || !order.loadedAt.Add(entryDelay).After(now) {
-			continue
-		}
-		for layer := order.span.From; layer < min(order.span.To, p.Layers); layer++ {
-			if loadedAt[layer].IsZero() || order.loadedAt.Before(loadedAt[layer]) {
-				loadedAt[layer] = order.loadedAt
-			}
-		}
-	}
-	var end time.Time
-	unordered := 0
-	for layer := range p.Layers {
-		switch {
-		case held[layer]:
-		case loadedAt[layer].IsZero():
-			unordered++
-		case loadedAt[layer].After(end):
-			end = loadedAt[layer]
-		}
-	}
-	if unordered == 0 {
-		return end
-	}
-	if st.mayLoad(p) {
-		return time.Time{}
-	}
-	// They are ordered as soon as other loads end.
-	loads := now.Add(p.LoadTime * time.Duration(unordered) / time.Duration(p.Layers*p.LoadsAtOnce))
-	if loads.After(end) {
-		return loads
-	}
-	return end
-}
-
 // liveEngines returns the live engines of a known kind whose layers the model has, fastest first, and drops the pending
 // orders that were carried out or expired.
 func (st *State) liveEngines(now time.Time, p *setts.EngineProfile, members []model.Member) []engine {
@@ -313,28 +264,12 @@
 	return low
 }
 
-// countLoading returns the number of orders whose layers are expected to load now.
-func (st *State) countLoading(now time.Time) int {
-	n := 0
-	for _, o := range st.orders {
-		if now.Before(o.loadedAt) {
-			n++
-		}
-	}
-	return n
-}
-
-// mayLoad reports whether one more load may be ordered.
-func (st *State) mayLoad(p *setts.EngineProfile) bool {
-	return !st.LimitLoads || p.LoadsAtOnce == 0 || st.loading < p.LoadsAtOnce
-}
-
 // assignEmpty orders layers for the engines that hold none, fastest first. With missingOnly, only engines that are to hold
 // missing layers get an order.
 func (st *State) assignEmpty(now time.Time, p *setts.EngineProfile, engines []engine, missingOnly bool) []Order {
 	var orders []Order
 	room := targetRoom(p, engines)
-	missing := missingLayers(holdersByLayer(p, engines, nil))
+	missing := missingLayers(holdersByLayer(p, engines))
 	for i := range engines {
 		e := &engines[i]
 		if !e.empty() || e.orderPending || now.Before(st.refusedUntil[e.id]) {
@@ -354,7 +289,7 @@
 // coverMissing moves one engine whose layers all have another holder to layers that no
 // engine holds.
 func (st *State) coverMissing(now time.Time, p *setts.EngineProfile, engines []engine) []Order {
-	holders := holdersByLayer(p, engines, nil)
+	holders := holdersByLayer(p, engines)
 	if !slices.Contains(holders, 0) || !st.mayLoad(p) {
 		return nil
 	}
@@ -471,15 +406,11 @@
 	return room
 }
 
-// holdersByLayer counts the engines that hold each layer, leaving out the engine except
-// unless it is nil.
-func holdersByLayer(p *setts.EngineProfile, engines []engine, except *engine) []int {
+// holdersByLayer counts the engines that hold each layer.
+func holdersByLayer(p *setts.EngineProfile, engines []engine) []int {
 	holders := make([]int, p.Layers)
-	for i := range engines {
-		if except != nil && engines[i].id == except.id {
-			continue
-		}
-		for layer := engines[i].span.From; layer < min(engines[i].span.To, p.Layers); layer++ {
+	for _, e := range engines {
+		for layer := e.span.From; layer < min(e.span.To, p.Layers); layer++ {
 			holders[layer]++
 		}
 	}
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -277,7 +277,7 @@
 // leaving others without a holder: it is empty, or its layers have other holders.
 func missingLayersCoverable(f *fakeFleet) bool {
 	engines := f.planner.liveEngines(f.now, f.profile, f.members)
-	holders := holdersByLayer(f.profile, engines, nil)
+	holders := holdersByLayer(f.profile, engines)
 	for _, e := range engines {
 		if e.empty() || heldElsewhere(holders, e.span) {
 			return true
