Look for engines without layers before the planner counts who holds which

Without this, the bound on loads would have counted the room of each group once more a tick. The tests of the planner pass unchanged.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -267,12 +267,16 @@
 // assignEmpty orders layers for the engines that hold none, fastest first. With missingOnly, only engines that are to hold
 // missing layers get an order.
 func (st *State) assignEmpty(now time.Time, p *setts.EngineProfile, engines []engine, missingOnly bool) []Order {
+	mayTakeOrder := func(e engine) bool { return e.empty() && !e.orderPending && !now.Before(st.refusedUntil[e.id]) }
+	if !slices.ContainsFunc(engines, mayTakeOrder) {
+		return nil
+	}
 	var orders []Order
 	room := targetRoom(p, engines)
 	missing := missingLayers(holdersByLayer(p, engines))
 	for i := range engines {
 		e := &engines[i]
-		if !e.empty() || e.orderPending || now.Before(st.refusedUntil[e.id]) {
+		if !mayTakeOrder(*e) {
 			continue
 		}
 		if !st.mayLoad(p) || missingOnly && missing == 0 {
