Let the test of requests at the end of a planned stop wait until the daemon knows that the engines have gone

Cause: the test sent its request before the daemon had read that the engines had gone; it was sent to one that had crashed, so that it may have run, and 502 is right. The case is about a request that was sent to no engine: the test waits for that now, and wants 503 as before.

--- a/internal/boot/edge_stop_test.go
+++ b/internal/boot/edge_stop_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/platform/fakes"
 )
 
@@ -113,6 +115,12 @@
 					server.RemoveEntry()
 				}
 			}
+			if s.gone {
+				// Until the daemon knows, it sends requests to engines that have crashed.
+				env.waitUntil("the daemon knows no engine", func() bool {
+					return !slices.ContainsFunc(env.daemons[0].Pools(), func(p drive.Pool) bool { return len(p.Members) > 0 })
+				})
+			}
 			type answer struct {
 				*http.Response
 				err error
