--- a/internal/boot/process_test.go
+++ b/internal/boot/process_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,13 +30,27 @@
 	os.Exit(m.Run())
 }
 
-// freeAddress returns an address on loopback that nobody listens on.
+// freeAddress returns an address on loopback that nobody listens on, over TCP or UDP. Its port is below those that the
+// kernel gives to sockets without one, so that no other test gets it before the process does.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	const first, ports, tries = 15000, 15000, 100
+	for range tries {
+		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(ports))
+		stream, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		packets, err := net.ListenPacket("udp", address)
+		_ = stream.Close()
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // edgeProcess is an edge daemon as a process of its own.
