--- a/internal/boot/process_test.go
+++ b/internal/boot/process_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -30,27 +29,12 @@
 	os.Exit(m.Run())
 }
 
-// freeAddress returns an address on loopback that nobody listens on, over TCP or UDP. Its port is below those that the
-// kernel gives to sockets without one, so that no other test gets it before the process does.
+// freeAddress returns an address on loopback that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	const first, ports, tries = 15000, 15000, 100
-	for range tries {
-		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(ports))
-		stream, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		packets, err := net.ListenPacket("udp", address)
-		_ = stream.Close()
-		if err != nil {
-			continue
-		}
-		_ = packets.Close()
-		return address
-	}
-	t.Fatal("no free port")
-	return ""
+	address, err := fakes.FreeAddress()
+	assert.NilError(t, err)
+	return address
 }
 
 // edgeProcess is an edge daemon as a process of its own.
