Keep descriptors free of callers' connections

Callers saw: with 5,000 idle connections, or heads that come line by line, a daemon has all its 4,100 descriptors open; new callers, readiness checks and engines get none. Cause: `limits.maxFds` was read by nobody, and nothing bounded connections.

Change: callers may have half of the descriptors that are left after 200 for files and 128 of the daemon's own, so that each may need one more to a backend server: 1,886 on the smallest VM, more than the VM's memory can serve at once. Above that, a new caller takes the connection of one that has sent no request, then of one that has not sent all of it, the oldest first, whatever address they come from. If all requests were read whole, up to 16 more callers are answered 503 with Retry-After, as not run. `clients` on the metrics address counts it, and event 609 `clients_limited` says it once in 10 s at most.

Crowds and bounds are as they were.

--- /dev/null
+++ b/internal/boot/clients.go
@@ -0,0 +1,74 @@
+package boot
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"syscall"
+	"time"
+
+	"bulrushpond.example/bulrushpond/internal/conns"
+	"bulrushpond.example/bulrushpond/internal/evlog"
+)
+
+const (
+	// fileFDs are the descriptors that are left for files, as the platform counts them.
+	fileFDs = 200
+	// ownFDs are the descriptors that are left for what a daemon needs itself: the key-value service, other daemons, its
+	// listeners, readiness checks, metrics, and the refusal of callers.
+	ownFDs = 128
+	// minCallers is how many callers may have connections however few descriptors there are.
+	minCallers = 16
+	// refusedCallers is how many more callers may have a connection, to be told that there is no room.
+	refusedCallers = 16
+	// clientsInterval is how often the limits that were reached are logged.
+	clientsInterval = 10 * time.Second
+)
+
+// maxCallers returns how many callers may have connections at a time. Each may need one more to a backend server.
+func maxCallers(maxFDs int) int { return max(minCallers, (maxFDs-fileFDs-ownFDs)/2) }
+
+// processFDs returns the number of descriptors that the process may have open.
+func processFDs() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
+// clientPorts are the ports of a daemon that limit what their clients hold, by name.
+type clientPorts map[string]*conns.Listener
+
+// serve returns the service that serves a port with an HTTP server.
+func (p clientPorts) serve(name string, server *http.Server) httpService {
+	listener := p[name]
+	listener.Attach(server)
+	return httpService{name: name, server: server, listener: listener}
+}
+
+// counts returns what the clients of each port hold, and how often limits acted.
+func (p clientPorts) counts() map[string]conns.Counts {
+	counts := map[string]conns.Counts{}
+	for name, listener := range p {
+		counts[name] = listener.Counts()
+	}
+	return counts
+}
+
+// report returns the task that logs which limits were reached.
+func (p clientPorts) report(log evlog.Log) periodicTask {
+	last := p.counts()
+	return periodicTask{name: "clients", interval: clientsInterval, run: func(context.Context) {
+		now := p.counts()
+		for name, counts := range now {
+			if news, acted := counts.Since(last[name]); acted {
+				log.Info(evlog.ClientsLimited, "port", name, "clients", news.Clients, "held_bytes", news.HeldBytes, "refused", news.Refused,
+					"rejected", news.Rejected, "dropped_idle", news.DroppedIdle, "dropped_reading", news.DroppedReading,
+					"dropped_writing", news.DroppedWriting, "out_of_memory", news.OutOfMemory, "long_heads", news.LongHeads,
+					"stalled_writes", news.StalledWrites)
+			}
+		}
+		last = now
+	}}
+}
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"bulrushpond.example/bulrushpond/internal/burn"
+	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/board"
 	"bulrushpond.example/bulrushpond/internal/core/elect"
@@ -85,6 +87,18 @@
 	}
 }
 
+// portCallers names the port for callers.
+const portCallers = "callers"
+
+// edgeLimits returns the limits for what callers hold.
+func edgeLimits(vm platform.VMSettings) conns.Limits {
+	maxFDs := vm.MaxFDs
+	if own := processFDs(); maxFDs == 0 || own < maxFDs {
+		maxFDs = own
+	}
+	return conns.Limits{Clients: maxCallers(maxFDs), Refused: refusedCallers, Bytes: math.MaxInt64}
+}
+
 const (
 	// placementKey is the key in the platform's key-value service that names the owner of
 	// the placement. The owner is also the hub: it reads the service for all daemons.
@@ -147,8 +161,10 @@
 	// balance is how the load of the engines is balanced; nil for the cheapest chain.
 	balance func(*even.Paces) route.ChainsOption
 
-	callerListener, readinessListener, metricsListener net.Listener
-	stopping                                           atomic.Bool
+	readinessListener, metricsListener net.Listener
+	// ports are the listeners that limit what their clients hold.
+	ports    clientPorts
+	stopping atomic.Bool
 	// pauses counts the answers in which a server asked for a pause, leaving the servers that
 	// said that they will stop.
 	pauses, leaving atomic.Uint64
@@ -256,13 +272,15 @@
 	if d.server, err = peer.Listen(d.vm.PeersAddress, tlsConfig, d, peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
 	}
-	if d.callerListener, err = net.Listen("tcp", d.vm.CallersAddress); err != nil {
+	callers, err := net.Listen("tcp", d.vm.CallersAddress)
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	d.ports = clientPorts{portCallers: conns.Limit(callers, edgeLimits(d.vm))}
 	if d.readinessListener, err = net.Listen("tcp", d.vm.ReadinessAddress); err != nil {
 		return trace.Wrap(err)
 	}
-	d.vm.PeersAddress, d.vm.CallersAddress, d.vm.ReadinessAddress = d.server.Address(), d.callerListener.Addr().String(), d.readinessListener.Addr().String()
+	d.vm.PeersAddress, d.vm.CallersAddress, d.vm.ReadinessAddress = d.server.Address(), callers.Addr().String(), d.readinessListener.Addr().String()
 	if metricsPort > 0 {
 		d.metricsListener, err = net.Listen("tcp", net.JoinHostPort(d.vm.IP, strconv.Itoa(int(metricsPort))))
 	}
@@ -282,7 +300,7 @@
 func (d *EdgeDaemon) Run(ctx context.Context) error {
 	servicesContext, stopServices := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServices()
-	callers := newCallerServer(platform.NewIngress(d.edge), d.callerListener)
+	callers := newCallerServer(platform.NewIngress(d.edge), d.ports[portCallers])
 	supervisor := newSupervisor("edge", d.deps.Log)
 	parts := []suture.Service{
 		d.streams,
@@ -294,7 +312,8 @@
 		periodicTask{name: "fleet", interval: fleetInterval, run: d.storeFleet},
 		periodicTask{name: "blocks", interval: blocksInterval, run: d.storeBlocks},
 		d.server,
-		httpService{name: "callers", server: callers.Server, listener: callers.listener},
+		d.ports.serve(portCallers, callers.Server),
+		d.ports.report(d.deps.Log),
 		httpService{name: "readiness", server: platform.NewReadinessServer(d.ready), listener: d.readinessListener},
 	}
 	if d.metricsListener != nil {
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/core"
 	"bulrushpond.example/bulrushpond/internal/core/length"
 	"bulrushpond.example/bulrushpond/internal/core/ranks"
@@ -103,6 +104,8 @@
 	ServicesCutOff    []string `json:"services_cut_off,omitempty"`
 	RequestsProxied   uint64   `json:"requests_proxied"`
 	ProxiedInProgress int64    `json:"proxied_in_progress"`
+	// Clients is what the clients of each port hold, and how often limits for that acted.
+	Clients map[string]conns.Counts `json:"clients"`
 	// AnswerLengths shows how good the estimates of answers' lengths are.
 	AnswerLengths length.Metrics `json:"answer_lengths"`
 }
@@ -115,7 +118,7 @@
 			Meters: d.edge.Meter().Read(), StoreEra: d.feed.Position().Era, StoreRevision: d.feed.Position().Revision, StoreAgeMs: d.feed.Age(time.Now()).Milliseconds(),
 			RequestsInProgress: d.edge.InProgress(), PlacementFence: d.duty.FencingToken(), LogLinesDropped: logWriter.DroppedLines(),
 			ServerPauses: d.pauses.Load(), ServersSaidLeaving: d.leaving.Load(),
-			LimitedAnswers: d.limitedAnswers.Load(), InvalidHeaders: d.invalidHeaders.Load(), ServersLimited: d.edge.LimitedServers(),
+			Clients: d.ports.counts(), LimitedAnswers: d.limitedAnswers.Load(), InvalidHeaders: d.invalidHeaders.Load(), ServersLimited: d.edge.LimitedServers(),
 		}
 		if routing := d.edge.Routing(); routing != nil {
 			vars.SettingsRevision = uint64(routing.Revision)
--- a/internal/conns/group.go
+++ b/internal/conns/group.go
@@ -56,9 +56,17 @@
 	StalledWrites uint64 `json:"stalled_writes"`
 }
 
-// actions returns the number of times that a limit acted.
-func (c Counts) actions() uint64 {
-	return c.Refused + c.Rejected + c.DroppedIdle + c.DroppedReading + c.DroppedWriting + c.OutOfMemory + c.LongHeads + c.StalledWrites
+// Since returns the counts since earlier ones, and whether any limit has acted since.
+func (c Counts) Since(earlier Counts) (news Counts, acted bool) {
+	c.Refused -= earlier.Refused
+	c.Rejected -= earlier.Rejected
+	c.DroppedIdle -= earlier.DroppedIdle
+	c.DroppedReading -= earlier.DroppedReading
+	c.DroppedWriting -= earlier.DroppedWriting
+	c.OutOfMemory -= earlier.OutOfMemory
+	c.LongHeads -= earlier.LongHeads
+	c.StalledWrites -= earlier.StalledWrites
+	return c, c.Refused+c.Rejected+c.DroppedIdle+c.DroppedReading+c.DroppedWriting+c.OutOfMemory+c.LongHeads+c.StalledWrites > 0
 }
 
 // ErrNoRoom is returned if the clients of a Group hold all memory that there is for them.
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -154,6 +154,9 @@
 	RequestProxied Event = 607
 	// RequestProxyFailed says why another daemon did not serve a request to its end.
 	RequestProxyFailed Event = 608
+	// ClientsLimited says how often clients of a port were refused or lost their connections since what they held together
+	// reached a limit.
+	ClientsLimited Event = 609
 )
 
 // Log writes events to a logr.Logger.
