Count the heads of callers' requests against the VM's memory

Callers saw a process end: 1,000 heads of 66 KB with many small fields took 661 MB where the VM has 184. Cause: net/http bounds a head by its bytes, but it costs by its fields, a map entry and strings for each, about 0.6 to 1 MB for 66 KB; the operators' limit is applied after parsing; and nothing bounds the sum, to which heads inside the limits add up too.

Change: beneath net/http, at the connection, each byte and each field of a head counts as it is read, three times once it is parsed (as there are copies of it), until the request ends. All callers together may take a fifth of the VM's memory; then connections without a request make room, and the incomplete request that holds most is refused with 503, as not run. A head ends with 431 at the operators' limit and 4 KB for what that does not count, rather than at 64 KB.

--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -21,6 +21,10 @@
 	minCallers = 16
 	// refusedCallers is how many more callers may have a connection, to be told that there is no room.
 	refusedCallers = 16
+	// callersMemoryShare is the part of the VM's memory that callers' requests may take, and defaultCallersMemory what they
+	// may take if the memory is not limited, in bytes.
+	callersMemoryShare   = 0.2
+	defaultCallersMemory = 64 << 20
 	// clientsInterval is how often the limits that were reached are logged.
 	clientsInterval = 10 * time.Second
 )
@@ -28,6 +32,15 @@
 // maxCallers returns how many callers may have connections at a time. Each may need one more to a backend server.
 func maxCallers(maxFDs int) int { return max(minCallers, (maxFDs-fileFDs-ownFDs)/2) }
 
+// callersMemory returns the memory that callers' requests may take, in bytes. memoryBytes is that of the VM; 0 if it is not
+// limited.
+func callersMemory(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		return defaultCallersMemory
+	}
+	return int64(callersMemoryShare * float64(memoryBytes))
+}
+
 // processFDs returns the number of descriptors that the process may have open.
 func processFDs() int {
 	var limit syscall.Rlimit
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -96,7 +95,15 @@
 	if own := processFDs(); maxFDs == 0 || own < maxFDs {
 		maxFDs = own
 	}
-	return conns.Limits{Clients: maxCallers(maxFDs), Refused: refusedCallers, Bytes: math.MaxInt64}
+	return conns.Limits{Clients: maxCallers(maxFDs), Refused: refusedCallers, Bytes: callersMemory(vm.MemoryBytes)}
+}
+
+// headLimit returns the operators' limit for the head of a request, in bytes.
+func (d *EdgeDaemon) headLimit() int {
+	if routing := d.edge.Routing(); routing != nil && routing.Limits.HeaderBytes > 0 {
+		return routing.Limits.HeaderBytes
+	}
+	return platform.MaxHeaderBytes
 }
 
 const (
@@ -276,7 +283,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	d.ports = clientPorts{portCallers: conns.Limit(callers, edgeLimits(d.vm))}
+	d.ports = clientPorts{portCallers: conns.Limit(callers, edgeLimits(d.vm), conns.WithHeadLimit(d.headLimit))}
 	if d.readinessListener, err = net.Listen("tcp", d.vm.ReadinessAddress); err != nil {
 		return trace.Wrap(err)
 	}
