--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -25,6 +25,10 @@
 	// may take if the memory is not limited, in bytes.
 	callersMemoryShare   = 0.2
 	defaultCallersMemory = 64 << 20
+	// answersMemoryShare is the part that long answers may take while they are read, and defaultAnswersMemory what they may
+	// take if the memory is not limited, in bytes.
+	answersMemoryShare   = 0.125
+	defaultAnswersMemory = 32 << 20
 	// clientsInterval is how often the limits that were reached are logged.
 	clientsInterval = 10 * time.Second
 )
@@ -32,13 +36,12 @@
 // maxCallers returns how many callers may have connections at a time. Each may need one more to a backend server.
 func maxCallers(maxFDs int) int { return max(minCallers, (maxFDs-fileFDs-ownFDs)/2) }
 
-// callersMemory returns the memory that callers' requests may take, in bytes. memoryBytes is that of the VM; 0 if it is not
-// limited.
-func callersMemory(memoryBytes int64) int64 {
+// shareOf returns a part of the VM's memory in bytes, or fallback if the memory is not limited.
+func shareOf(memoryBytes int64, share float64, fallback int64) int64 {
 	if memoryBytes <= 0 {
-		return defaultCallersMemory
+		return fallback
 	}
-	return int64(callersMemoryShare * float64(memoryBytes))
+	return int64(share * float64(memoryBytes))
 }
 
 // processFDs returns the number of descriptors that the process may have open.
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -95,7 +95,7 @@
 	if own := processFDs(); maxFDs == 0 || own < maxFDs {
 		maxFDs = own
 	}
-	return conns.Limits{Clients: maxCallers(maxFDs), Refused: refusedCallers, Bytes: callersMemory(vm.MemoryBytes)}
+	return conns.Limits{Clients: maxCallers(maxFDs), Refused: refusedCallers, Bytes: shareOf(vm.MemoryBytes, callersMemoryShare, defaultCallersMemory)}
 }
 
 // headLimit returns the operators' limit for the head of a request, in bytes.
@@ -239,7 +239,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
-	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d))...)
+	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d), platform.WithLongAnswersLimit(shareOf(vm.MemoryBytes, answersMemoryShare, defaultAnswersMemory)))...)
 	budget := func() *retry.Budget {
 		return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow, retry.WithShares())
 	}
