Bound the events that callers have not read

Callers saw: streams that are not read make a daemon hold all that the engines produce, 175 MB with 32 streams. Cause: the queue of a stream's events has no bound, since the engine is read as it sends. Evidence: TestUnreadStreams, 175 MB where 92 are allowed.

Ruled out: to stop reading from the engine. It would hold a slot there, and the daemon would take the engine for stalled and move other streams.

Change: the events that callers have not taken count over all streams, those that are being written included. They may take a twentieth of the VM's memory (9.2 MB on the smallest VM; an ordinary stream has some KB in all). Above that, the caller with most of them loses its connection; `request_served` says "the caller did not read its answer", and `unread_bytes` and `unread_cut` count it. 32 MB on a daemon with the product's own interface.

--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -29,6 +29,10 @@
 	// take if the memory is not limited, in bytes.
 	answersMemoryShare   = 0.125
 	defaultAnswersMemory = 32 << 20
+	// eventsMemoryShare is the part that events which callers have not read may take, and defaultEventsMemory what they may
+	// take if the memory is not limited, in bytes.
+	eventsMemoryShare   = 0.05
+	defaultEventsMemory = 32 << 20
 	// clientsInterval is how often the limits that were reached are logged.
 	clientsInterval = 10 * time.Second
 )
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -245,6 +245,7 @@
 	}
 	d.streams = drive.NewStreamExecutor(deps.Log, d.engines, base,
 		append(d.routing(base), core.WithBudget(budget()), core.WithStallCheck(), core.WithSeed(base), core.WithAuthoritativeList())...)
+	d.streams.LimitUnread(shareOf(vm.MemoryBytes, eventsMemoryShare, defaultEventsMemory))
 	d.burnRecorder = burn.NewRecorder(d.burnLimits)
 	d.edge = drive.NewEdge(deps.Log, d.streams, d.engines, relay.New(vm.Zone, budget(), base), base, d.burnRecorder, drive.WithProxies(d.engines, proxyClient{d}))
 	// Entries expire after some missed heartbeats, of which the latest may have come long before an outage, and the next
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -106,6 +106,10 @@
 	ProxiedInProgress int64    `json:"proxied_in_progress"`
 	// Clients is what the clients of each port hold, and how often limits for that acted.
 	Clients map[string]conns.Counts `json:"clients"`
+	// UnreadBytes are the bytes of the events that callers have not read, and UnreadCut counts the streams that were cut
+	// since these were too many.
+	UnreadBytes int64  `json:"unread_bytes"`
+	UnreadCut   uint64 `json:"unread_cut"`
 	// AnswerLengths shows how good the estimates of answers' lengths are.
 	AnswerLengths length.Metrics `json:"answer_lengths"`
 }
@@ -134,6 +138,7 @@
 			vars.AnswerLengths = c.LengthMetrics()
 			vars.StreamsRecovered, vars.TokensDropped, vars.EnginesKnown = c.RecoveredStreams(), c.DroppedTokens(), c.ServerCount()
 		})
+		vars.UnreadBytes, vars.UnreadCut = d.streams.Unread()
 		vars.RetryBudgets = d.edge.RetryUsage(time.Now())
 		vars.ServicesCutOff = d.edge.CutOff()
 		vars.RequestsProxied, vars.ProxiedInProgress = d.edge.ProxiedRequests()
--- a/internal/conns/group.go
+++ b/internal/conns/group.go
@@ -257,6 +257,13 @@
 	c.remove()
 }
 
+// Drop closes the client's connection.
+func (c *Client) Drop() {
+	if c != nil {
+		c.drop()
+	}
+}
+
 // Refused reports whether the client is to be told that there is no room.
 func (c *Client) Refused() bool {
 	if c == nil {
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -55,6 +55,12 @@
 	Fail(f *verdt.Error)
 }
 
+// interrupter is implemented by an AnswerWriter whose writes can be ended from another goroutine.
+type interrupter interface {
+	// Interrupt makes a write that is in progress fail.
+	Interrupt()
+}
+
 // Edge serves callers' requests according to the routing in the settings.
 type Edge struct {
 	log         evlog.Log
@@ -226,6 +232,8 @@
 	// that the stream was assigned up to its last event.
 	longestPause time.Duration
 	epoch        model.Epoch
+	// unread is set if the caller did not take its events in time.
+	unread bool
 	// proxied is set for a request of another daemon.
 	proxied bool
 	// answered is set once another daemon has answered the request completely.
@@ -313,11 +321,18 @@
 		MaxAttempts: rule.MaxAttempts, FirstTokenDeadline: req.arrived.Add(rule.TargetLatency), Proxied: req.proxied,
 		Rank: req.in.Priority, LengthHint: req.in.LengthHint, Route: rule.Name,
 	})
+	defer reply.Close()
+	if i, ok := out.(interrupter); ok {
+		reply.OnCut(i.Interrupt)
+	}
 	headSent := false
 	var lastEvent time.Time
 	var buf []model.Token
 	for {
+		// The queue drops what was taken, and so must this.
+		clear(buf)
 		tokens, finish, err := reply.Next(ctx, buf[:0])
+		req.unread = reply.IsCut()
 		if err != nil {
 			e.streams.CallerGone(id)
 			e.failCallerGone(req, out, headSent)
@@ -341,6 +356,7 @@
 			return
 		}
 		if sendErr != nil {
+			req.unread = reply.IsCut()
 			e.streams.CallerGone(id)
 			e.failCallerGone(req, out, headSent)
 			return
@@ -423,6 +439,9 @@
 // failCallerGone ends a request whose caller closed its connection.
 func (e *Edge) failCallerGone(req *requestState, out AnswerWriter, headSent bool) {
 	f := verdt.New(verdt.MayHaveRun, verdt.CallerGone, "the caller closed its connection")
+	if req.unread {
+		f.Message = errUnread.Error()
+	}
 	e.recordOutcome(req, "gone", f)
 	if headSent {
 		out.Abort()
--- a/internal/drive/streams.go
+++ b/internal/drive/streams.go
@@ -66,6 +66,7 @@
 	loop   *eventLoop[*msgs.Inbox]
 	outbox msgs.Outbox
 	ctx    context.Context
+	unread *unreadEvents
 
 	mu   sync.Mutex
 	core *core.Core
@@ -84,8 +85,8 @@
 	const counterBits = 36
 	s := &StreamExecutor{
 		log: log, engine: e, core: core.New(append([]core.Option{core.WithPicker(route.NewFlow(idBase))}, opts...)...),
-		pending: map[model.RequestID]*pendingRequest{},
-		lastID:  model.RequestID(idBase << counterBits >> 1),
+		pending: map[model.RequestID]*pendingRequest{}, unread: newUnreadEvents(),
+		lastID: model.RequestID(idBase << counterBits >> 1),
 	}
 	s.loop = newEventLoop(&msgs.Inbox{}, &msgs.Inbox{}, s.tick)
 	return s
@@ -145,7 +146,7 @@
 
 // Start submits a request to the core. The answer or the refusal arrives in the Reply.
 func (s *StreamExecutor) Start(a ModelRequest) (model.RequestID, *Reply) {
-	pending := &pendingRequest{reply: newReply(), model: a.Model, prompt: a.Prompt, maxTokens: a.MaxTokens, origin: a.Origin, deadline: a.Deadline, parts: a.Parts}
+	pending := &pendingRequest{reply: newReply(s.unread), model: a.Model, prompt: a.Prompt, maxTokens: a.MaxTokens, origin: a.Origin, deadline: a.Deadline, parts: a.Parts}
 	if a.PromptTokens == 0 {
 		a.PromptTokens = len(a.Prompt) / bytesPerToken
 	}
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -118,6 +119,8 @@
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline.Add(finalResultGrace))
 	defer cancel()
 	id, reply := f.streams.Start(request)
+	defer reply.Close()
+	reply.OnCut(conns.ClientOf(r.Context()).Drop)
 	response := &modelResponse{front: f, w: w, caller: c, chat: chat, model: request.Model, id: fmt.Sprintf("req-%x", uint64(id)), arrivedAt: arrivedAt}
 	if stream {
 		failure = response.writeEventStream(ctx, reply)
