Bound what the clients of the readiness port hold

The balancer saw no answer to its checks, and callers none to their requests: whoever reached the readiness port could take all memory or all descriptors of the daemon. Cause: that server had net/http's default of 1 MB for a head, no limit for the time to read a body, and nothing that bounds the sum. Evidence: 330 and 893 MB where 92 are allowed, 513 sockets and pipes where 400 are, and once no ordinary request was answered within 30 s.

Change: 32 clients, 4 MB for all of them, 8 KB and 10 s for a request. A new client takes the connection of one that has sent no whole request, so a check on a new connection is always answered; the platform sends one a second.

--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -37,6 +37,9 @@
 	clientsInterval = 10 * time.Second
 )
 
+// checkLimits are the limits for what the clients of the readiness port hold.
+var checkLimits = conns.Limits{Clients: 32, Refused: 4, Bytes: 4 << 20}
+
 // maxCallers returns how many callers may have connections at a time. Each may need one more to a backend server.
 func maxCallers(maxFDs int) int { return max(minCallers, (maxFDs-fileFDs-ownFDs)/2) }
 
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -86,8 +86,11 @@
 	}
 }
 
-// portCallers names the port for callers.
-const portCallers = "callers"
+// Names of the ports of an edge daemon.
+const (
+	portCallers   = "callers"
+	portReadiness = "readiness"
+)
 
 // edgeLimits returns the limits for what callers hold.
 func edgeLimits(vm platform.VMSettings) conns.Limits {
@@ -168,7 +171,7 @@
 	// balance is how the load of the engines is balanced; nil for the cheapest chain.
 	balance func(*even.Paces) route.ChainsOption
 
-	readinessListener, metricsListener net.Listener
+	metricsListener net.Listener
 	// ports are the listeners that limit what their clients hold.
 	ports    clientPorts
 	stopping atomic.Bool
@@ -284,11 +287,15 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	d.ports = clientPorts{portCallers: conns.Limit(callers, edgeLimits(d.vm), conns.WithHeadLimit(d.headLimit))}
-	if d.readinessListener, err = net.Listen("tcp", d.vm.ReadinessAddress); err != nil {
+	readiness, err := net.Listen("tcp", d.vm.ReadinessAddress)
+	if err != nil {
 		return trace.Wrap(err)
 	}
-	d.vm.PeersAddress, d.vm.CallersAddress, d.vm.ReadinessAddress = d.server.Address(), callers.Addr().String(), d.readinessListener.Addr().String()
+	d.vm.PeersAddress, d.vm.CallersAddress, d.vm.ReadinessAddress = d.server.Address(), callers.Addr().String(), readiness.Addr().String()
+	d.ports = clientPorts{
+		portCallers:   conns.Limit(callers, edgeLimits(d.vm), conns.WithHeadLimit(d.headLimit)),
+		portReadiness: conns.Limit(readiness, checkLimits, conns.WithHeadLimit(func() int { return platform.MaxCheckHeaderBytes })),
+	}
 	if metricsPort > 0 {
 		d.metricsListener, err = net.Listen("tcp", net.JoinHostPort(d.vm.IP, strconv.Itoa(int(metricsPort))))
 	}
@@ -322,7 +329,7 @@
 		d.server,
 		d.ports.serve(portCallers, callers.Server),
 		d.ports.report(d.deps.Log),
-		httpService{name: "readiness", server: platform.NewReadinessServer(d.ready), listener: d.readinessListener},
+		d.ports.serve(portReadiness, platform.NewReadinessServer(d.ready)),
 	}
 	if d.metricsListener != nil {
 		parts = append(parts, httpService{name: "metrics", server: &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: requestTimeout}, listener: d.metricsListener})
