Bound what the clients of the metrics port hold

Callers saw the same as with the readiness port, from the port for metrics: 323 MB where 92 are allowed, 513 sockets and pipes where 400 are.

Change: 16 clients, 4 MB for all of them, 8 KB and 2 s for a request.

--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -37,8 +37,18 @@
 	clientsInterval = 10 * time.Second
 )
 
-// checkLimits are the limits for what the clients of the readiness port hold.
-var checkLimits = conns.Limits{Clients: 32, Refused: 4, Bytes: 4 << 20}
+// checkLimits and metricsLimits are the limits for what the clients of the readiness port and of the metrics hold.
+var (
+	checkLimits   = conns.Limits{Clients: 32, Refused: 4, Bytes: 4 << 20}
+	metricsLimits = conns.Limits{Clients: 16, Refused: 4, Bytes: 4 << 20}
+)
+
+const (
+	// maxMetricsHeadBytes bounds the head of a request for metrics.
+	maxMetricsHeadBytes = 8 << 10
+	// metricsIdleTimeout closes idle connections of those who read metrics.
+	metricsIdleTimeout = time.Minute
+)
 
 // maxCallers returns how many callers may have connections at a time. Each may need one more to a backend server.
 func maxCallers(maxFDs int) int { return max(minCallers, (maxFDs-fileFDs-ownFDs)/2) }
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
@@ -90,6 +89,7 @@
 const (
 	portCallers   = "callers"
 	portReadiness = "readiness"
+	portMetrics   = "metrics"
 )
 
 // edgeLimits returns the limits for what callers hold.
@@ -171,7 +171,6 @@
 	// balance is how the load of the engines is balanced; nil for the cheapest chain.
 	balance func(*even.Paces) route.ChainsOption
 
-	metricsListener net.Listener
 	// ports are the listeners that limit what their clients hold.
 	ports    clientPorts
 	stopping atomic.Bool
@@ -296,10 +295,15 @@
 		portCallers:   conns.Limit(callers, edgeLimits(d.vm), conns.WithHeadLimit(d.headLimit)),
 		portReadiness: conns.Limit(readiness, checkLimits, conns.WithHeadLimit(func() int { return platform.MaxCheckHeaderBytes })),
 	}
-	if metricsPort > 0 {
-		d.metricsListener, err = net.Listen("tcp", net.JoinHostPort(d.vm.IP, strconv.Itoa(int(metricsPort))))
+	if metricsPort == 0 {
+		return nil
 	}
-	return trace.Wrap(err)
+	metrics, err := net.Listen("tcp", net.JoinHostPort(d.vm.IP, strconv.Itoa(int(metricsPort))))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.ports[portMetrics] = conns.Limit(metrics, metricsLimits, conns.WithHeadLimit(func() int { return maxMetricsHeadBytes }))
+	return nil
 }
 
 // CallersAddress returns the address that serves callers.
@@ -331,8 +335,8 @@
 		d.ports.report(d.deps.Log),
 		d.ports.serve(portReadiness, platform.NewReadinessServer(d.ready)),
 	}
-	if d.metricsListener != nil {
-		parts = append(parts, httpService{name: "metrics", server: &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: requestTimeout}, listener: d.metricsListener})
+	if d.ports[portMetrics] != nil {
+		parts = append(parts, d.ports.serve(portMetrics, d.metricsServer()))
 	}
 	addParts(supervisor, d.deps.Log, parts...)
 	supervisorDone := supervisor.ServeBackground(servicesContext)
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -152,9 +152,11 @@
 	}))
 }
 
-// metricsHandler serves the metrics of the process at /debug/vars.
-func (d *EdgeDaemon) metricsHandler() http.Handler {
+// metricsServer returns the HTTP server for the metrics of the process, at /debug/vars.
+func (d *EdgeDaemon) metricsServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	return mux
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: requestTimeout, ReadTimeout: requestTimeout, IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: maxMetricsHeadBytes,
+	}
 }
