Bound what the clients of the product's own interface hold

Callers and operators saw the same as on the platform: all descriptors taken at either port (539 to 594 sockets and pipes where 400 are allowed), 180 MB where 92 are with heads of many small fields at the port for operators.

Change: the same limits, from what the process may use: half of the descriptors of RLIMIT_NOFILE that are left after those for files and the daemon's own; a third of GOMEMLIMIT, or 64 MB if there is none. Operators: 32 clients, 16 MB for all of them, 15 s for a request. Bodies count as they are read, and stored answers until they are sent. The metrics have `clients`, `unread_bytes` and `unread_cut`.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"bulrushpond.example/bulrushpond/internal/burn"
+	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/rings"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/setts"
@@ -89,15 +90,21 @@
 
 // Limits of the HTTP server for operators.
 const (
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 32 << 10
+	headerTimeout = 5 * time.Second
+	// readTimeout bounds the reading of a request with its body, and idleTimeout closes idle connections.
+	readTimeout = 15 * time.Second
+	idleTimeout = 2 * time.Minute
+	// MaxHeaderBytes bounds a request's headers.
+	MaxHeaderBytes = 32 << 10
 	maxBodyBytes   = 1 << 20
 	submitTimeout  = 10 * time.Second
 )
 
 // Server returns the HTTP server for operators.
 func (a *Admin) Server() *http.Server {
-	return &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{
+		Handler: a.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes,
+	}
 }
 
 // Handler returns the handler of all paths of the API.
@@ -156,12 +163,14 @@
 
 func (a *Admin) submit(w http.ResponseWriter, r *http.Request) {
 	var change setts.Change
-	decoder := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
+	client := conns.ClientOf(r.Context())
+	decoder := json.NewDecoder(client.Reader(io.LimitReader(r.Body, maxBodyBytes)))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&change); err != nil || change.ID == "" || change.Path == "" {
 		http.Error(w, "not a change of settings", http.StatusBadRequest)
 		return
 	}
+	client.SetStage(conns.Serving)
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 	defer cancel()
 	accepted, err := a.daemon.Submit(ctx, change)
--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -11,6 +12,14 @@
 	"bulrushpond.example/bulrushpond/internal/evlog"
 )
 
+// Names of the ports.
+const (
+	portCallers   = "callers"
+	portReadiness = "readiness"
+	portMetrics   = "metrics"
+	portAdmin     = "admin"
+)
+
 const (
 	// fileFDs are the descriptors that are left for files, as the platform counts them.
 	fileFDs = 200
@@ -37,8 +46,10 @@
 	clientsInterval = 10 * time.Second
 )
 
-// checkLimits and metricsLimits are the limits for what the clients of the readiness port and of the metrics hold.
+// checkLimits, metricsLimits and adminLimits are the limits for what the clients of the readiness port, of the metrics and of
+// the API for operators hold.
 var (
+	adminLimits   = conns.Limits{Clients: 32, Refused: 4, Bytes: 16 << 20}
 	checkLimits   = conns.Limits{Clients: 32, Refused: 4, Bytes: 4 << 20}
 	metricsLimits = conns.Limits{Clients: 16, Refused: 4, Bytes: 4 << 20}
 )
@@ -61,6 +72,16 @@
 	return int64(share * float64(memoryBytes))
 }
 
+// processLimits returns the limits for what callers hold, from the limits of the process.
+func processLimits() conns.Limits {
+	limits := conns.Limits{Clients: maxCallers(processFDs()), Refused: refusedCallers, Bytes: defaultCallersMemory}
+	// A negative limit only reads it.
+	if memory := debug.SetMemoryLimit(-1); memory < math.MaxInt64 {
+		limits.Bytes = int64(callersMemoryShare / memoryLimitShare * float64(memory))
+	}
+	return limits
+}
+
 // processFDs returns the number of descriptors that the process may have open.
 func processFDs() int {
 	var limit syscall.Rlimit
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -85,18 +85,11 @@
 	}
 }
 
-// Names of the ports of an edge daemon.
-const (
-	portCallers   = "callers"
-	portReadiness = "readiness"
-	portMetrics   = "metrics"
-)
-
 // edgeLimits returns the limits for what callers hold.
 func edgeLimits(vm platform.VMSettings) conns.Limits {
-	maxFDs := vm.MaxFDs
-	if own := processFDs(); maxFDs == 0 || own < maxFDs {
-		maxFDs = own
+	maxFDs := processFDs()
+	if vm.MaxFDs > 0 {
+		maxFDs = min(maxFDs, vm.MaxFDs)
 	}
 	return conns.Limits{Clients: maxCallers(maxFDs), Refused: refusedCallers, Bytes: shareOf(vm.MemoryBytes, callersMemoryShare, defaultCallersMemory)}
 }
--- a/internal/boot/metrics.go
+++ b/internal/boot/metrics.go
@@ -5,6 +5,7 @@
 	"runtime/metrics"
 	"sync"
 
+	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/core"
 )
 
@@ -41,11 +42,17 @@
 	EnginesKnown       int    `json:"engines_known"`
 	ShardsOwned        int    `json:"shards_owned"`
 	HeapBytes          uint64 `json:"heap_bytes"`
+	// Clients is what the clients of each port hold, and how often limits for that acted.
+	Clients map[string]conns.Counts `json:"clients"`
+	// UnreadBytes and UnreadCut have the meaning they have in EdgeVars.
+	UnreadBytes int64  `json:"unread_bytes"`
+	UnreadCut   uint64 `json:"unread_cut"`
 }
 
 // currentMetrics returns the current values of the metrics.
 func (d *Daemon) currentMetrics() Vars {
-	vars := Vars{SettingsRevision: uint64(d.keeper.Revision()), ShardsOwned: len(d.calls.OwnedShards())}
+	vars := Vars{SettingsRevision: uint64(d.keeper.Revision()), ShardsOwned: len(d.calls.OwnedShards()), Clients: d.ports.counts()}
+	vars.UnreadBytes, vars.UnreadCut = d.streams.Unread()
 	d.View(func(c *core.Core) {
 		vars.RequestsInProgress, vars.EnginesKnown = c.InProgress(), c.ServerCount()
 		vars.StreamsRecovered, vars.TokensDropped = c.RecoveredStreams(), c.DroppedTokens()
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -19,6 +19,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/admin"
 	"bulrushpond.example/bulrushpond/internal/burn"
+	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/core/fleet"
 	"bulrushpond.example/bulrushpond/internal/core/msgs"
 	"bulrushpond.example/bulrushpond/internal/core/owner"
@@ -35,19 +36,19 @@
 
 // Daemon is a daemon of the serve and dev commands, with all its components.
 type Daemon struct {
-	deps           Dependencies
-	file           File
-	platform       *plat.HTTPClient
-	engines        *engine.HTTPClient
-	keeper         *force.Keeper
-	streams        *drive.StreamExecutor
-	calls          *drive.CallExecutor
-	orders         *drive.OrderSender
-	burnRecorder   *burn.Recorder
-	client         *peer.Client
-	server         *peer.Server
-	callerListener net.Listener
-	adminListener  net.Listener
+	deps         Dependencies
+	file         File
+	platform     *plat.HTTPClient
+	engines      *engine.HTTPClient
+	keeper       *force.Keeper
+	streams      *drive.StreamExecutor
+	calls        *drive.CallExecutor
+	orders       *drive.OrderSender
+	burnRecorder *burn.Recorder
+	client       *peer.Client
+	server       *peer.Server
+	// ports are the listeners, which limit what their clients hold.
+	ports clientPorts
 
 	shutdownDelay time.Duration
 	// gossipTrigger starts a gossip round before the interval has passed.
@@ -103,8 +104,11 @@
 	d.calls = drive.NewCallExecutor(deps.Log, owner.DefaultConfig(d.daemonID(), processID), d.platform, d.engines)
 	d.orders = drive.NewOrderSender(deps.Log, d.engines, d.platform, d.calls.ShardOwnership)
 	d.burnRecorder = burn.NewRecorder(d.burnLimits)
+	if err := d.listen(); err != nil {
+		return d, err
+	}
 	publishMetrics(d)
-	return d, d.listen()
+	return d, nil
 }
 
 // newProcessID returns a random ID that distinguishes this process from others of the same
@@ -131,18 +135,26 @@
 	if d.server, err = peer.Listen(d.file.Peers, tlsConfig, d, peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
 	}
-	if d.callerListener, err = net.Listen("tcp", d.file.Callers); err != nil {
+	callers, err := net.Listen("tcp", d.file.Callers)
+	if err != nil {
 		return trace.Wrap(err)
 	}
-	d.adminListener, err = net.Listen("tcp", d.file.Admin)
-	return trace.Wrap(err)
+	operators, err := net.Listen("tcp", d.file.Admin)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.ports = clientPorts{
+		portCallers: conns.Limit(callers, processLimits(), conns.WithHeadLimit(func() int { return front.MaxHeaderBytes })),
+		portAdmin:   conns.Limit(operators, adminLimits, conns.WithHeadLimit(func() int { return admin.MaxHeaderBytes })),
+	}
+	return nil
 }
 
 // CallersAddress returns the address that serves callers.
-func (d *Daemon) CallersAddress() string { return d.callerListener.Addr().String() }
+func (d *Daemon) CallersAddress() string { return d.ports[portCallers].Addr().String() }
 
 // AdminAddress returns the address that serves operators.
-func (d *Daemon) AdminAddress() string { return d.adminListener.Addr().String() }
+func (d *Daemon) AdminAddress() string { return d.ports[portAdmin].Addr().String() }
 
 // PeersAddress returns the address that serves other daemons.
 func (d *Daemon) PeersAddress() string { return d.server.Address() }
@@ -204,8 +216,9 @@
 		periodicTask{name: "gossip", interval: gossipInterval, run: d.gossip, trigger: d.gossipTrigger},
 		periodicTask{name: "members", interval: listInterval, run: d.readMembers},
 		periodicTask{name: "reports", interval: reportInterval, run: d.readReports},
-		httpService{name: "callers", server: callerServer, listener: d.callerListener},
-		httpService{name: "admin", server: adminServer, listener: d.adminListener},
+		d.ports.serve(portCallers, callerServer),
+		d.ports.serve(portAdmin, adminServer),
+		d.ports.report(d.deps.Log),
 	)
 	return supervisor
 }
--- a/internal/conns/group.go
+++ b/internal/conns/group.go
@@ -5,6 +5,7 @@
 import (
 	"container/list"
 	"errors"
+	"io"
 	"sync"
 	"time"
 )
@@ -347,6 +348,32 @@
 	return nil
 }
 
+// bytesPerReadByte is the memory that counts for each byte of a Reader: buffers that grow have some of their bytes twice.
+const bytesPerReadByte = 2
+
+// Reader returns a reader of a request's body that counts what it reads for the client, and fails if there is no room.
+func (c *Client) Reader(body io.Reader) io.Reader {
+	if c == nil {
+		return body
+	}
+	return &countingReader{client: c, body: body}
+}
+
+// countingReader counts what is read for a client.
+type countingReader struct {
+	client *Client
+	body   io.Reader
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if takeErr := r.client.Take(bytesPerReadByte * int64(n)); takeErr != nil {
+		return 0, takeErr
+	}
+	return n, err
+}
+
 // Reset ends the counting of memory for the client, but for the given number of bytes.
 func (c *Client) Reset(bytes int64) {
 	if c == nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -29,8 +30,10 @@
 	defaultBodyTimeout = 30 * time.Second
 	// idleTimeout closes keep-alive connections without requests.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds a request's headers.
-	maxHeaderBytes = 32 << 10
+	// MaxHeaderBytes bounds a request's headers.
+	MaxHeaderBytes = 32 << 10
+	// noRoomPause is how long a caller should wait whose body found no room.
+	noRoomPause = time.Second
 	// writeTimeout bounds each write of a streamed response.
 	writeTimeout = 30 * time.Second
 )
@@ -90,7 +93,7 @@
 		Handler:           f.Handler(),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    MaxHeaderBytes,
 	}
 }
 
@@ -155,11 +158,15 @@
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, c caller) ([]byte, *verdt.Error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(f.bodyTimeout))
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(c.policy.MaxBodyBytes)))
+	client := conns.ClientOf(r.Context())
+	raw, err := io.ReadAll(client.Reader(http.MaxBytesReader(w, r.Body, int64(c.policy.MaxBodyBytes))))
+	client.SetStage(conns.Serving)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, verdt.New(verdt.NotRun, verdt.TooLarge, "the body may hold at most "+strconv.Itoa(c.policy.MaxBodyBytes)+" bytes")
+	case errors.Is(err, conns.ErrNoRoom):
+		return nil, verdt.New(verdt.NotRun, verdt.Overloaded, err.Error(), verdt.RetryAt(time.Now().Add(noRoomPause)))
 	case err != nil:
 		return nil, verdt.New(verdt.NotRun, verdt.BadRequest, "the body was cut short or came too slowly")
 	}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 
+	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/drive"
 	"bulrushpond.example/bulrushpond/internal/rings"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -53,6 +54,7 @@
 	if failure == nil {
 		var stored rings.StoredAnswer
 		if stored, failure = f.runServiceCall(r.Context(), request); failure == nil {
+			conns.ClientOf(r.Context()).Keep(int64(len(stored.Body)))
 			writeStoredResponse(w, stored)
 		}
 	}
