Bound the log's queue in bytes, and the texts in it

Callers saw no answer, since a daemon whose log nobody read had no memory left: callers choose the ID of a request, and 4,096 queued lines of 16 KB are 67 MB. Cause: the queue was bounded in lines only, and lines by nothing but the operators' limit for headers.

A text in a line is cut off after 4 KB; IDs on the platform have 16 bytes.

--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -165,17 +165,31 @@
 // New returns a Log that writes to l.
 func New(l logr.Logger) Log { return Log{log: l} }
 
+// maxValueBytes bounds a value of an event, since some are chosen by callers and servers. Longer ones are cut off.
+const maxValueBytes = 4 << 10
+
 // Info writes an event. The pairs are alternating keys, in snake case, and values.
 func (l Log) Info(e Event, pairs ...any) {
-	l.log.Info(e.String(), append([]any{"event", int(e)}, pairs...)...)
+	l.log.Info(e.String(), fieldsOf(e, pairs)...)
 }
 
 // Debug writes an event at debug level (V(1)), which is normally disabled.
 func (l Log) Debug(e Event, pairs ...any) {
-	l.log.V(1).Info(e.String(), append([]any{"event", int(e)}, pairs...)...)
+	l.log.V(1).Info(e.String(), fieldsOf(e, pairs)...)
 }
 
 // Error writes an event with the error that caused it.
 func (l Log) Error(err error, e Event, pairs ...any) {
-	l.log.Error(err, e.String(), append([]any{"event", int(e)}, pairs...)...)
+	l.log.Error(err, e.String(), fieldsOf(e, pairs)...)
+}
+
+// fieldsOf returns the fields of an event, with texts of at most maxValueBytes.
+func fieldsOf(e Event, pairs []any) []any {
+	fields := append([]any{"event", int(e)}, pairs...)
+	for i, value := range fields {
+		if text, ok := value.(string); ok && len(text) > maxValueBytes {
+			fields[i] = text[:maxValueBytes]
+		}
+	}
+	return fields
 }
--- a/internal/evlog/writer.go
+++ b/internal/evlog/writer.go
@@ -13,6 +13,9 @@
 // dropped.
 const maxQueuedLines = 4096
 
+// maxQueuedBytes bounds the bytes of the queued lines.
+const maxQueuedBytes = 4 << 20
+
 // maxBatchBytes is the maximum size in bytes of a batch of lines written in one call: larger
 // writes to a pipe are not atomic (PIPE_BUF), so lines of several writers could mix.
 const maxBatchBytes = 4096
@@ -20,7 +23,9 @@
 // Writer is a non-blocking buffer in front of another writer. Lines that do not fit in its
 // queue or that cannot be written are dropped; their number is logged as LinesDropped.
 type Writer struct {
-	lines   chan []byte
+	lines chan []byte
+	// queued is the number of bytes of the lines in the queue, which is at most maxQueuedBytes.
+	queued  atomic.Int64
 	dropped atomic.Uint64
 	out     io.Writer
 	ended   chan struct{}
@@ -33,9 +38,16 @@
 
 // Write queues one line. It implements io.Writer and never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.queued.Add(-size)
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-size)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -52,6 +64,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			w.drainQueue(line)
 		case <-ctx.Done():
 			w.drainQueue(nil)
@@ -71,6 +84,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			if len(batch)+len(line) > maxBatchBytes {
 				w.flush(batch)
 				batch = batch[:0]
--- a/internal/evlog/writer_test.go
+++ b/internal/evlog/writer_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"strings"
 	"syscall"
 	"testing"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 )
 
@@ -44,6 +46,35 @@
 	assert.Assert(t, strings.HasPrefix(text, "line 0\n"))
 }
 
+// TestWriterBoundsLongLines checks that long lines do not take more memory than the queue may, and that there is room again
+// once they were written.
+func TestWriterBoundsLongLines(t *testing.T) {
+	out := &blockedOutput{release: make(chan struct{})}
+	w := NewWriter(out)
+	line := strings.Repeat("x", 100_000) + "\n"
+	for range 100 {
+		_, err := w.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, w.DroppedLines(), uint64(100-maxQueuedBytes/len(line)))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	close(out.release)
+	go w.Run(ctx)
+	<-w.Ended()
+	assert.Equal(t, w.queued.Load(), int64(0))
+	assert.Equal(t, strings.Count(out.written.String(), line), maxQueuedBytes/len(line))
+}
+
+// TestLongValuesAreCut checks that a text which a caller chose does not make a line of any length.
+func TestLongValuesAreCut(t *testing.T) {
+	var out bytes.Buffer
+	log := New(logr.FromSlogHandler(slog.NewJSONHandler(&out, nil)))
+	log.Info(RequestServed, "request", strings.Repeat("i", 100_000), "server", "s1")
+	assert.Assert(t, out.Len() < 2*maxValueBytes)
+	assert.Assert(t, strings.Contains(out.String(), `"server":"s1"`))
+}
+
 // brokenOutput is an output whose reader has gone.
 type brokenOutput struct{}
 
