Share connections between clients while there is no room for all

Callers saw: beside 300 clients that send requests one after the other on their connections, an ordinary request on a new connection was answered only after 20 s or more. Cause: a connection that is never without a request never makes room, and the next request on it goes before those that wait for a connection.

Change: while there are as many clients as there may be, answers say "Connection: close". Clients on the platform heed that. A unit test checks that a client gets one answer on a connection then.

--- a/internal/conns/group.go
+++ b/internal/conns/group.go
@@ -155,6 +155,13 @@
 	return c
 }
 
+// Full reports whether there are as many clients as there may be.
+func (g *Group) Full() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.clients() >= g.limits.Clients
+}
+
 // clients returns the number of clients, without those that are to be refused. The caller holds mu.
 func (g *Group) clients() int {
 	n := 0
--- a/internal/conns/listener.go
+++ b/internal/conns/listener.go
@@ -144,6 +144,10 @@
 		http.Error(w, noRoomText, http.StatusServiceUnavailable)
 		return
 	}
+	if c.listener.group.Full() {
+		// The next request on the connection has no better right to it than those of clients that wait for one.
+		w.Header().Set("Connection", "close")
+	}
 	if r.Body == nil || r.Body == http.NoBody {
 		c.client.SetStage(Serving)
 	} else {
--- a/internal/conns/listener_test.go
+++ b/internal/conns/listener_test.go
@@ -113,3 +113,19 @@
 	close(release)
 	assert.Equal(t, <-first, "HTTP/1.1 200 OK")
 }
+
+// TestFullServerSharesConnections checks that a client which keeps sending requests loses its connection after an answer when
+// there is no room for others.
+func TestFullServerSharesConnections(t *testing.T) {
+	address, _ := startServer(t, Limits{Clients: 1, Bytes: math.MaxInt64}, ok)
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	const request = "GET / HTTP/1.1" + lineEnd + "Host: h" + lineEnd + lineEnd
+	_, err = io.WriteString(conn, strings.Repeat(request, 10))
+	assert.NilError(t, err)
+	answers, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(answers), "HTTP/1.1 200 OK"), 1)
+	assert.Assert(t, strings.Contains(string(answers), "Connection: close"))
+}
