Bound the connections to backend servers by the descriptors that there are

Suspected from reading, and seen in part: callers' connections are bounded by half of the descriptors so that each may need one to a server, but nothing bounded those. Idle connections to one server add to those in use at others: TestPipelinedRequests had 364 sockets and pipes where 400 are allowed.

Change: as many connections to servers as callers may have. Idle ones make room for a new one; if there is none, the request counts as not sent, as after any failed dial. `server_conns` and `server_conns_refused` are on the metrics address; each refusal is in `stream_failed` or `request_served` of its request.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -85,13 +85,17 @@
 	}
 }
 
-// edgeLimits returns the limits for what callers hold.
-func edgeLimits(vm platform.VMSettings) conns.Limits {
-	maxFDs := processFDs()
+// edgeFDs returns the number of descriptors that a daemon on a VM may have open.
+func edgeFDs(vm platform.VMSettings) int {
 	if vm.MaxFDs > 0 {
-		maxFDs = min(maxFDs, vm.MaxFDs)
+		return min(processFDs(), vm.MaxFDs)
 	}
-	return conns.Limits{Clients: maxCallers(maxFDs), Refused: refusedCallers, Bytes: shareOf(vm.MemoryBytes, callersMemoryShare, defaultCallersMemory)}
+	return processFDs()
+}
+
+// edgeLimits returns the limits for what callers hold.
+func edgeLimits(vm platform.VMSettings) conns.Limits {
+	return conns.Limits{Clients: maxCallers(edgeFDs(vm)), Refused: refusedCallers, Bytes: shareOf(vm.MemoryBytes, callersMemoryShare, defaultCallersMemory)}
 }
 
 // headLimit returns the operators' limit for the head of a request, in bytes.
@@ -234,7 +238,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
-	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d), platform.WithLongAnswersLimit(shareOf(vm.MemoryBytes, answersMemoryShare, defaultAnswersMemory)))...)
+	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d), platform.WithMaxConns(maxCallers(edgeFDs(vm))), platform.WithLongAnswersLimit(shareOf(vm.MemoryBytes, answersMemoryShare, defaultAnswersMemory)))...)
 	budget := func() *retry.Budget {
 		return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow, retry.WithShares())
 	}
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -106,6 +106,10 @@
 	ProxiedInProgress int64    `json:"proxied_in_progress"`
 	// Clients is what the clients of each port hold, and how often limits for that acted.
 	Clients map[string]conns.Counts `json:"clients"`
+	// ServerConns is the number of connections to backend servers, and ServerConnsRefused counts those that were not opened
+	// since there were too many.
+	ServerConns        int64  `json:"server_conns"`
+	ServerConnsRefused uint64 `json:"server_conns_refused"`
 	// UnreadBytes are the bytes of the events that callers have not read, and UnreadCut counts the streams that were cut
 	// since these were too many.
 	UnreadBytes int64  `json:"unread_bytes"`
@@ -138,6 +142,7 @@
 			vars.AnswerLengths = c.LengthMetrics()
 			vars.StreamsRecovered, vars.TokensDropped, vars.EnginesKnown = c.RecoveredStreams(), c.DroppedTokens(), c.ServerCount()
 		})
+		vars.ServerConns, vars.ServerConnsRefused = d.engines.ServerConns()
 		vars.UnreadBytes, vars.UnreadCut = d.streams.Unread()
 		vars.RetryBudgets = d.edge.RetryUsage(time.Now())
 		vars.ServicesCutOff = d.edge.CutOff()
