Bound what the clients of the port for other daemons hold

Whoever reaches that port, which asks for no credentials on the platform, could end the process. Cause: any number of connections, each with 1,024 requests of up to 16 MB that are read for 10 s, and with 768 KB to 15 MB that QUIC keeps of what arrives out of order.

`clients` on the metrics address has `peers` and `peer_requests`.

That a client sends data out of order was not tried.

--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -10,6 +10,7 @@
 
 	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/evlog"
+	"bulrushpond.example/bulrushpond/internal/peer"
 )
 
 // Names of the ports.
@@ -18,6 +19,9 @@
 	portReadiness = "readiness"
 	portMetrics   = "metrics"
 	portAdmin     = "admin"
+	// portPeers are the connections of other daemons, and portPeerRequests their requests.
+	portPeers        = "peers"
+	portPeerRequests = "peer_requests"
 )
 
 const (
@@ -42,6 +46,10 @@
 	// take if the memory is not limited, in bytes.
 	eventsMemoryShare   = 0.05
 	defaultEventsMemory = 32 << 20
+	// peersMemoryShare is the part that requests of other daemons may take, and defaultPeersMemory what they may take if the
+	// memory is not limited, in bytes.
+	peersMemoryShare   = 0.0625
+	defaultPeersMemory = 64 << 20
 	// clientsInterval is how often the limits that were reached are logged.
 	clientsInterval = 10 * time.Second
 )
@@ -92,11 +100,22 @@
 }
 
 // clientPorts are the ports of a daemon that limit what their clients hold, by name.
-type clientPorts map[string]*conns.Listener
+type clientPorts struct {
+	listeners map[string]*conns.Listener
+	// groups are the clients of the port for other daemons.
+	groups map[string]*conns.Group
+}
+
+// newClientPorts returns the ports for HTTP and that for other daemons.
+func newClientPorts(listeners map[string]*conns.Listener, peers *peer.Server) clientPorts {
+	p := clientPorts{listeners: listeners, groups: map[string]*conns.Group{}}
+	p.groups[portPeers], p.groups[portPeerRequests] = peers.Limited()
+	return p
+}
 
 // serve returns the service that serves a port with an HTTP server.
 func (p clientPorts) serve(name string, server *http.Server) httpService {
-	listener := p[name]
+	listener := p.listeners[name]
 	listener.Attach(server)
 	return httpService{name: name, server: server, listener: listener}
 }
@@ -104,9 +123,12 @@
 // counts returns what the clients of each port hold, and how often limits acted.
 func (p clientPorts) counts() map[string]conns.Counts {
 	counts := map[string]conns.Counts{}
-	for name, listener := range p {
+	for name, listener := range p.listeners {
 		counts[name] = listener.Counts()
 	}
+	for name, group := range p.groups {
+		counts[name] = group.Counts()
+	}
 	return counts
 }
 
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -276,7 +276,7 @@
 		return err
 	}
 	d.client = peer.NewClient(tlsConfig, func(model.DaemonID) (string, bool) { return "", false })
-	if d.server, err = peer.Listen(d.vm.PeersAddress, tlsConfig, d, peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
+	if d.server, err = peer.Listen(d.vm.PeersAddress, tlsConfig, d, peer.WithRequestMemory(shareOf(d.vm.MemoryBytes, peersMemoryShare, defaultPeersMemory)), peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
 	}
 	callers, err := net.Listen("tcp", d.vm.CallersAddress)
@@ -288,18 +288,18 @@
 		return trace.Wrap(err)
 	}
 	d.vm.PeersAddress, d.vm.CallersAddress, d.vm.ReadinessAddress = d.server.Address(), callers.Addr().String(), readiness.Addr().String()
-	d.ports = clientPorts{
+	listeners := map[string]*conns.Listener{
 		portCallers:   conns.Limit(callers, edgeLimits(d.vm), conns.WithHeadLimit(d.headLimit)),
 		portReadiness: conns.Limit(readiness, checkLimits, conns.WithHeadLimit(func() int { return platform.MaxCheckHeaderBytes })),
 	}
-	if metricsPort == 0 {
-		return nil
-	}
-	metrics, err := net.Listen("tcp", net.JoinHostPort(d.vm.IP, strconv.Itoa(int(metricsPort))))
-	if err != nil {
-		return trace.Wrap(err)
+	if metricsPort > 0 {
+		metrics, err := net.Listen("tcp", net.JoinHostPort(d.vm.IP, strconv.Itoa(int(metricsPort))))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		listeners[portMetrics] = conns.Limit(metrics, metricsLimits, conns.WithHeadLimit(func() int { return maxMetricsHeadBytes }))
 	}
-	d.ports[portMetrics] = conns.Limit(metrics, metricsLimits, conns.WithHeadLimit(func() int { return maxMetricsHeadBytes }))
+	d.ports = newClientPorts(listeners, d.server)
 	return nil
 }
 
@@ -316,7 +316,7 @@
 func (d *EdgeDaemon) Run(ctx context.Context) error {
 	servicesContext, stopServices := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServices()
-	callers := newCallerServer(platform.NewIngress(d.edge), d.ports[portCallers])
+	callers := newCallerServer(platform.NewIngress(d.edge), d.ports.listeners[portCallers])
 	supervisor := newSupervisor("edge", d.deps.Log)
 	parts := []suture.Service{
 		d.streams,
@@ -332,7 +332,7 @@
 		d.ports.report(d.deps.Log),
 		d.ports.serve(portReadiness, platform.NewReadinessServer(d.ready)),
 	}
-	if d.ports[portMetrics] != nil {
+	if d.ports.listeners[portMetrics] != nil {
 		parts = append(parts, d.ports.serve(portMetrics, d.metricsServer()))
 	}
 	addParts(supervisor, d.deps.Log, parts...)
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -143,18 +143,18 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	d.ports = clientPorts{
+	d.ports = newClientPorts(map[string]*conns.Listener{
 		portCallers: conns.Limit(callers, processLimits(), conns.WithHeadLimit(func() int { return front.MaxHeaderBytes })),
 		portAdmin:   conns.Limit(operators, adminLimits, conns.WithHeadLimit(func() int { return admin.MaxHeaderBytes })),
-	}
+	}, d.server)
 	return nil
 }
 
 // CallersAddress returns the address that serves callers.
-func (d *Daemon) CallersAddress() string { return d.ports[portCallers].Addr().String() }
+func (d *Daemon) CallersAddress() string { return d.ports.listeners[portCallers].Addr().String() }
 
 // AdminAddress returns the address that serves operators.
-func (d *Daemon) AdminAddress() string { return d.ports[portAdmin].Addr().String() }
+func (d *Daemon) AdminAddress() string { return d.ports.listeners[portAdmin].Addr().String() }
 
 // PeersAddress returns the address that serves other daemons.
 func (d *Daemon) PeersAddress() string { return d.server.Address() }
--- a/internal/conns/group.go
+++ b/internal/conns/group.go
@@ -395,6 +395,9 @@
 	c.held = bytes
 }
 
+// Reject counts a client whose connection was refused before it was opened.
+func (g *Group) Reject() { g.count(func(c *Counts) { c.Rejected++ }) }
+
 // count changes the counts.
 func (g *Group) count(change func(*Counts)) {
 	g.mu.Lock()
