Say why a daemon without settings uses no part of a configuration

On call saw one line about an unreadable configuration, and not why its routes were of no use either: applyRouting dropped the second error. It is logged as `settings_unreadable`, too. The test fails without the change.

--- a/internal/boot/edge_entries_test.go
+++ b/internal/boot/edge_entries_test.go
@@ -118,6 +118,23 @@
 	assert.Assert(t, daemon.mu.TryLock())
 }
 
+// TestUnreadableConfigurationIsExplained checks that the log of a daemon without settings says why it uses no part of a
+// configuration that it cannot read.
+func TestUnreadableConfigurationIsExplained(t *testing.T) {
+	env := newTestEnvironment(t, 0)
+	var log bytes.Buffer
+	daemon, err := NewEdgeDaemon(Dependencies{Log: NewLog(&log, false), Out: io.Discard}, platform.VMSettings{
+		VMName: "d", Zone: "a", IP: "127.0.0.1", CallersAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0",
+		StoreAddress: env.platform.Address(), Cores: 1,
+	}, 0)
+	assert.NilError(t, err)
+	daemon.applyStoreChanges(time.Now(), mirror.Changes{Items: []mirror.Item{
+		{Key: platform.KeyRouting, Revision: 2, Value: []byte(`{"version":7,"routes":[{"host":"h","prefix":"/a/","routeType":"sometimes"}],"services":[]}`)},
+	}})
+	assert.Assert(t, daemon.edge.Routing() == nil)
+	assert.Assert(t, bytes.Contains(log.Bytes(), []byte("no route of the operators' configuration is valid")), "%s", log.String())
+}
+
 // failingPart fails whenever it is started.
 type failingPart struct{ starts chan struct{} }
 
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -73,6 +73,7 @@
 		}
 		// A daemon without settings has none that it could keep.
 		if routing, err = platform.DecodeReadableRouting(item.Value); err != nil {
+			d.deps.Log.Error(err, evlog.SettingsUnreadable, "revision", item.Revision, "detail", "no part of them can be used")
 			return false
 		}
 	}
