Log what net/http says about a server as numbered events, bounded

net/http writes to standard error what it thinks of connections, without a number and without a bound: a line with the whole stack for a panic, one for each failed accept. Such lines go to the log as `work_failed` with the port, of 4 KB at most, ten at once and then one a second.

--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"log"
 	"math"
 	"net/http"
 	"runtime/debug"
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bulrushpond.example/bulrushpond/internal/conns"
 	"bulrushpond.example/bulrushpond/internal/evlog"
 	"bulrushpond.example/bulrushpond/internal/peer"
@@ -113,9 +117,38 @@
 	return p
 }
 
+// serverErrors logs what net/http has to say about a server, which clients may cause: at most serverErrorsBurst lines at once,
+// and then one in serverErrorsPause.
+type serverErrors struct {
+	log     evlog.Log
+	port    string
+	limiter *rate.Limiter
+}
+
+const (
+	serverErrorsBurst = 10
+	serverErrorsPause = time.Second
+	// maxServerErrorBytes bounds one such line.
+	maxServerErrorBytes = 4 << 10
+)
+
+// newServerErrors returns the ErrorLog of the HTTP server of a port.
+func newServerErrors(l evlog.Log, port string) *log.Logger {
+	return log.New(serverErrors{log: l, port: port, limiter: rate.NewLimiter(rate.Every(serverErrorsPause), serverErrorsBurst)}, "", 0)
+}
+
+// Write implements io.Writer.
+func (e serverErrors) Write(line []byte) (int, error) {
+	if e.limiter.Allow() {
+		e.log.Error(errors.New(string(line[:min(len(line), maxServerErrorBytes)])), evlog.WorkFailed, "part", e.port)
+	}
+	return len(line), nil
+}
+
 // serve returns the service that serves a port with an HTTP server.
-func (p clientPorts) serve(name string, server *http.Server) httpService {
+func (p clientPorts) serve(l evlog.Log, name string, server *http.Server) httpService {
 	listener := p.listeners[name]
+	server.ErrorLog = newServerErrors(l, name)
 	listener.Attach(server)
 	return httpService{name: name, server: server, listener: listener}
 }
@@ -133,13 +166,13 @@
 }
 
 // report returns the task that logs which limits were reached.
-func (p clientPorts) report(log evlog.Log) periodicTask {
+func (p clientPorts) report(l evlog.Log) periodicTask {
 	last := p.counts()
 	return periodicTask{name: "clients", interval: clientsInterval, run: func(context.Context) {
 		now := p.counts()
 		for name, counts := range now {
 			if news, acted := counts.Since(last[name]); acted {
-				log.Info(evlog.ClientsLimited, "port", name, "clients", news.Clients, "held_bytes", news.HeldBytes, "refused", news.Refused,
+				l.Info(evlog.ClientsLimited, "port", name, "clients", news.Clients, "held_bytes", news.HeldBytes, "refused", news.Refused,
 					"rejected", news.Rejected, "dropped_idle", news.DroppedIdle, "dropped_reading", news.DroppedReading,
 					"dropped_writing", news.DroppedWriting, "out_of_memory", news.OutOfMemory, "long_heads", news.LongHeads,
 					"stalled_writes", news.StalledWrites)
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -328,12 +328,12 @@
 		periodicTask{name: "fleet", interval: fleetInterval, run: d.storeFleet},
 		periodicTask{name: "blocks", interval: blocksInterval, run: d.storeBlocks},
 		d.server,
-		d.ports.serve(portCallers, callers.Server),
+		d.ports.serve(d.deps.Log, portCallers, callers.Server),
 		d.ports.report(d.deps.Log),
-		d.ports.serve(portReadiness, platform.NewReadinessServer(d.ready)),
+		d.ports.serve(d.deps.Log, portReadiness, platform.NewReadinessServer(d.ready)),
 	}
 	if d.ports.listeners[portMetrics] != nil {
-		parts = append(parts, d.ports.serve(portMetrics, d.metricsServer()))
+		parts = append(parts, d.ports.serve(d.deps.Log, portMetrics, d.metricsServer()))
 	}
 	addParts(supervisor, d.deps.Log, parts...)
 	supervisorDone := supervisor.ServeBackground(servicesContext)
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -216,8 +216,8 @@
 		periodicTask{name: "gossip", interval: gossipInterval, run: d.gossip, trigger: d.gossipTrigger},
 		periodicTask{name: "members", interval: listInterval, run: d.readMembers},
 		periodicTask{name: "reports", interval: reportInterval, run: d.readReports},
-		d.ports.serve(portCallers, callerServer),
-		d.ports.serve(portAdmin, adminServer),
+		d.ports.serve(d.deps.Log, portCallers, callerServer),
+		d.ports.serve(d.deps.Log, portAdmin, adminServer),
 		d.ports.report(d.deps.Log),
 	)
 	return supervisor
