--- a/internal/crowd/ports_test.go
+++ b/internal/crowd/ports_test.go
@@ -148,28 +148,31 @@
 	e := startEdge(t)
 	transport := newTransport(t)
 	part := make([]byte, 300_000)
-	e.withstandPeers(30, func(ctx context.Context) {
-		conn, err := e.dialPeer(ctx, transport)
-		if err != nil {
-			return
-		}
-		stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(0, "") })
-		defer stop()
-		var wg sync.WaitGroup
-		for range 20 {
-			wg.Go(func() {
-				stream, err := conn.OpenStreamSync(ctx)
-				if err != nil {
-					return
-				}
-				if _, err := stream.Write(part); err == nil {
-					<-conn.Context().Done()
-				}
-			})
-		}
-		wg.Wait()
-		_ = conn.CloseWithError(0, "")
-	})
+	e.withstandPeers(30, func(ctx context.Context) { e.holdMessages(ctx, transport, 20, part) })
+}
+
+// holdMessages opens a connection and sends the part of a message on each of some streams, until ctx or the connection ends.
+func (e *edge) holdMessages(ctx context.Context, transport *quic.Transport, streams int, part []byte) {
+	conn, err := e.dialPeer(ctx, transport)
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(0, "") })
+	defer stop()
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			stream, err := conn.OpenStreamSync(ctx)
+			if err != nil {
+				return
+			}
+			if _, err := stream.Write(part); err == nil {
+				<-conn.Context().Done()
+			}
+		})
+	}
+	wg.Wait()
+	_ = conn.CloseWithError(0, "")
 }
 
 // TestManyPeerStreams opens all streams that a connection may have and leaves them open.
