--- a/pkg/setts/reference.go
+++ b/pkg/setts/reference.go
@@ -36,5 +36,21 @@
 		}
 		fmt.Fprintf(&b, "| `%s` | `%s` | %s |\n", name, strings.TrimSpace(string(text)), comments[defaults.Type().Field(i).Name])
 	}
+	b.WriteString(clientLimits)
 	return b.String(), nil
 }
+
+// clientLimits is the section of the page on what is set by the VM, and not in the tree.
+const clientLimits = `
+## Limits for clients
+
+What clients hold together is bounded by what the process may use, not by a setting of the tree. ` + "`docs/OPERATIONS.md`" + ` has the limits
+that follow, and how to see that one acted.
+
+| set by | default | what follows |
+|---|---|---|
+| ` + "`limits.maxFds`" + ` in the VM's settings file; RLIMIT_NOFILE if it is lower or on the product's own interface | the process's limit | callers' connections and connections to backend servers: half each of what is left after 200 for files and 128 of the daemon's own, at least 16 |
+| ` + "`limits.memoryMb`" + ` in the VM's settings file | no limit: 64 MB for callers, 32 MB for events, 64 MB for other daemons, 32 MB for answers that are read | parts of the VM's memory: 0.2 for callers' heads, bodies and answers; 0.125 for answers that are read; 0.0625 for other daemons' requests; 0.05 for events that are not taken |
+| GOMEMLIMIT, on the product's own interface | no limit: 64 MB for callers | a third of it for callers' heads, bodies and answers |
+| the operators' ` + "`maxHeaderBytes`" + ` | 64 KB | a longer head is answered 431 before it was read whole |
+`
