--- a/internal/conns/listener.go
+++ b/internal/conns/listener.go
@@ -225,7 +225,7 @@
 // refuse answers a request whose head was not read, and returns the error for the reader, which closes the connection.
 func (c *conn) refuse(answer string, reason error) error {
 	if !errors.Is(reason, errDropped) && c.refused.CompareAndSwap(false, true) {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = io.WriteString(c.Conn, answer)
 		_ = c.CloseWrite()
 	}
@@ -261,7 +261,7 @@
 // connection were closed with unread bytes.
 func (c *conn) Close() error {
 	if c.refused.Load() {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(refusalTimeout))
+		_ = c.SetReadDeadline(time.Now().Add(refusalTimeout))
 		_, _ = io.CopyN(io.Discard, c.Conn, maxWriteBytes)
 	}
 	c.client.Remove()
--- a/internal/crowd/callers_test.go
+++ b/internal/crowd/callers_test.go
@@ -146,7 +146,7 @@
 func TestUnreadAnswers(t *testing.T) {
 	e := startEdge(t, withServers(func(s *fakes.Server) { s.AnswerBytes = 4_000_000 }))
 	text := requestHead(http.MethodGet, "/read/x") + "\r\n"
-	e.withstand(crowd{clients: unreadClients, address: e.callers, proper: true, receiveBuffer: 4096, behave: sendUnread(text, crowdTime/2)})
+	e.withstand(crowd{clients: unreadClients, address: e.callers, proper: true, receiveBuffer: 4096, behave: sendUnread(text)})
 }
 
 // TestUnreadStreams takes streams without reading them.
@@ -157,7 +157,7 @@
 		}
 	}))
 	text := requestHead(http.MethodPost, "/draft/x") + "Content-Length: 5\r\n\r\ndraft"
-	e.withstand(crowd{clients: unreadClients, address: e.callers, proper: true, receiveBuffer: 4096, behave: sendUnread(text, crowdTime/2)})
+	e.withstand(crowd{clients: unreadClients, address: e.callers, proper: true, receiveBuffer: 4096, behave: sendUnread(text)})
 }
 
 // TestHalfClosedConnections ends the direction to the process within a head, and holds the other one.
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -113,10 +113,10 @@
 	}
 }
 
-// sendUnread returns a behavior that sends a text after a random part of a time, and reads nothing.
-func sendUnread(text string, within time.Duration) func(context.Context, *net.TCPConn) {
+// sendUnread returns a behavior that sends a text after a random part of half of crowdTime, and reads nothing.
+func sendUnread(text string) func(context.Context, *net.TCPConn) {
 	return func(ctx context.Context, conn *net.TCPConn) {
-		wait(ctx, rand.N(within))
+		wait(ctx, rand.N(crowdTime/2))
 		if _, err := io.WriteString(conn, text); err == nil {
 			<-ctx.Done()
 		}
--- a/internal/crowd/ports_test.go
+++ b/internal/crowd/ports_test.go
@@ -52,7 +52,7 @@
 func TestUnreadMetrics(t *testing.T) {
 	e := startEdge(t)
 	text := "GET /debug/vars HTTP/1.1\r\nHost: x\r\n\r\n"
-	e.withstand(crowd{clients: manyClients, address: e.metrics, receiveBuffer: 4096, behave: sendUnread(text+text+text+text+text+text, crowdTime/2)})
+	e.withstand(crowd{clients: manyClients, address: e.metrics, receiveBuffer: 4096, behave: sendUnread(text + text + text + text + text + text)})
 	e.eventually("the metrics are answered after the crowd", e.shows)
 }
 
--- a/internal/crowd/together_test.go
+++ b/internal/crowd/together_test.go
@@ -29,8 +29,8 @@
 		{clients: 50, address: e.callers, behave: sendAndHold(fields)},
 		{clients: 50, address: e.callers, behave: sendAndHold(body)},
 		{clients: 50, address: e.callers, behave: sendAndHold("")},
-		{clients: 50, address: e.callers, receiveBuffer: 4096, behave: sendUnread(get, crowdTime/2)},
-		{clients: 50, address: e.callers, receiveBuffer: 4096, behave: sendUnread(stream, crowdTime/2)},
+		{clients: 50, address: e.callers, receiveBuffer: 4096, behave: sendUnread(get)},
+		{clients: 50, address: e.callers, receiveBuffer: 4096, behave: sendUnread(stream)},
 		{clients: 50, address: e.readiness, behave: sendAndHold(fields)},
 		{clients: 50, address: e.metrics, behave: sendAndHold(fields)},
 	}
