Let a whole fleet open connections to its new hub at a time

Suspected from reading, no run shows it: when the hub changes, up to 389 daemons open connections to the next one at once, and a small VM takes seconds of its share of a core for as many handshakes. With 128 at a time, two thirds would have been rejected and have read the key-value service instead. 512 may be in their handshake now, as many as may be open.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,9 +29,9 @@
 	maxIncomingStreams = 256
 	// maxConns is how many connections other daemons may have here: the hub of the largest fleet has 390.
 	maxConns = 512
-	// maxHandshakes is how many connections may be in their handshake. Above verifiedHandshakes, the addresses of new ones
+	// maxHandshakes is how many connections may be in their handshake, as when a fleet gets another hub. Above verifiedHandshakes, the addresses of new ones
 	// are verified first, which takes them another round trip.
-	maxHandshakes      = 128
+	maxHandshakes      = 512
 	verifiedHandshakes = 16
 	// maxRequests is how many requests of other daemons may be read or served at a time.
 	maxRequests = 2048
