Refuse a request that finds no memory, rather than end an answer that is read

A request that found no room in memory ended the answer that had made no progress for longest, even if that was a moment: now only one without progress for a second. A client for which there was no memory at accept lost its connection without a word: now it is told 503 once it has sent a head. The 5 s for the rest of a body after the answer applied to bodies that were read whole, too, and so to answers that take longer: now only to the others.

--- a/internal/conns/group.go
+++ b/internal/conns/group.go
@@ -76,9 +76,13 @@
 // errDropped is returned for a client whose connection was closed to make room.
 var errDropped = errors.New("the connection was closed to make room")
 
-// stalledAfter is how long a client must have read nothing of its answer before its connection may be closed for another
-// client's.
-const stalledAfter = 5 * time.Second
+const (
+	// stalledAfter is how long a client must have read nothing of its answer before its connection may be closed for another
+	// client's.
+	stalledAfter = 5 * time.Second
+	// slowAfter is how long a client must have read nothing of its answer before it makes room in memory for a request.
+	slowAfter = time.Second
+)
 
 // Group bounds what a number of clients hold together.
 type Group struct {
@@ -186,9 +190,9 @@
 }
 
 // largest returns the client whose connection makes most room in memory: any without a request first, then the incomplete
-// request that holds most, then the answer that is read slowest. It returns nil if there is none but own. The caller holds
-// mu.
-func (g *Group) largest(own *Client) *Client {
+// request that holds most, then the answer that has made no progress for longest, if that is minStall at least. It returns
+// nil if there is none but own. The caller holds mu.
+func (g *Group) largest(own *Client, minStall time.Duration) *Client {
 	if front := g.stages[Idle].Front(); front != nil && clientAt(front) != own {
 		return clientAt(front)
 	}
@@ -202,7 +206,7 @@
 		return most
 	}
 	for e := g.stages[Writing].Front(); e != nil; e = e.Next() {
-		if c := clientAt(e); c != own {
+		if c := clientAt(e); c != own && time.Since(c.since) >= minStall {
 			return c
 		}
 	}
@@ -302,6 +306,13 @@
 	return before
 }
 
+// isReading reports whether the client's request was not read whole.
+func (c *Client) isReading() bool {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	return c.stage == Reading
+}
+
 // write sets the stage to Writing, and returns a function that sets it back.
 func (c *Client) write() (written func()) {
 	c.group.mu.Lock()
@@ -338,8 +349,12 @@
 	}
 	c.held += bytes
 	g.held += bytes
+	minStall := slowAfter
+	if keep {
+		minStall = 0
+	}
 	for g.held > g.limits.Bytes {
-		victim := g.largest(c)
+		victim := g.largest(c, minStall)
 		if victim == nil && keep {
 			return nil
 		}
--- a/internal/conns/group_test.go
+++ b/internal/conns/group_test.go
@@ -56,6 +56,24 @@
 	assert.Equal(t, g.Counts().Clients, 5)
 }
 
+// TestRequestTakesNothingFromAnswersInProgress checks that a request that finds no room is refused rather than an answer that
+// its client reads.
+func TestRequestTakesNothingFromAnswersInProgress(t *testing.T) {
+	g := NewGroup(Limits{Clients: 10, Bytes: 100})
+	answered, next := add(g), add(g)
+	assert.NilError(t, answered.Take(80))
+	answered.SetStage(Serving)
+	done := answered.write()
+	defer done()
+	next.SetStage(Reading)
+	assert.ErrorIs(t, next.Take(30), ErrNoRoom)
+	assert.Assert(t, !answered.dropped)
+	answered.since = answered.since.Add(-slowAfter)
+	next.SetStage(Serving)
+	assert.NilError(t, next.Take(30))
+	assert.Assert(t, answered.dropped)
+}
+
 // TestNoConnectionForRefusals checks that a group without connections for refusals rejects clients.
 func TestNoConnectionForRefusals(t *testing.T) {
 	g := NewGroup(Limits{Clients: 1, Bytes: math.MaxInt64})
--- a/internal/conns/listener.go
+++ b/internal/conns/listener.go
@@ -89,10 +89,8 @@
 		}
 		c := &conn{Conn: inner, listener: l, client: client}
 		c.inHead.Store(true)
-		if err := client.Take(connBytes); err != nil {
-			_ = c.Close()
-			continue
-		}
+		// If there is no memory, the client is told so once it has sent a request.
+		c.noRoom.Store(client.Take(connBytes) != nil)
 		return c, nil
 	}
 }
@@ -151,8 +149,12 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		c.client.SetStage(Serving)
 	} else {
-		// net/http reads on if the handler did not read the body.
-		defer func() { _ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout)) }()
+		defer func() {
+			if c.client.isReading() {
+				// net/http reads the rest of the body.
+				_ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+			}
+		}()
 	}
 	next.ServeHTTP(w, r)
 }
