Bound the log lines about requests that are refused at once

On call saw: clients that send requests with an unknown key as fast as they are answered make a daemon log 72 MB in 5 s, a line for each. The log's queue is bounded, but a reader that keeps up gets all of it.

Change: of requests without a known route or API key, 1,000 at once and then 100 a second are logged; the others are answered and counted as before, and event 610 `refusals_unlogged` says once in 10 s how many had no line. Requests that were admitted have a line each as before.

--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -330,6 +330,7 @@
 		d.server,
 		d.ports.serve(d.deps.Log, portCallers, callers.Server),
 		d.ports.report(d.deps.Log),
+		d.reportUnlogged(),
 		d.ports.serve(d.deps.Log, portReadiness, platform.NewReadinessServer(d.ready)),
 	}
 	if d.ports.listeners[portMetrics] != nil {
@@ -372,6 +373,17 @@
 	d.deps.Log.Info(evlog.FileReloaded, "seeds", vm.Seeds)
 }
 
+// reportUnlogged returns the task that logs how many refused requests were not logged.
+func (d *EdgeDaemon) reportUnlogged() periodicTask {
+	last := d.edge.UnloggedRefusals()
+	return periodicTask{name: "refusals", interval: clientsInterval, run: func(context.Context) {
+		if now := d.edge.UnloggedRefusals(); now > last {
+			d.deps.Log.Info(evlog.RefusalsUnlogged, "requests", now-last)
+			last = now
+		}
+	}}
+}
+
 // ready returns why the daemon is not ready for new requests, or nil. It is the
 // balancer's readiness check.
 func (d *EdgeDaemon) ready() error {
--- a/internal/crowd/callers_test.go
+++ b/internal/crowd/callers_test.go
@@ -198,6 +198,20 @@
 	}})
 }
 
+// TestRefusedRequestsInLog sends whole requests that are refused at once, as many as are answered, and bounds what is logged of
+// them.
+func TestRefusedRequestsInLog(t *testing.T) {
+	e := startEdge(t)
+	text := strings.Repeat("GET /read/x HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer unknown\r\nRequest-Id: crowd\r\n\r\n", 10)
+	e.withstand(crowd{clients: 100, address: e.callers, proper: true, behave: sendEndlessly("", text, time.Millisecond)})
+	if logged := e.logBytes.Load(); logged > maxRefusedLogBytes {
+		t.Errorf("logged %d bytes, %d are allowed", logged, maxRefusedLogBytes)
+	}
+}
+
+// maxRefusedLogBytes bounds what a process logs of requests that it refuses at once, in bytes.
+const maxRefusedLogBytes = 4 << 20
+
 // TestOddRequestsWithinLimits checks that single requests at the operators' limits are served in calm.
 func TestOddRequestsWithinLimits(t *testing.T) {
 	e := startEdge(t)
--- a/internal/drive/edge.go
+++ b/internal/drive/edge.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bulrushpond.example/bulrushpond/internal/core/crash"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/match"
@@ -20,6 +22,12 @@
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
 
+const (
+	// maxRefusalLines is how many requests that are not admitted are logged in a second, and refusalLinesBurst how many at once.
+	maxRefusalLines   = 100
+	refusalLinesBurst = 1000
+)
+
 // InboundRequest is a caller's request, to be routed by its host and path.
 type InboundRequest struct {
 	engine.Origin
@@ -83,6 +91,10 @@
 
 	meter *Meter
 
+	// refusals limits the lines about requests that are not admitted, and unlogged counts those without a line.
+	refusals *rate.Limiter
+	unlogged atomic.Uint64
+
 	// connector probes servers, and proxies are the daemons that serve what this one does not reach.
 	connector engine.Connector
 	proxies   *proxies
@@ -112,7 +124,7 @@
 func NewEdge(log evlog.Log, streams *StreamExecutor, relaySender engine.Relay, relayState *relay.State, seed uint64, observer Observer, opts ...EdgeOption) *Edge {
 	e := &Edge{
 		log: log, streams: streams, relaySender: relaySender, relayState: relayState, rng: rand.New(rand.NewPCG(seed, 2)), observer: observer,
-		meter: NewMeter(), proxies: newProxies(),
+		meter: NewMeter(), proxies: newProxies(), refusals: rate.NewLimiter(maxRefusalLines, refusalLinesBurst),
 	}
 	e.ended, e.end = context.WithCancel(context.Background())
 	e.streamRelay, _ = relaySender.(engine.StreamRelay)
@@ -205,6 +217,9 @@
 	e.relayState.RetainServers(ids)
 }
 
+// UnloggedRefusals returns the number of requests that were not admitted and not logged.
+func (e *Edge) UnloggedRefusals() uint64 { return e.unlogged.Load() }
+
 // Meter returns the counters and histograms of the requests.
 func (e *Edge) Meter() *Meter { return e.meter }
 
@@ -232,6 +247,8 @@
 	// that the stream was assigned up to its last event.
 	longestPause time.Duration
 	epoch        model.Epoch
+	// unlogged is set if there are too many such requests to log each.
+	unlogged bool
 	// unread is set if the caller did not take its events in time.
 	unread bool
 	// proxied is set for a request of another daemon.
@@ -264,6 +281,7 @@
 	req.revision = table.Routing.Revision
 	rule, failure := e.admit(table, in)
 	if failure != nil {
+		req.unlogged = !e.refusals.Allow()
 		e.fail(req, out, failure)
 		return
 	}
@@ -454,6 +472,10 @@
 func (e *Edge) recordOutcome(req *requestState, outcome string, f *verdt.Error) {
 	e.observer.RequestEnded(req.in.Team, f)
 	e.meter.count(req, outcome, f)
+	if req.unlogged {
+		e.unlogged.Add(1)
+		return
+	}
 	fields := []any{
 		"rank", req.in.Priority, "request", req.in.ID, "outcome", outcome, "proxied", req.proxied, "revision", uint64(req.revision), "route", req.route, "service", req.service, "team", string(req.in.Team),
 		"server", req.server, "attempts", req.attempts, "events", req.eventCount,
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -18,8 +18,8 @@
 	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failedstore_history_skipped"
 	_EventName_4      = "peer_unreachable"
 	_EventLowerName_4 = "peer_unreachable"
-	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalledrequest_proxiedrequest_proxy_failedclients_limited"
-	_EventLowerName_5 = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalledrequest_proxiedrequest_proxy_failedclients_limited"
+	_EventName_5      = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalledrequest_proxiedrequest_proxy_failedclients_limitedrefusals_unlogged"
+	_EventLowerName_5 = "request_failedrequest_servedrequest_repeatedstream_openedstream_failedrequest_sentstream_stalledrequest_proxiedrequest_proxy_failedclients_limitedrefusals_unlogged"
 )
 
 var (
@@ -28,7 +28,7 @@
 	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314, 331, 346, 363, 378, 393}
 	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132, 143, 154, 175}
 	_EventIndex_4 = [...]uint8{0, 16}
-	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96, 111, 131, 146}
+	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96, 111, 131, 146, 163}
 )
 
 func (i Event) String() string {
@@ -47,7 +47,7 @@
 		return _EventName_3[_EventIndex_3[i]:_EventIndex_3[i+1]]
 	case i == 500:
 		return _EventName_4
-	case 600 <= i && i <= 609:
+	case 600 <= i && i <= 610:
 		i -= 600
 		return _EventName_5[_EventIndex_5[i]:_EventIndex_5[i+1]]
 	default:
@@ -126,9 +126,10 @@
 	_ = x[RequestProxied-(607)]
 	_ = x[RequestProxyFailed-(608)]
 	_ = x[ClientsLimited-(609)]
+	_ = x[RefusalsUnlogged-(610)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, WorkFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PlanFailed, TickFailed, StoreHistorySkipped, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed, ClientsLimited}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, WorkFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PlanFailed, TickFailed, StoreHistorySkipped, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed, ClientsLimited, RefusalsUnlogged}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:    DaemonStarted,
@@ -198,6 +199,7 @@
 	_EventName_5[96:111]:  RequestProxied,
 	_EventName_5[111:131]: RequestProxyFailed,
 	_EventName_5[131:146]: ClientsLimited,
+	_EventName_5[146:163]: RefusalsUnlogged,
 }
 
 var _EventLowerNameToValueMap = map[string]Event{
@@ -268,6 +270,7 @@
 	_EventLowerName_5[96:111]:  RequestProxied,
 	_EventLowerName_5[111:131]: RequestProxyFailed,
 	_EventLowerName_5[131:146]: ClientsLimited,
+	_EventLowerName_5[146:163]: RefusalsUnlogged,
 }
 
 var _EventNames = []string{
@@ -338,6 +341,7 @@
 	_EventName_5[96:111],
 	_EventName_5[111:131],
 	_EventName_5[131:146],
+	_EventName_5[146:163],
 }
 
 // EventString retrieves an enum value from the enum constants string name.
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -157,6 +157,8 @@
 	// ClientsLimited says how often clients of a port were refused or lost their connections since what they held together
 	// reached a limit.
 	ClientsLimited Event = 609
+	// RefusalsUnlogged says how many requests were refused without a line of their own.
+	RefusalsUnlogged Event = 610
 )
 
 // Log writes events to a logr.Logger.
