Keep small buffers in the kernel for clients

Callers would see a process end: on the platform, bytes that have arrived and were not read count as its memory, and 1,500 clients that send a megabyte behind a request that takes a while leave 204 MB unread, beside 122 MB of the process, where the smallest VM has 184. Cause: the kernel's default buffers, 128 KB a connection and more.

Change: listeners for clients have 16 KB for what arrives and 32 KB for what is sent, which the kernel doubles; connections inherit it. A body of 4 MB needs 1.6 s for a caller with a round trip of 6 ms by this bound, worked out and not measured; 20 s are allowed.

If a socket option fails, the daemon says so (work_failed) and goes on.

--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -5,11 +5,13 @@
 	"errors"
 	"log"
 	"math"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"syscall"
 	"time"
 
+	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
 
 	"bulrushpond.example/bulrushpond/internal/conns"
@@ -54,6 +56,11 @@
 	// memory is not limited, in bytes.
 	peersMemoryShare   = 0.0625
 	defaultPeersMemory = 64 << 20
+	// receiveBytes and sendBytes are how much the kernel keeps of what a client has sent and of what it has to get, in bytes,
+	// before it makes the client or the daemon wait. The kernel doubles them for its own use. What was not read counts as the
+	// daemon's memory.
+	receiveBytes = 16 << 10
+	sendBytes    = 32 << 10
 	// clientsInterval is how often the limits that were reached are logged.
 	clientsInterval = 10 * time.Second
 )
@@ -84,6 +91,24 @@
 	return int64(share * float64(memoryBytes))
 }
 
+// listenClients opens a port for clients, whose connections have small buffers in the kernel.
+func listenClients(ctx context.Context, l evlog.Log, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) error {
+		var err error
+		controlErr := socket.Control(func(fd uintptr) {
+			// Accepted connections inherit it.
+			err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes),
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBytes))
+		})
+		if err = errors.Join(err, controlErr); err != nil {
+			l.Error(err, evlog.WorkFailed, "part", "socket buffers of "+address)
+		}
+		return nil
+	}}
+	listener, err := config.Listen(ctx, "tcp", address)
+	return listener, trace.Wrap(err)
+}
+
 // processLimits returns the limits for what callers hold, from the limits of the process.
 func processLimits() conns.Limits {
 	limits := conns.Limits{Clients: maxCallers(processFDs()), Refused: refusedCallers, Bytes: defaultCallersMemory}
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -279,11 +279,11 @@
 	if d.server, err = peer.Listen(d.vm.PeersAddress, tlsConfig, d, peer.WithRequestMemory(shareOf(d.vm.MemoryBytes, peersMemoryShare, defaultPeersMemory)), peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", d.vm.CallersAddress)
+	callers, err := listenClients(context.Background(), d.deps.Log, d.vm.CallersAddress)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	readiness, err := net.Listen("tcp", d.vm.ReadinessAddress)
+	readiness, err := listenClients(context.Background(), d.deps.Log, d.vm.ReadinessAddress)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -293,7 +293,7 @@
 		portReadiness: conns.Limit(readiness, checkLimits, conns.WithHeadLimit(func() int { return platform.MaxCheckHeaderBytes })),
 	}
 	if metricsPort > 0 {
-		metrics, err := net.Listen("tcp", net.JoinHostPort(d.vm.IP, strconv.Itoa(int(metricsPort))))
+		metrics, err := listenClients(context.Background(), d.deps.Log, net.JoinHostPort(d.vm.IP, strconv.Itoa(int(metricsPort))))
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -135,11 +134,11 @@
 	if d.server, err = peer.Listen(d.file.Peers, tlsConfig, d, peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", d.file.Callers)
+	callers, err := listenClients(context.Background(), d.deps.Log, d.file.Callers)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	operators, err := net.Listen("tcp", d.file.Admin)
+	operators, err := listenClients(context.Background(), d.deps.Log, d.file.Admin)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/crowd/callers_test.go
+++ b/internal/crowd/callers_test.go
@@ -142,6 +142,13 @@
 	}})
 }
 
+// TestBytesBehindRequests sends bytes after a request that takes a while. They arrive and are not read meanwhile.
+func TestBytesBehindRequests(t *testing.T) {
+	e := startEdge(t, withUnreadBytes(), withServers(func(s *fakes.Server) { s.ServiceTime = 500 * time.Millisecond }))
+	text := requestHead(http.MethodGet, "/read/x") + "\r\n" + strings.Repeat("x", 1_000_000)
+	e.withstand(crowd{clients: 1500, address: e.callers, proper: true, behave: sendAndHold(text)})
+}
+
 // TestUnreadAnswers takes large answers of a plain service without reading them.
 func TestUnreadAnswers(t *testing.T) {
 	e := startEdge(t, withServers(func(s *fakes.Server) { s.AnswerBytes = 4_000_000 }))
--- a/internal/crowd/daemon_test.go
+++ b/internal/crowd/daemon_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -25,11 +26,8 @@
 )
 
 const (
-	// memoryMB and maxFDs are the limits that the settings of the processes state: half of the memory and about a seventh
-	// of the descriptors of the smallest VM. The process of a VM may use fileFDs of its descriptors for files only.
-	memoryMB = 92
-	maxFDs   = 600
-	fileFDs  = 200
+	// fileFDs are the descriptors that the process of a VM may use for files only.
+	fileFDs = 200
 	// maxTokens is the number of output tokens that streams may have.
 	maxTokens = 100_000
 	// apiKey is the key of the only team.
@@ -40,6 +38,12 @@
 	pollInterval = 10 * time.Millisecond
 )
 
+// Limits of the processes: those of the smallest VM, and half of its memory and about a seventh of its descriptors.
+var (
+	smallestVM = processLimits{memoryMB: 184, fds: 4100}
+	lowered    = processLimits{memoryMB: 92, fds: 600}
+)
+
 // binary is the program under test.
 var binary string
 
@@ -70,18 +74,22 @@
 	// peakSockets is the largest number of sockets and pipes seen so far, and logBytes what the process wrote to its
 	// standard output, in bytes.
 	peakSockets, logBytes atomic.Int64
+	// peakUnread is the largest number of bytes seen so far that had arrived at ports and were not read, if unreadPorts names
+	// any. The platform counts them as the process's memory.
+	peakUnread  atomic.Int64
+	unreadPorts []string
 	// maxSockets is the number of sockets and pipes that the process may have, and maxMemory its memory in bytes.
 	maxSockets int64
 	maxMemory  int64
 }
 
-// startProcess starts the program and watches it. It is killed at the end of the test. The output is read unless
-// leaveLog is set.
-func startProcess(t *testing.T, leaveLog bool, env []string, args ...string) *process {
+// startProcess starts the program with limits and watches it, and what is not read at some ports. It is killed at the end of the
+// test. The output is read unless leaveLog is set.
+func startProcess(t *testing.T, leaveLog bool, limits processLimits, unreadPorts, env []string, args ...string) *process {
 	t.Helper()
 	// The shell lowers the limit before the program reads it.
-	limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxFDs)
-	p := &process{t: t, cmd: exec.Command("sh", append([]string{"-c", limited, binary}, args...)...), ended: make(chan error, 1), maxSockets: maxFDs - fileFDs, maxMemory: memoryMB * 1e6}
+	limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, limits.fds)
+	p := &process{t: t, cmd: exec.Command("sh", append([]string{"-c", limited, binary}, args...)...), ended: make(chan error, 1), maxSockets: int64(limits.fds - fileFDs), maxMemory: int64(limits.memoryMB) * 1e6, unreadPorts: unreadPorts}
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stderr = os.Stderr
 	out, err := p.cmd.StdoutPipe()
@@ -128,6 +136,9 @@
 		if n := p.sockets(); n > p.peakSockets.Load() {
 			p.peakSockets.Store(n)
 		}
+		if n := unreadBytes(p.unreadPorts); n > p.peakUnread.Load() {
+			p.peakUnread.Store(n)
+		}
 		time.Sleep(pollInterval)
 	}
 }
@@ -146,6 +157,32 @@
 	return n
 }
 
+// unreadBytes returns the bytes that arrived at connections to ports on loopback and were not read.
+func unreadBytes(ports []string) (n int64) {
+	if len(ports) == 0 {
+		return 0
+	}
+	table, _ := os.ReadFile("/proc/net/tcp")
+	for _, line := range strings.Split(string(table), "\n") {
+		// The columns are the number, the local and the remote address, the state, and the bytes to send and to read.
+		columns := strings.Fields(line)
+		if len(columns) < 5 || columns[3] != establishedState {
+			continue
+		}
+		_, port, _ := strings.Cut(columns[1], ":")
+		_, unread, _ := strings.Cut(columns[4], ":")
+		local, err := strconv.ParseUint(port, 16, 16)
+		bytes, unreadErr := strconv.ParseInt(unread, 16, 64)
+		if err == nil && unreadErr == nil && slices.Contains(ports, strconv.FormatUint(local, 10)) {
+			n += bytes
+		}
+	}
+	return n
+}
+
+// establishedState is the state of an open connection in /proc/net/tcp.
+const establishedState = "01"
+
 // peakMemory returns the largest resident memory so far, in bytes.
 func (p *process) peakMemory() int64 {
 	p.t.Helper()
@@ -171,8 +208,9 @@
 	default:
 	}
 	memory := p.peakMemory()
-	p.t.Logf("at most %d MB, %d sockets and pipes", memory/1e6, p.peakSockets.Load())
-	assert.Check(p.t, memory <= p.maxMemory, "used %d MB of memory, %d are allowed", memory/1e6, p.maxMemory/1e6)
+	unread := p.peakUnread.Load()
+	p.t.Logf("at most %d MB, %d sockets and pipes, %d MB not read", memory/1e6, p.peakSockets.Load(), unread/1e6)
+	assert.Check(p.t, memory+unread <= p.maxMemory, "used %d MB of memory and %d MB not read, %d are allowed", memory/1e6, unread/1e6, p.maxMemory/1e6)
 	assert.Check(p.t, p.peakSockets.Load() <= p.maxSockets, "opened %d sockets and pipes, %d are allowed", p.peakSockets.Load(), p.maxSockets)
 }
 
@@ -190,6 +228,19 @@
 type edgeSetup struct {
 	adjustServer func(*fakes.Server)
 	leaveLog     bool
+	limits       processLimits
+	watchUnread  bool
+}
+
+// processLimits are the limits that the settings of a process state.
+type processLimits struct {
+	memoryMB, fds int
+}
+
+// withUnreadBytes gives the process the limits of the smallest VM, and watches the bytes that callers sent and that it has not
+// read.
+func withUnreadBytes() edgeOption {
+	return func(s *edgeSetup) { s.limits, s.watchUnread = smallestVM, true }
 }
 
 // withServers changes the backend servers before they serve.
@@ -203,7 +254,7 @@
 // startEdge starts an edge daemon and waits until it serves.
 func startEdge(t *testing.T, opts ...edgeOption) *edge {
 	t.Helper()
-	setup := edgeSetup{adjustServer: func(*fakes.Server) {}}
+	setup := edgeSetup{adjustServer: func(*fakes.Server) {}, limits: lowered}
 	for _, opt := range opts {
 		opt(&setup)
 	}
@@ -229,9 +280,13 @@
 	peersPort := portOf(t, e.peers)
 	text := fmt.Sprintf(
 		"nodeName=d\nip=127.0.0.1\nzone=a\nlisten.front=%s\nlisten.readiness=%s\ninternalPorts=%s,%s\nbootstrap=true\nheartbeatMs=1200\nplatform.address=%s\nlimits.cpuShare=1\nlimits.cores=1\nlimits.memoryMb=%d\nlimits.maxFds=%d\nbounds.graceS=4\nbounds.retryRatio=0.2\nbounds.retryWindowS=10\nbounds.retryBurst=20\n",
-		e.callers, e.readiness, peersPort, peersPort, p.Address(), memoryMB, maxFDs)
+		e.callers, e.readiness, peersPort, peersPort, p.Address(), setup.limits.memoryMB, setup.limits.fds)
 	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
-	e.process = startProcess(t, setup.leaveLog, []string{"BULRUSHPOND_NODE_FILE=" + settings}, "edge", "--metrics-port", portOf(t, e.metrics))
+	var watched []string
+	if setup.watchUnread {
+		watched = []string{portOf(t, e.callers)}
+	}
+	e.process = startProcess(t, setup.leaveLog, setup.limits, watched, []string{"BULRUSHPOND_NODE_FILE=" + settings}, "edge", "--metrics-port", portOf(t, e.metrics))
 	e.eventually("an ordinary request is answered", e.serves)
 	e.eventually("a stream is answered", e.streams)
 	return e
--- a/internal/crowd/own_test.go
+++ b/internal/crowd/own_test.go
@@ -45,12 +45,12 @@
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), "d0.yaml")
 	assert.NilError(t, os.WriteFile(path, raw, 0o600))
-	d.process = startProcess(t, false, []string{"GOMEMLIMIT=" + goMemoryLimit}, "serve", "--settings", path)
+	d.process = startProcess(t, false, lowered, nil, []string{"GOMEMLIMIT=" + goMemoryLimit}, "serve", "--settings", path)
 	d.eventually("an ordinary request is answered", d.serves)
 	return d
 }
 
-// goMemoryLimit is the memory limit of the Go runtime, 0.6 of memoryMB as with a VM's settings.
+// goMemoryLimit is the memory limit of the Go runtime, 0.6 of the lowered limit as with a VM's settings.
 const goMemoryLimit = "55200000B"
 
 // serves reports whether callers get an answer.
