Log that the process's limit of descriptors cannot be read

Found when reading the change: an error of getrlimit counted as no descriptors at all, without a line, and left 16 connections for callers. It is logged as `work_failed` now, and 1,024 are taken for granted. It was not seen to fail.

--- a/internal/boot/clients.go
+++ b/internal/boot/clients.go
@@ -36,6 +36,8 @@
 	// ownFDs are the descriptors that are left for what a daemon needs itself: the key-value service, other daemons, its
 	// listeners, readiness checks, metrics, and the refusal of callers.
 	ownFDs = 128
+	// defaultFDs is the number of descriptors that a process has if its limit cannot be read.
+	defaultFDs = 1024
 	// minCallers is how many callers may have connections however few descriptors there are.
 	minCallers = 16
 	// refusedCallers is how many more callers may have a connection, to be told that there is no room.
@@ -110,8 +112,8 @@
 }
 
 // processLimits returns the limits for what callers hold, from the limits of the process.
-func processLimits() conns.Limits {
-	limits := conns.Limits{Clients: maxCallers(processFDs()), Refused: refusedCallers, Bytes: defaultCallersMemory}
+func processLimits(l evlog.Log) conns.Limits {
+	limits := conns.Limits{Clients: maxCallers(processFDs(l)), Refused: refusedCallers, Bytes: defaultCallersMemory}
 	// A negative limit only reads it.
 	if memory := debug.SetMemoryLimit(-1); memory < math.MaxInt64 {
 		limits.Bytes = int64(callersMemoryShare / memoryLimitShare * float64(memory))
@@ -120,10 +122,11 @@
 }
 
 // processFDs returns the number of descriptors that the process may have open.
-func processFDs() int {
+func processFDs(l evlog.Log) int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return 0
+		l.Error(err, evlog.WorkFailed, "part", "limit of descriptors", "detail", defaultFDs)
+		return defaultFDs
 	}
 	return int(min(limit.Cur, math.MaxInt32))
 }
--- a/internal/boot/clients_test.go
+++ b/internal/boot/clients_test.go
@@ -26,16 +26,17 @@
 
 // TestClientLimits checks the limits of the smallest VM, and that they keep room for what a daemon needs itself.
 func TestClientLimits(t *testing.T) {
-	smallest := edgeLimits(platform.VMSettings{MaxFDs: 4100, MemoryBytes: 184e6})
+	log := NewLog(io.Discard, false)
+	smallest := edgeLimits(log, platform.VMSettings{MaxFDs: 4100, MemoryBytes: 184e6})
 	assert.Equal(t, smallest.Clients, 1886)
 	assert.Equal(t, smallest.Bytes, int64(36_800_000))
 	for _, maxFDs := range []int{600, 4100, 8192, 10592} {
-		limits := edgeLimits(platform.VMSettings{MaxFDs: maxFDs})
+		limits := edgeLimits(log, platform.VMSettings{MaxFDs: maxFDs})
 		served := 2*limits.Clients + limits.Refused + checkLimits.Clients + checkLimits.Refused + metricsLimits.Clients + metricsLimits.Refused
 		assert.Assert(t, served+ownFDs/4 <= maxFDs-fileFDs, "%d of %d", served, maxFDs)
 	}
-	assert.Equal(t, edgeLimits(platform.VMSettings{MaxFDs: 100}).Clients, minCallers)
-	assert.Equal(t, edgeLimits(platform.VMSettings{}).Bytes, int64(defaultCallersMemory))
+	assert.Equal(t, edgeLimits(log, platform.VMSettings{MaxFDs: 100}).Clients, minCallers)
+	assert.Equal(t, edgeLimits(log, platform.VMSettings{}).Bytes, int64(defaultCallersMemory))
 }
 
 // TestClientsLimitedIsLoggedOnce checks that a limit that acted is logged with the next report, and only then.
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -86,16 +86,16 @@
 }
 
 // edgeFDs returns the number of descriptors that a daemon on a VM may have open.
-func edgeFDs(vm platform.VMSettings) int {
+func edgeFDs(l evlog.Log, vm platform.VMSettings) int {
 	if vm.MaxFDs > 0 {
-		return min(processFDs(), vm.MaxFDs)
+		return min(processFDs(l), vm.MaxFDs)
 	}
-	return processFDs()
+	return processFDs(l)
 }
 
 // edgeLimits returns the limits for what callers hold.
-func edgeLimits(vm platform.VMSettings) conns.Limits {
-	return conns.Limits{Clients: maxCallers(edgeFDs(vm)), Refused: refusedCallers, Bytes: shareOf(vm.MemoryBytes, callersMemoryShare, defaultCallersMemory)}
+func edgeLimits(l evlog.Log, vm platform.VMSettings) conns.Limits {
+	return conns.Limits{Clients: maxCallers(edgeFDs(l, vm)), Refused: refusedCallers, Bytes: shareOf(vm.MemoryBytes, callersMemoryShare, defaultCallersMemory)}
 }
 
 // headLimit returns the operators' limit for the head of a request, in bytes.
@@ -238,7 +238,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
-	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d), platform.WithMaxConns(maxCallers(edgeFDs(vm))), platform.WithLongAnswersLimit(shareOf(vm.MemoryBytes, answersMemoryShare, defaultAnswersMemory)))...)
+	d.engines = platform.NewEngineClient(append(d.serverOptions, platform.WithObserver(d), platform.WithMaxConns(maxCallers(edgeFDs(deps.Log, vm))), platform.WithLongAnswersLimit(shareOf(vm.MemoryBytes, answersMemoryShare, defaultAnswersMemory)))...)
 	budget := func() *retry.Budget {
 		return retry.New(vm.RetryRatio, vm.RetryBurst, vm.RetryWindow, retry.WithShares())
 	}
@@ -289,7 +289,7 @@
 	}
 	d.vm.PeersAddress, d.vm.CallersAddress, d.vm.ReadinessAddress = d.server.Address(), callers.Addr().String(), readiness.Addr().String()
 	listeners := map[string]*conns.Listener{
-		portCallers:   conns.Limit(callers, edgeLimits(d.vm), conns.WithHeadLimit(d.headLimit)),
+		portCallers:   conns.Limit(callers, edgeLimits(d.deps.Log, d.vm), conns.WithHeadLimit(d.headLimit)),
 		portReadiness: conns.Limit(readiness, checkLimits, conns.WithHeadLimit(func() int { return platform.MaxCheckHeaderBytes })),
 	}
 	if metricsPort > 0 {
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -143,7 +143,7 @@
 		return trace.Wrap(err)
 	}
 	d.ports = newClientPorts(map[string]*conns.Listener{
-		portCallers: conns.Limit(callers, processLimits(), conns.WithHeadLimit(func() int { return front.MaxHeaderBytes })),
+		portCallers: conns.Limit(callers, processLimits(d.deps.Log), conns.WithHeadLimit(func() int { return front.MaxHeaderBytes })),
 		portAdmin:   conns.Limit(operators, adminLimits, conns.WithHeadLimit(func() int { return admin.MaxHeaderBytes })),
 	}, d.server)
 	return nil
