Count messages of other daemons by their elements, too

Whoever reaches the port for other daemons could end the process with whole messages: one of 2.7 MB with 891,000 elements of 3 bytes takes 40 bytes for each once it is decoded. Cause: the limit counted bytes, as with heads.

Change: before a message is decoded its data items are counted, without decoding it, and 32 bytes for each count for the request.

--- a/internal/crowd/ports_test.go
+++ b/internal/crowd/ports_test.go
@@ -3,8 +3,11 @@
 package crowd
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
+	ints "encoding/binary"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -197,6 +200,38 @@
 	})
 }
 
+// TestPeerMessagesOfManyElements sends whole requests with arrays of many small elements, each of which takes much more once it is
+// decoded.
+func TestPeerMessagesOfManyElements(t *testing.T) {
+	e := startEdge(t)
+	transport := newTransport(t)
+	const ranks, loads = 27, 33_000
+	var message bytes.Buffer
+	// A request to the hub (6) with a status (2) that has ranks (10) with loads (2).
+	message.Write([]byte{0xa1, 6, 0xa1, 2, 0xa1, 10, 0x98, ranks})
+	for range ranks {
+		message.Write([]byte{0xa1, 2, 0x9a})
+		message.Write(ints.BigEndian.AppendUint32(nil, loads))
+		message.Write(bytes.Repeat([]byte{0xa1, 1, 1}, loads))
+	}
+	e.withstandPeers(1, func(ctx context.Context) {
+		conn, err := e.dialPeer(ctx, transport)
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.CloseWithError(0, "") }()
+		stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(0, "") })
+		defer stop()
+		stream, err := conn.OpenStreamSync(ctx)
+		if err != nil {
+			return
+		}
+		if _, err := stream.Write(message.Bytes()); err == nil && stream.Close() == nil {
+			_, _ = io.Copy(io.Discard, stream)
+		}
+	})
+}
+
 func TestJunkAtPeers(t *testing.T) {
 	e := startEdge(t)
 	e.withstandPeers(20, func(ctx context.Context) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -154,6 +154,40 @@
 	return q, trace.Wrap(codec.dec.Unmarshal(raw, &q))
 }
 
+// countItems returns the number of data items of a CBOR message, or of its beginning if it is malformed.
+func countItems(raw []byte) int {
+	const (
+		majorShift, infoMask    = 5, 0x1f
+		byteString, textString  = 2, 3
+		firstLength, lastLength = 24, 27
+	)
+	items := 0
+	for i := 0; i < len(raw); items++ {
+		major, info := raw[i]>>majorShift, raw[i]&infoMask
+		i++
+		argument := uint64(info)
+		switch {
+		case info > lastLength:
+			argument = 0
+		case info >= firstLength:
+			argument = 0
+			for range 1 << (info - firstLength) {
+				if i < len(raw) {
+					argument = argument<<8 | uint64(raw[i])
+				}
+				i++
+			}
+		}
+		if major == byteString || major == textString {
+			if argument > uint64(len(raw)) {
+				return items + 1
+			}
+			i += int(argument)
+		}
+	}
+	return items
+}
+
 // writeMessage encodes a message and writes it.
 func writeMessage(w io.Writer, v any) error {
 	codec, err := sharedCodec()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -43,6 +43,8 @@
 	maxDropped = 16
 	// requestBytes is about the memory of a request beside its message.
 	requestBytes = 8 << 10
+	// itemBytes is about the memory of a data item of a message that was decoded, beside its bytes.
+	itemBytes = 32
 	// defaultRequestMemory is what requests may take together, in bytes: two of the longest messages.
 	defaultRequestMemory = 4 * maxMessageBytes
 	// A connection of another daemon may send this many bytes that were not read yet, in bytes: what arrives out of order
@@ -280,5 +282,9 @@
 	if err != nil {
 		return Request{}, err
 	}
+	// A message takes memory by its elements, and not only by its bytes.
+	if err := client.Take(itemBytes * int64(countItems(raw))); err != nil {
+		return Request{}, trace.Wrap(err)
+	}
 	return DecodeRequest(raw)
 }
