Test heads of many small fields in servers' answers

Asked of what reads engines' answers, as of clients: 500 requests at once to servers whose answers have 6,000 fields, 54 KB.

--- a/internal/crowd/callers_test.go
+++ b/internal/crowd/callers_test.go
@@ -149,6 +149,17 @@
 	e.withstand(crowd{clients: 1500, address: e.callers, proper: true, behave: sendAndHold(text)})
 }
 
+// TestServersWithManySmallFields sends ordinary requests at once to servers whose answers have heads of many small fields.
+func TestServersWithManySmallFields(t *testing.T) {
+	e := startEdge(t, withServers(func(s *fakes.Server) {
+		if s.Kind == "" {
+			s.ServiceTime, s.HeaderFields = 500*time.Millisecond, 6000
+		}
+	}))
+	text := requestHead(http.MethodPost, "/book/visit") + "Content-Length: 7\r\n\r\nat nine"
+	e.withstand(crowd{clients: manyClients, address: e.callers, proper: true, receiveBuffer: 4096, behave: sendUnread(text)})
+}
+
 // TestUnreadAnswers takes large answers of a plain service without reading them.
 func TestUnreadAnswers(t *testing.T) {
 	e := startEdge(t, withServers(func(s *fakes.Server) { s.AnswerBytes = 4_000_000 }))
