--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -36,7 +36,7 @@
 	// maxRequests is how many requests of other daemons may be read or served at a time.
 	maxRequests = 2048
 	// maxReading is how many requests may be read from one connection at a time. A daemon sends a request at once, so one with
-	// more does not behave; its connection is closed.
+	// more is broken or hostile; its connection is closed.
 	maxReading = 128
 	// maxDropped is how many requests of one connection may be dropped for want of room before it is closed. A stream that was
 	// dropped takes memory until the other side ends it, too.
