Review stand-ins: look for free ports on loopback addresses only

Cause: the free ports were found by listening on all addresses, also those that are not loopback ones. Change: they are taken from the addresses of the daemons.

--- a/review/stand2/rig.go
+++ b/review/stand2/rig.go
@@ -155,20 +155,41 @@
 	return r, nil
 }
 
-// freePorts returns ports that are free on all addresses now.
+// freePorts returns ports that are free on the addresses of all daemons now.
 func freePorts() daemonPorts {
-	var ports [5]int
-	for i := range ports {
-		l, err := net.Listen("tcp", "0.0.0.0:0")
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			_ = l.Close()
+		}
+	}()
+	var ports []int
+	for len(ports) < 5 {
+		first, err := net.Listen("tcp", daemonIP(1)+":0")
 		if err != nil {
-			continue
+			return daemonPorts{}
+		}
+		held = append(held, first)
+		port, free := first.Addr().(*net.TCPAddr).Port, true
+		for n := 2; n <= maxDaemons && free; n++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", daemonIP(n), port))
+			if free = err == nil; free {
+				held = append(held, l)
+			}
+		}
+		if free {
+			ports = append(ports, port)
 		}
-		defer func() { _ = l.Close() }()
-		ports[i] = l.Addr().(*net.TCPAddr).Port
 	}
 	return daemonPorts{front: ports[0], readiness: ports[1], control: ports[2], peers: ports[3], metrics: ports[4]}
 }
 
+// maxDaemons bounds the daemons of a rig.
+const maxDaemons = 8
+
+// daemonIP returns the loopback address of a daemon, counted from 1.
+func daemonIP(n int) string { return fmt.Sprintf("127.0.0.%d", 20+n) }
+
 // configure writes the operators' configuration.
 func (r *rig) configure(version int, routes []map[string]any, services ...map[string]any) error {
 	raw, err := json.Marshal(map[string]any{
@@ -196,7 +217,7 @@
 // addDaemon adds a daemon that uses the store at an address, without starting it.
 func (r *rig) addDaemon(storeAddress string) *daemon {
 	n := len(r.daemons) + 1
-	d := &daemon{rig: r, name: fmt.Sprintf("d%d", n), ip: fmt.Sprintf("127.0.0.%d", 20+n), storeAddress: storeAddress}
+	d := &daemon{rig: r, name: fmt.Sprintf("d%d", n), ip: daemonIP(n), storeAddress: storeAddress}
 	r.daemons = append(r.daemons, d)
 	return d
 }
