Tell a reset within an answer from its end

Cause: the kernel reports a reset once, to a read or to a write. With a write in progress, the write mostly gets ECONNRESET, and the read beside it finds the end of the connection, which ends an answer without a length.

internal/answer.Conn keeps what writes found. A read at the end of the connection fails if a write got ECONNRESET; if the kernel says that the connection is closed, it waits for a write in progress, which ends at once. An end without a reset (the connection is half closed, or the write got EPIPE) stays an end, so answers that end with their connection pass.

--- /dev/null
+++ b/internal/answer/conn.go
@@ -0,0 +1,100 @@
+// Package answer holds what all clients of HTTP servers share to tell a whole answer from a broken one, where net/http does not.
+package answer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrReset is returned by reads from a connection that the server reset, if a write got the error of the kernel. It wraps ECONNRESET.
+var ErrReset = fmt.Errorf("the server reset the connection: %w", syscall.ECONNRESET)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a dial function whose connections are of type *Conn.
+func Dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
+// Conn is a connection to a server. Its reads return io.EOF only if the server ended the connection, and an error that wraps ECONNRESET if it reset it.
+//
+// The kernel reports a reset to one read or write only. If a write gets it, reads find the end of the connection, and an answer
+// that ends with it seems to be whole.
+type Conn struct {
+	net.Conn
+
+	// writing is held by writes.
+	writing sync.Mutex
+	// resetSeen is set once a write has failed since the connection was reset; guarded by writing.
+	resetSeen bool
+}
+
+// NewConn returns a connection to a server.
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+// Read implements io.Reader.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.wasReset() {
+		err = ErrReset
+	}
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	// Writes fail with EPIPE instead if the server had ended the connection before.
+	c.resetSeen = c.resetSeen || errors.Is(err, syscall.ECONNRESET)
+	return n, err
+}
+
+// wasReset reports, after a read has returned io.EOF, whether the connection was reset.
+func (c *Conn) wasReset() bool {
+	if tcpState(c.Conn) == tcpClosed {
+		// A write that is in progress ends at once.
+		c.writing.Lock()
+	} else if !c.writing.TryLock() {
+		return false
+	}
+	defer c.writing.Unlock()
+	return c.resetSeen
+}
+
+// tcpClosed is the state of a connection that was reset, in the kernel's numbering (TCP_CLOSE).
+const tcpClosed = 7
+
+// tcpState returns the state of a TCP connection, 0 if it is not known.
+func tcpState(conn net.Conn) uint8 {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rawConn, err := raw.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var state uint8
+	_ = rawConn.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	return state
+}
--- /dev/null
+++ b/internal/answer/stubs/stubs.go
@@ -0,0 +1,110 @@
+// Package stubs has servers for tests that answer with given bytes, whole or broken, and end their connections in a given way.
+package stubs
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Tries is how often a test has a server end a connection while a client writes to it, since the client may notice that by a read or by a
+// write.
+const Tries = 10
+
+// LongUploadBytes is more than the socket buffers of both sides hold, so that a server that does not read blocks its client.
+const LongUploadBytes = 16 << 20
+
+// serveDelay is the time between an answer and the end of its connection, so that the client has begun to read it.
+const serveDelay = 2 * time.Millisecond
+
+// EndFunc ends a connection. The reader stands behind what was read of the request.
+type EndFunc func(r *bufio.Reader, conn *net.TCPConn)
+
+// Serve starts a server that runs script on each connection and closes it then.
+func Serve(t testing.TB, script EndFunc) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(bufio.NewReader(conn), conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// ServeEarly starts a server that answers a request once it has read its head, and then calls end.
+func ServeEarly(t testing.TB, answer string, end EndFunc) (address string) {
+	t.Helper()
+	return Serve(t, func(r *bufio.Reader, conn *net.TCPConn) {
+		if !readHead(r) {
+			return
+		}
+		_, _ = io.WriteString(conn, answer)
+		time.Sleep(serveDelay)
+		end(r, conn)
+	})
+}
+
+// readHead reads the head of a request, and reports whether it was whole.
+func readHead(r *bufio.Reader) bool {
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if line == "\r\n" {
+			return true
+		}
+	}
+}
+
+// ServeBytes starts a server that answers each request on a connection with the same bytes, whatever they are, and closes the connection once
+// the client has sent all requests.
+func ServeBytes(t testing.TB, answer string) (address string) {
+	t.Helper()
+	return Serve(t, func(r *bufio.Reader, conn *net.TCPConn) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// Reset resets a connection.
+func Reset(_ *bufio.Reader, conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// EndAndReset ends a connection, and resets it once the end has reached the client.
+func EndAndReset(r *bufio.Reader, conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	time.Sleep(10 * serveDelay)
+	Reset(r, conn)
+}
+
+// EndAndRead ends the sending side of a connection and reads what is left of the request.
+func EndAndRead(r *bufio.Reader, conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, r)
+}
--- /dev/null
+++ b/internal/engine/broken_test.go
@@ -0,0 +1,76 @@
+package engine
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/internal/answer/stubs"
+	"bulrushpond.example/bulrushpond/pkg/model"
+	"bulrushpond.example/bulrushpond/pkg/verdt"
+)
+
+// longCall returns a call with a body that takes long to send.
+func longCall(method, address string) Call {
+	return Call{Address: address, Method: method, Path: "/", Body: bytes.Repeat([]byte("b"), stubs.LongUploadBytes)}
+}
+
+// longStream returns a stream whose request takes long to send.
+func longStream(address string) Stream {
+	return Stream{Route: model.Route{Hops: []model.Hop{{Server: "e0", Address: address}}}, Prompt: string(bytes.Repeat([]byte("b"), stubs.LongUploadBytes))}
+}
+
+// TestResetDuringUploadIsNoEnd guards against answers without a length that pass for complete though the connection was reset
+// while the request was still being sent.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	for _, answer := range []string{"HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.0 200 OK\r\n\r\npart", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 500 Oops\r\n\r\npart"} {
+		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut} {
+			t.Run(method, func(t *testing.T) {
+				t.Parallel()
+				address := stubs.ServeEarly(t, answer, stubs.Reset)
+				client := NewHTTPClient()
+				for range stubs.Tries {
+					got, err := client.Do(t.Context(), longCall(method, address))
+					assert.Assert(t, err != nil, "%q passes for an answer", got.Body)
+					assert.Assert(t, verdt.AsError(err, verdt.NotRun).Verdict != verdt.NotRun)
+				}
+			})
+		}
+	}
+	t.Run("stream", func(t *testing.T) {
+		t.Parallel()
+		// The end token is missing, whichever way the connection ends.
+		address := stubs.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\n{\"position\":0,\"text\":\"a\"}\n", stubs.Reset)
+		for range stubs.Tries {
+			err := NewHTTPClient().Open(t.Context(), longStream(address), func(model.Token) {})
+			assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun)
+		}
+	})
+}
+
+// TestEndDuringUploadIsAnEnd guards against a check for resets that refuses answers that end with their connection.
+func TestEndDuringUploadIsAnEnd(t *testing.T) {
+	body := string(bytes.Repeat([]byte("whole"), 1<<15))
+	for name, end := range map[string]stubs.EndFunc{"read on": stubs.EndAndRead, "reset after the end": stubs.EndAndReset} {
+		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut} {
+			t.Run(name+"/"+method, func(t *testing.T) {
+				t.Parallel()
+				address := stubs.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\n"+body, end)
+				for range stubs.Tries {
+					got, err := NewHTTPClient().Do(t.Context(), longCall(method, address))
+					assert.NilError(t, err)
+					assert.Assert(t, string(got.Body) == body, "%d bytes", len(got.Body))
+				}
+			})
+		}
+		t.Run(name+"/stream", func(t *testing.T) {
+			t.Parallel()
+			address := stubs.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\n{\"position\":0,\"end\":true}\n", end)
+			for range stubs.Tries {
+				assert.NilError(t, NewHTTPClient().Open(t.Context(), longStream(address), func(model.Token) {}))
+			}
+		})
+	}
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -16,6 +16,7 @@
 
 	jsonv2 "github.com/go-json-experiment/json"
 
+	"bulrushpond.example/bulrushpond/internal/answer"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
@@ -37,7 +38,7 @@
 func NewHTTPClient() *HTTPClient {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &HTTPClient{client: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         answer.Dialer(dialer.DialContext),
 		MaxIdleConnsPerHost: 64,
 	}}}
 }
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -16,6 +16,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bulrushpond.example/bulrushpond/internal/answer"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -41,7 +42,7 @@
 
 // NewHTTPClient returns a client of the service at an address, given as "IP:port".
 func NewHTTPClient(address string) *HTTPClient {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns}
+	transport := &http.Transport{DialContext: answer.Dialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConns}
 	return &HTTPClient{base: "http://" + address, client: &http.Client{Transport: transport}}
 }
 
