Read answers of the own interface to their end before they count

An answer that broke off behind its value, or was reset, or held other bytes there, counted: a write as done, a conflict or refusal as the promise that nothing was done, an order as accepted, a failure with a JSON body as a report.

internal/answer.ReadAll and Discard, which platform/ had as readBounded, read a body to its end, within a bound; internal/engine and internal/plat use them for reports, orders, cancelled requests, refused streams, lists and all calls of the key-value service. Only a whole answer counts; otherwise the call may have run. A stream needs no such check: its end token says that it is whole.

The cases with whole answers, also those that end with their connection, passed before and pass now.

--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -74,3 +74,51 @@
 		})
 	}
 }
+
+// TestBrokenAnswerIsNoPromise guards against answers that are not whole and pass for a report, for an order that was accepted, or for the promise
+// that a request has not run; and against a check that refuses whole ones.
+func TestBrokenAnswerIsNoPromise(t *testing.T) {
+	report := func(h *HTTPClient, address string) error {
+		_, err := h.Report(t.Context(), address)
+		return err
+	}
+	order := func(h *HTTPClient, address string) error { return h.Order(t.Context(), address, Order{}) }
+	cancel := func(h *HTTPClient, address string) error { return h.Cancel(t.Context(), address, 1, 1) }
+	open := func(h *HTTPClient, address string) error {
+		return h.Open(t.Context(), Stream{Route: model.Route{Hops: []model.Hop{{Server: "e0", Address: address}}}}, func(model.Token) {})
+	}
+	mayHaveRun, ran, notRun := verdt.MayHaveRun, verdt.Ran, verdt.NotRun
+	for _, s := range []struct {
+		name, answer string
+		call         func(h *HTTPClient, address string) error
+		// want is nil if the call succeeds.
+		want *verdt.Verdict
+	}{
+		{"report", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", report, nil},
+		{"report that ends with its connection", "HTTP/1.1 200 OK\r\n\r\n{}", report, nil},
+		{"report, cut behind its value", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", report, &mayHaveRun},
+		{"report, cut before its last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", report, &mayHaveRun},
+		{"report with other bytes", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}...    ", report, &ran},
+		{"failure instead of a report", "HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\n{}", report, &mayHaveRun},
+		{"order", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", order, nil},
+		{"order, cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", order, &mayHaveRun},
+		{"refused order", "HTTP/1.1 409 No\r\nContent-Length: 2\r\n\r\nno", order, &notRun},
+		{"refused order, cut", "HTTP/1.1 409 No\r\nContent-Length: 9\r\n\r\nno", order, &mayHaveRun},
+		{"cancelled", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", cancel, nil},
+		{"cancelled, cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", cancel, &mayHaveRun},
+		{"refused stream", "HTTP/1.1 409 No\r\nContent-Length: 2\r\n\r\nno", open, &notRun},
+		{"refused stream, ends with its connection", "HTTP/1.1 409 No\r\n\r\nno", open, &notRun},
+		{"refused stream, cut", "HTTP/1.1 409 No\r\nContent-Length: 9\r\n\r\nno", open, &mayHaveRun},
+		{"refused stream, cut in its last chunk", "HTTP/1.1 409 No\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n", open, &mayHaveRun},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			err := s.call(NewHTTPClient(), stubs.ServeEarly(t, s.answer, stubs.EndAndRead))
+			if s.want == nil {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Assert(t, err != nil)
+			assert.Equal(t, verdt.AsError(err, verdt.Ran).Verdict, *s.want, "%v", err)
+		})
+	}
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -22,8 +22,12 @@
 )
 
 const (
-	// maxLineBytes bounds a line of a stream and a status report.
+	// maxLineBytes bounds a line of a stream.
 	maxLineBytes = 1 << 20
+	// maxReportBytes bounds a status report.
+	maxReportBytes = 1 << 20
+	// maxUnusedBytes bounds a body of which only the status counts.
+	maxUnusedBytes = 64 << 10
 	// maxResponseBytes bounds the response body of a plain service.
 	maxResponseBytes = 8 << 20
 	dialTimeout      = time.Second
@@ -61,7 +65,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return verdt.New(verdictOfStatus(resp.StatusCode), verdt.StageFailed, fmt.Sprintf("engine answered %d", resp.StatusCode), verdt.Server(string(firstHop.Server)))
+		if err := answer.Discard(resp.Body, maxUnusedBytes); err != nil {
+			return transportError(err, string(firstHop.Server))
+		}
+		return statusError(resp.StatusCode, string(firstHop.Server))
 	}
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(make([]byte, 4096), maxLineBytes)
@@ -81,6 +88,11 @@
 	return verdt.New(verdt.MayHaveRun, verdt.StageFailed, "engine ended the stream early", verdt.Server(string(firstHop.Server)))
 }
 
+// statusError returns the error of a whole answer with another status than 200.
+func statusError(status int, server string) *verdt.Error {
+	return verdt.New(verdictOfStatus(status), verdt.StageFailed, fmt.Sprintf("engine answered %d", status), verdt.Server(server))
+}
+
 // verdictOfStatus returns the verdict for an engine's error status: only a 4xx status
 // shows that the request didn't run.
 func verdictOfStatus(status int) verdt.Verdict {
@@ -118,7 +130,14 @@
 		return r, transportError(err, server)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLineBytes)).Decode(&r); err != nil {
+	raw, err := answer.ReadAll(resp.Body, maxReportBytes)
+	if err != nil {
+		return r, transportError(err, server)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return r, statusError(resp.StatusCode, server)
+	}
+	if err := json.Unmarshal(raw, &r); err != nil {
 		return r, verdt.New(verdt.Ran, verdt.StageFailed, "engine sent a malformed report", verdt.Server(server))
 	}
 	return r, nil
@@ -131,8 +150,11 @@
 		return transportError(err, server)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := answer.Discard(resp.Body, maxUnusedBytes); err != nil {
+		return transportError(err, server)
+	}
 	if resp.StatusCode != http.StatusOK {
-		return verdt.New(verdictOfStatus(resp.StatusCode), verdt.StageFailed, fmt.Sprintf("engine answered %d", resp.StatusCode), verdt.Server(server))
+		return statusError(resp.StatusCode, server)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/plat/broken_test.go
@@ -0,0 +1,71 @@
+package plat
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpond.example/bulrushpond/internal/answer/stubs"
+	"bulrushpond.example/bulrushpond/pkg/model"
+)
+
+// TestResetOfLongWrite guards against writes that pass for done, or for refused, though the connection was reset within the answer.
+func TestResetOfLongWrite(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\n\r\n{\"revision\":7}"
+	op := model.CAS{Key: "k", Value: bytes.Repeat([]byte("v"), stubs.LongUploadBytes)}
+	address := stubs.ServeEarly(t, answer, stubs.Reset)
+	for range stubs.Tries {
+		_, outcome := NewHTTPClient(address).CAS(t.Context(), op)
+		assert.Equal(t, outcome, model.Unknown)
+	}
+	for _, end := range []stubs.EndFunc{stubs.EndAndRead, stubs.EndAndReset} {
+		whole := stubs.ServeEarly(t, answer, end)
+		for range stubs.Tries {
+			revision, outcome := NewHTTPClient(whole).CAS(t.Context(), op)
+			assert.Equal(t, outcome, model.Done)
+			assert.Equal(t, revision, uint64(7))
+		}
+	}
+}
+
+// TestBrokenAnswerIsUnknown guards against answers of the key-value service that count though they are not whole, and against a check for that
+// which refuses whole ones.
+func TestBrokenAnswerIsUnknown(t *testing.T) {
+	for _, s := range []struct {
+		name, answer string
+		want         model.Outcome
+	}{
+		{"done", "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":7}", model.Done},
+		{"done, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n{\"revision\":7}\r\n0\r\n\r\n", model.Done},
+		{"done, with blanks", "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"revision\":7} \n", model.Done},
+		{"done, ends with its connection", "HTTP/1.1 200 OK\r\n\r\n{\"revision\":7}", model.Done},
+		{"done, cut behind its value", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"revision\":7}", model.Unknown},
+		{"done, cut before its last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n{\"revision\":7}\r\n", model.Unknown},
+		{"done, cut in its last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n{\"revision\":7}\r\n0\r\n", model.Unknown},
+		{"done, with other bytes", "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{\"revision\":7}...", model.Unknown},
+		{"conflict", "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}", model.Conflict},
+		{"conflict, cut", "HTTP/1.1 409 Conflict\r\nContent-Length: 9\r\n\r\n{}", model.Unknown},
+		{"refused", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", model.Refused},
+		{"refused, cut", "HTTP/1.1 503 Busy\r\nContent-Length: 9\r\n\r\nbusy", model.Unknown},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			_, outcome := NewHTTPClient(stubs.ServeEarly(t, s.answer, stubs.EndAndRead)).CAS(t.Context(), model.CAS{Key: "k"})
+			assert.Equal(t, outcome, s.want)
+		})
+	}
+}
+
+// TestBrokenListIsNoList guards against membership lists that are not whole.
+func TestBrokenListIsNoList(t *testing.T) {
+	for answer, whole := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n[{\"ID\":\"a\"": false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n[{\"id\":\"a\"}]":    false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n[{\"id\":\"a\"}]":    true,
+		"HTTP/1.1 200 OK\r\n\r\n[{\"id\":\"a\"}]":                          true,
+	} {
+		members, err := NewHTTPClient(stubs.ServeEarly(t, answer, stubs.EndAndRead)).List(t.Context())
+		assert.Equal(t, err == nil, whole, "%q: %v", answer, err)
+		assert.Equal(t, len(members) == 1, whole)
+	}
+}
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -117,8 +117,12 @@
 	default:
 		return nil, trace.ConnectionProblem(nil, "fetching the membership list: unexpected status %d", resp.StatusCode)
 	}
+	raw, err := answer.ReadAll(resp.Body, maxMemberListBytes)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "reading the membership list")
+	}
 	var members []model.Member
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxMemberListBytes)).Decode(&members); err != nil {
+	if err := json.Unmarshal(raw, &members); err != nil {
 		return nil, trace.BadParameter("decoding the membership list: %s", err.Error())
 	}
 	h.mu.Lock()
@@ -165,6 +169,10 @@
 		return outcomeOfTransportError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	raw, err := answer.ReadAll(resp.Body, maxResponseBytes)
+	if err != nil {
+		return model.Unknown
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusConflict:
@@ -174,7 +182,7 @@
 	default:
 		return model.Unknown
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(response); err != nil {
+	if err := json.Unmarshal(raw, response); err != nil {
 		return model.Unknown
 	}
 	return model.Done
