Refuse answers whose status is none of HTTP

Cause: net/http takes any three characters that are a number of at least 0 for a status, +99 and 000 included, and 101 for a final answer; no client here looked at it before it used the answer. A signed 000 did not reach callers of the platform's interface.

internal/answer.Conn looks at the status line as it arrives and fails the read of a status outside 100 to 599, or of 101, since no request asks for another protocol. net/http then fails the exchange and closes the connection, before the answer could be taken or the connection pooled; that holds for heads behind interim answers, too. answer.Transport says when the next head is due. All HTTP clients use it: model engines and services, their reports and orders, and the key-value service and lists, on both interfaces. 600 and more is refused as well: the protocol knows no such status.

TestStatusOutOfRangeIsUnknown (./internal/plat) passed before: there it was handled.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -19,19 +19,23 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dialer returns a dial function whose connections are of type *Conn.
+// Dialer returns a dial function whose connections are of type *Conn, or embed one.
 func Dialer(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
+		if _, ok := conn.(exchangeConn); ok {
+			return conn, nil
+		}
 		return NewConn(conn), nil
 	}
 }
 
-// Conn is a connection to a server. Its reads return io.EOF only if the server ended the connection, and an error that wraps ECONNRESET if it reset it.
+// Conn is a connection to a server. Its reads fail within the head of an answer that breaks HTTP where net/http takes it.
 //
+// They return io.EOF only if the server ended the connection, and an error that wraps ECONNRESET if it reset it.
 // The kernel reports a reset to one read or write only. If a write gets it, reads find the end of the connection, and an answer
 // that ends with it seems to be whole.
 type Conn struct {
@@ -41,6 +45,8 @@
 	writing sync.Mutex
 	// resetSeen is set once a write has failed since the connection was reset; guarded by writing.
 	resetSeen bool
+	// head checks what is read. Only the goroutine that reads uses it.
+	head headCheck
 }
 
 // NewConn returns a connection to a server.
@@ -48,13 +54,22 @@
 
 // Read implements io.Reader.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.head.failure != nil {
+		return 0, c.head.failure
+	}
 	n, err := c.Conn.Read(b)
+	if valid, headErr := c.head.check(b[:n]); headErr != nil {
+		return valid, headErr
+	}
 	if errors.Is(err, io.EOF) && c.wasReset() {
 		err = ErrReset
 	}
 	return n, err
 }
 
+// expectHead prepares for the next answer. No read may be in progress.
+func (c *Conn) expectHead() { c.head.expect() }
+
 // Write implements io.Writer.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
--- /dev/null
+++ b/internal/answer/head.go
@@ -0,0 +1,115 @@
+package answer
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"strconv"
+)
+
+// ErrStatus is returned for an answer whose status is none of HTTP, or that switches protocols, which no client here asks for.
+var ErrStatus = errors.New("the status of the answer is none of HTTP")
+
+const (
+	// maxStatusBytes is how many bytes of a status line are kept. The status is within them.
+	maxStatusBytes = 64
+	// statusDigits is the length of a status, and maxStatus the highest one.
+	statusDigits = 3
+	maxStatus    = 599
+)
+
+// headPart is a part of an answer.
+type headPart uint8
+
+const (
+	statusLine headPart = iota
+	lineStart
+	fieldLine
+	afterHead
+)
+
+// headCheck checks the bytes of the heads of an answer and of the interim (1xx) answers before it, as they arrive. It leaves to net/http what
+// net/http checks. The zero value expects a head.
+type headCheck struct {
+	part headPart
+	// status holds the beginning of the status line, up to statusBytes.
+	status      [maxStatusBytes]byte
+	statusBytes int
+	// interim is set in the head of an interim answer.
+	interim bool
+	// failure is what is wrong with the head.
+	failure error
+}
+
+// expect prepares for the head of the next answer.
+func (h *headCheck) expect() { *h = headCheck{} }
+
+// check checks the next bytes of an answer. If they break its head, it sets failure and returns it, with how many of them come before.
+func (h *headCheck) check(b []byte) (valid int, err error) {
+	for valid < len(b) && h.part != afterHead && h.failure == nil {
+		valid += h.checkPart(b[valid:])
+	}
+	if h.failure != nil {
+		return valid, h.failure
+	}
+	return len(b), nil
+}
+
+// checkPart checks the bytes that belong to the current part, and returns their number.
+func (h *headCheck) checkPart(b []byte) int {
+	end := bytes.IndexByte(b, '\n')
+	switch h.part {
+	case statusLine:
+		line := b
+		if end >= 0 {
+			line = b[:end]
+		}
+		h.statusBytes += copy(h.status[h.statusBytes:], line)
+		if end < 0 {
+			return len(b)
+		}
+		if h.failure = h.endStatusLine(); h.failure != nil {
+			return end
+		}
+		h.part = lineStart
+		return end + 1
+	case lineStart:
+		return h.startLine(b)
+	case fieldLine:
+		if end < 0 {
+			return len(b)
+		}
+		h.part = lineStart
+		return end + 1
+	case afterHead:
+	}
+	return len(b)
+}
+
+// endStatusLine checks the status.
+func (h *headCheck) endStatusLine() error {
+	_, rest, _ := bytes.Cut(bytes.TrimRight(h.status[:h.statusBytes], "\r"), []byte(" "))
+	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.ParseUint(string(text), 10, 16)
+	if err != nil || len(text) != statusDigits || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return ErrStatus
+	}
+	h.interim = status < http.StatusOK
+	return nil
+}
+
+// startLine takes the first byte of a line of the head. A line that is blank ends the head.
+func (h *headCheck) startLine(b []byte) int {
+	switch {
+	case b[0] == '\r':
+		// An LF follows, or net/http refuses the line.
+	case b[0] == '\n' && h.interim:
+		h.expect()
+	case b[0] == '\n':
+		h.part = afterHead
+	default:
+		h.part = fieldLine
+		return 0
+	}
+	return 1
+}
--- a/internal/answer/stubs/stubs.go
+++ b/internal/answer/stubs/stubs.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,10 +73,11 @@
 	}
 }
 
-// ServeBytes starts a server that answers each request on a connection with the same bytes, whatever they are, and closes the connection once
-// the client has sent all requests.
-func ServeBytes(t testing.TB, answer string) (address string) {
+// ServeBytes starts a server that answers requests with the given bytes, whatever they are, the last ones again and again. It closes a connection
+// only once the client does.
+func ServeBytes(t testing.TB, answers ...string) (address string) {
 	t.Helper()
+	var answered atomic.Int64
 	return Serve(t, func(r *bufio.Reader, conn *net.TCPConn) {
 		for {
 			req, err := http.ReadRequest(r)
@@ -83,6 +85,7 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
+			answer := answers[min(int(answered.Add(1)), len(answers))-1]
 			if _, err := io.WriteString(conn, answer); err != nil {
 				return
 			}
--- /dev/null
+++ b/internal/answer/transport.go
@@ -0,0 +1,48 @@
+package answer
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is the http.RoundTripper of clients that tell broken answers from whole ones. The answers that it returns have a status from 200 to
+// 599.
+type Transport struct {
+	// Base does the transport. Its connections are of type *Conn, or embed one.
+	Base *http.Transport
+}
+
+// NewTransport returns a Transport. It changes how base dials.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = Dialer(dial)
+	return &Transport{Base: base}
+}
+
+// exchangeConn is what a Transport needs of a connection; Conn implements it.
+type exchangeConn interface {
+	net.Conn
+	expectHead()
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn exchangeConn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn.(exchangeConn) },
+		// net/http calls this from the goroutine that reads the connection, before it reads on.
+		PutIdleConn: func(err error) {
+			if err == nil {
+				conn.expectHead()
+			}
+		},
+	}
+	return t.Base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+}
+
+// CloseIdleConnections closes the connections that are not in use. http.Client calls it.
+func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -122,3 +122,32 @@
 		})
 	}
 }
+
+// TestStatusOutOfRangeIsNoAnswer guards against answers whose status is none, such as 000, that are passed on.
+func TestStatusOutOfRangeIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+99", "101", "600", "999"} {
+		for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+			address := stubs.ServeBytes(t, interim+"HTTP/1.1 "+status+" Text\r\nContent-Length: 0\r\n\r\n")
+			client := NewHTTPClient()
+			for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodGet} {
+				got, err := client.Do(t.Context(), Call{Address: address, Method: method, Path: "/", Body: []byte("b")})
+				assert.Assert(t, err != nil, "status %s passes as %d", status, got.Status)
+				assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun)
+			}
+			err := client.Order(t.Context(), address, Order{})
+			assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun)
+		}
+	}
+}
+
+// TestStatusInRangeIsAnAnswer guards against a check of the status that refuses answers of servers.
+func TestStatusInRangeIsAnAnswer(t *testing.T) {
+	for status, want := range map[string]int{"200 OK": 200, "204 No Content": 204, "299": 299, "404 Not Found": 404, "500 Oops": 500, "599 Else": 599} {
+		for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 199 Else\r\nLink: </x>\r\n\r\n"} {
+			address := stubs.ServeBytes(t, interim+"HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+			got, err := NewHTTPClient().Do(t.Context(), Call{Address: address, Method: http.MethodPost, Path: "/", Body: []byte("b")})
+			assert.NilError(t, err)
+			assert.Equal(t, got.Status, want)
+		}
+	}
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -41,10 +41,10 @@
 // NewHTTPClient returns a client with a pool of idle connections for each server.
 func NewHTTPClient() *HTTPClient {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &HTTPClient{client: &http.Client{Transport: &http.Transport{
-		DialContext:         answer.Dialer(dialer.DialContext),
+	return &HTTPClient{client: &http.Client{Transport: answer.NewTransport(&http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
-	}}}
+	})}}
 }
 
 // Line is one line of an engine's streamed response: a token or a stage's failure.
--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -59,13 +59,24 @@
 // TestBrokenListIsNoList guards against membership lists that are not whole.
 func TestBrokenListIsNoList(t *testing.T) {
 	for answer, whole := range map[string]bool{
-		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n[{\"ID\":\"a\"": false,
-		"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n[{\"id\":\"a\"}]":    false,
-		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n[{\"id\":\"a\"}]":    true,
-		"HTTP/1.1 200 OK\r\n\r\n[{\"id\":\"a\"}]":                          true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n[{\"ID\":\"a\"":   false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n[{\"id\":\"a\"}]": false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n[{\"id\":\"a\"}]": true,
+		"HTTP/1.1 200 OK\r\n\r\n[{\"id\":\"a\"}]":                       true,
 	} {
 		members, err := NewHTTPClient(stubs.ServeEarly(t, answer, stubs.EndAndRead)).List(t.Context())
 		assert.Equal(t, err == nil, whole, "%q: %v", answer, err)
 		assert.Equal(t, len(members) == 1, whole)
 	}
 }
+
+// TestStatusOutOfRangeIsUnknown guards against answers whose status is none and which pass for a list or for what was done.
+func TestStatusOutOfRangeIsUnknown(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		client := NewHTTPClient(stubs.ServeBytes(t, "HTTP/1.1 "+status+" Text\r\nContent-Length: 2\r\n\r\n[]"))
+		_, outcome := client.CAS(t.Context(), model.CAS{Key: "k"})
+		assert.Equal(t, outcome, model.Unknown)
+		_, err := client.List(t.Context())
+		assert.Assert(t, err != nil)
+	}
+}
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -42,7 +42,7 @@
 
 // NewHTTPClient returns a client of the service at an address, given as "IP:port".
 func NewHTTPClient(address string) *HTTPClient {
-	transport := &http.Transport{DialContext: answer.Dialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConns}
+	transport := answer.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns})
 	return &HTTPClient{base: "http://" + address, client: &http.Client{Transport: transport}}
 }
 
