Refuse answers with a line that does not begin with a field's name

Both interfaces passed them on, also behind interim answers; orders, reports, lists and writes to the key-value service counted.

Cause: net/http takes blanks in names ("X Y", "X ") without folding their case, so "Content-Length " is another field, and it joins a line that begins with a blank or a tab to the one before it. It refuses control bytes and lines without a name itself, except a tab at the beginning.

internal/answer.Conn checks the lines of each head, interim ones included, as they arrive: a line begins with a name made of token bytes and a colon. A read fails at the first other byte, so that net/http never sees the head whole, fails the exchange and closes the connection. Continued lines are refused as well: no server may send them, a gateway may answer 502 to them, and they cannot be told from a name that begins with a blank.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -10,6 +10,10 @@
 // ErrStatus is returned for an answer whose status is none of HTTP, or that switches protocols, which no client here asks for.
 var ErrStatus = errors.New("the status of the answer is none of HTTP")
 
+// ErrFieldName is returned for an answer in whose head a line does not begin with the name of a field: the name holds a blank or a control byte, or
+// the line begins with a blank, as a continued one does, which no server may send.
+var ErrFieldName = errors.New("the head of the answer has a line that does not begin with the name of a field")
+
 const (
 	// maxStatusBytes is how many bytes of a status line are kept. The status is within them.
 	maxStatusBytes = 64
@@ -24,7 +28,10 @@
 const (
 	statusLine headPart = iota
 	lineStart
-	fieldLine
+	// lineEnd is the LF of a blank line, after its CR.
+	lineEnd
+	fieldName
+	fieldValue
 	afterHead
 )
 
@@ -75,7 +82,15 @@
 		return end + 1
 	case lineStart:
 		return h.startLine(b)
-	case fieldLine:
+	case lineEnd:
+		if b[0] != '\n' {
+			h.failure = ErrFieldName
+			return 0
+		}
+		return h.endLine()
+	case fieldName:
+		return h.checkName(b)
+	case fieldValue:
 		if end < 0 {
 			return len(b)
 		}
@@ -102,14 +117,48 @@
 func (h *headCheck) startLine(b []byte) int {
 	switch {
 	case b[0] == '\r':
-		// An LF follows, or net/http refuses the line.
-	case b[0] == '\n' && h.interim:
-		h.expect()
+		// Only an LF may follow.
+		h.part = lineEnd
 	case b[0] == '\n':
-		h.part = afterHead
+		return h.endLine()
+	case !isToken[b[0]]:
+		h.failure = ErrFieldName
+		return 0
 	default:
-		h.part = fieldLine
+		h.part = fieldName
 		return 0
 	}
 	return 1
 }
+
+// endLine takes the LF of a blank line.
+func (h *headCheck) endLine() int {
+	h.part = afterHead
+	if h.interim {
+		h.expect()
+	}
+	return 1
+}
+
+// checkName checks the bytes of the name of a field, and returns the number of those that belong to it, with the colon.
+func (h *headCheck) checkName(b []byte) int {
+	for i, c := range b {
+		switch {
+		case c == ':':
+			h.part = fieldValue
+			return i + 1
+		case !isToken[c]:
+			h.failure = ErrFieldName
+			return i
+		}
+	}
+	return len(b)
+}
+
+// isToken holds the bytes of which the name of a field may consist.
+var isToken = func() (set [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		set[c] = true
+	}
+	return set
+}()
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -151,3 +151,36 @@
 		}
 	}
 }
+
+// brokenLines are lines of a head in which the name of a field is none.
+var brokenLines = []string{"X Y: z", "X : z", "X: y\r\n Z: z", "X: y\r\n\tZ: z", " X: z", "X\x00Y: z", "X\rY: z", ": z", "Content-Length : 4", "Transfer-Encoding : chunked"}
+
+// TestBrokenFieldNameIsNoAnswer guards against answers with a head in which the name of a field is none.
+func TestBrokenFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range brokenLines {
+		for _, answer := range []string{
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\n{}",
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\n\r\n{}",
+			"HTTP/1.1 409 No\r\nContent-Length: 2\r\n" + line + "\r\n\r\n{}",
+			"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 13\r\n\r\n{\"end\":true}\n",
+		} {
+			address := stubs.ServeBytes(t, answer)
+			client := NewHTTPClient()
+			got, err := client.Do(t.Context(), Call{Address: address, Method: http.MethodPost, Path: "/", Body: []byte("b")})
+			assert.Assert(t, err != nil, "%q passes as %v", answer, got.Header)
+			assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun)
+			err = client.Order(t.Context(), address, Order{})
+			assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun, "%q", answer)
+			err = client.Open(t.Context(), longStream(address), func(model.Token) {})
+			assert.Assert(t, err != nil, "%q", answer)
+			assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun)
+			_, err = client.Report(t.Context(), address)
+			assert.Assert(t, err != nil, "%q", answer)
+		}
+	}
+	address := stubs.ServeBytes(t, "HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~09:z\r\nX: a b:c\r\nX:\r\nContent-Length: 2\r\n\r\n{}")
+	got, err := NewHTTPClient().Do(t.Context(), Call{Address: address, Method: http.MethodPost, Path: "/"})
+	assert.NilError(t, err)
+	assert.Equal(t, string(got.Body), "{}")
+}
--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -80,3 +80,16 @@
 		assert.Assert(t, err != nil)
 	}
 }
+
+// TestBrokenFieldNameIsUnknown guards against answers with a head in which the name of a field is none.
+func TestBrokenFieldNameIsUnknown(t *testing.T) {
+	for _, line := range []string{"X Y: z", "X : z", "X: y\r\n Z: z", " X: z", "X\x00Y: z", "Content-Length : 14"} {
+		for _, status := range []string{"200 OK", "409 Conflict", "503 Busy"} {
+			client := NewHTTPClient(stubs.ServeBytes(t, "HTTP/1.1 "+status+"\r\n"+line+"\r\nContent-Length: 14\r\n\r\n{\"revision\":7}"))
+			_, outcome := client.CAS(t.Context(), model.CAS{Key: "k"})
+			assert.Equal(t, outcome, model.Unknown, "%s, %q", status, line)
+		}
+		_, err := NewHTTPClient(stubs.ServeBytes(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\n[]")).List(t.Context())
+		assert.Assert(t, err != nil, "%q", line)
+	}
+}
