Refuse chunked answers whose trailer is none

The same cause as in heads, at the ends of chunked bodies: net/http takes names with blanks in a trailer, too, so an answer whose last part is "0\r\nX Y: z" was passed on as whole, and a refusal that ended so promised that the request had not run. Nothing of a trailer is passed on.

answer.Transport looks at the trailer's names at the end of a body, before the reader gets the end, and closes the connection: net/http may have kept it. It applies to all clients, as they share the transport. net/http itself refuses trailers with control bytes, without names, and those that begin with a blank.

Trailers with proper names still pass, on kept connections.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
+	"unicode/utf8"
 )
 
 // ErrStatus is returned for an answer whose status is none of HTTP, or that switches protocols, which no client here asks for.
@@ -155,6 +157,16 @@
 	return len(b)
 }
 
+// hasFieldNames reports whether all names of a header are those of fields.
+func hasFieldNames(header http.Header) bool {
+	for name := range header {
+		if strings.IndexFunc(name, func(r rune) bool { return r >= utf8.RuneSelf || !isToken[r] }) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // isToken holds the bytes of which the name of a field may consist.
 var isToken = func() (set [256]bool) {
 	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -1,6 +1,8 @@
 package answer
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -41,7 +43,30 @@
 			}
 		},
 	}
-	return t.Base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.Base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &bodyCheck{ReadCloser: resp.Body, resp: resp, conn: conn}
+	return resp, nil
+}
+
+// bodyCheck is the body of an answer. Its reads return io.EOF only if the trailer that ends a chunked body is one.
+type bodyCheck struct {
+	io.ReadCloser
+	resp *http.Response
+	conn net.Conn
+}
+
+// Read implements io.Reader.
+func (b *bodyCheck) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !hasFieldNames(b.resp.Trailer) {
+		// net/http may have kept the connection for the next request.
+		_ = b.conn.Close()
+		err = ErrFieldName
+	}
+	return n, err
 }
 
 // CloseIdleConnections closes the connections that are not in use. http.Client calls it.
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -172,7 +172,7 @@
 			assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun)
 			err = client.Order(t.Context(), address, Order{})
 			assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun, "%q", answer)
-			err = client.Open(t.Context(), longStream(address), func(model.Token) {})
+			err = client.Open(t.Context(), Stream{Route: model.Route{Hops: []model.Hop{{Server: "e0", Address: address}}}}, func(model.Token) {})
 			assert.Assert(t, err != nil, "%q", answer)
 			assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun)
 			_, err = client.Report(t.Context(), address)
