Count and log broken answers, with what was wrong

Nobody could see which servers send broken answers: the error of net/http was in the request's message at best, and those of the key-value service and of reports were dropped. Operators need it to find the server.

Errors of reading an answer that had begun are answer.BrokenError now, with the fault: cut, reset, status, field_name, too_long, no_room or malformed. The connection keeps what it found, since net/http may fail for what follows from it. The clients report each broken answer once to an observer; a lost connection without an answer, a caller that left and a deadline are none.

TestBrokenAnswersAreObserved: 16 answers, each with the fault expected, or none. TestEdgeBrokenAnswers runs a daemon before servers that break the first answer to each request: a lookup and a stream are repeated and whole, a booking fails with 502 and runs once, the log and the counter say why.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -8,12 +8,13 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// ErrReset is returned by reads from a connection that the server reset, if a write got the error of the kernel. It wraps ECONNRESET.
+// ErrReset is returned by reads from a connection that the server reset. It wraps ECONNRESET.
 var ErrReset = fmt.Errorf("the server reset the connection: %w", syscall.ECONNRESET)
 
 // DialFunc opens a connection.
@@ -47,6 +48,8 @@
 	resetSeen bool
 	// head checks what is read. Only the goroutine that reads uses it.
 	head headCheck
+	// broken is why reads failed, if they found a broken answer.
+	broken atomic.Pointer[BrokenError]
 }
 
 // NewConn returns a connection to a server.
@@ -58,15 +61,20 @@
 		return 0, c.head.failure
 	}
 	n, err := c.Conn.Read(b)
-	if valid, headErr := c.head.check(b[:n]); headErr != nil {
-		return valid, headErr
+	if n, failure := c.head.check(b[:n]); failure != nil {
+		c.broken.Store(failure)
+		return n, failure
 	}
-	if errors.Is(err, io.EOF) && c.wasReset() {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) && c.wasReset() {
+		c.broken.Store(&BrokenError{Fault: Reset, Err: ErrReset})
 		err = ErrReset
 	}
 	return n, err
 }
 
+// brokenBy returns why reads failed, nil unless they found a broken answer. net/http may fail for what follows from it.
+func (c *Conn) brokenBy() *BrokenError { return c.broken.Load() }
+
 // expectHead prepares for the next answer. No read may be in progress.
 func (c *Conn) expectHead() { c.head.expect() }
 
--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,11 +9,11 @@
 )
 
 // ErrStatus is returned for an answer whose status is none of HTTP, or that switches protocols, which no client here asks for.
-var ErrStatus = errors.New("the status of the answer is none of HTTP")
+var ErrStatus = broken(Status, "the status of the answer is none of HTTP")
 
 // ErrFieldName is returned for an answer in whose head a line does not begin with the name of a field: the name holds a blank or a control byte, or
 // the line begins with a blank, as a continued one does, which no server may send.
-var ErrFieldName = errors.New("the head of the answer has a line that does not begin with the name of a field")
+var ErrFieldName = broken(FieldName, "the head of the answer has a line that does not begin with the name of a field")
 
 const (
 	// maxStatusBytes is how many bytes of a status line are kept. The status is within them.
@@ -47,14 +46,14 @@
 	// interim is set in the head of an interim answer.
 	interim bool
 	// failure is what is wrong with the head.
-	failure error
+	failure *BrokenError
 }
 
 // expect prepares for the head of the next answer.
 func (h *headCheck) expect() { *h = headCheck{} }
 
 // check checks the next bytes of an answer. If they break its head, it sets failure and returns it, with how many of them come before.
-func (h *headCheck) check(b []byte) (valid int, err error) {
+func (h *headCheck) check(b []byte) (valid int, failure *BrokenError) {
 	for valid < len(b) && h.part != afterHead && h.failure == nil {
 		valid += h.checkPart(b[valid:])
 	}
@@ -103,9 +102,13 @@
 	return len(b)
 }
 
-// endStatusLine checks the status.
-func (h *headCheck) endStatusLine() error {
-	_, rest, _ := bytes.Cut(bytes.TrimRight(h.status[:h.statusBytes], "\r"), []byte(" "))
+// endStatusLine checks the status. It leaves other bytes than a status line to net/http.
+func (h *headCheck) endStatusLine() *BrokenError {
+	line := bytes.TrimRight(h.status[:h.statusBytes], "\r")
+	if !bytes.HasPrefix(line, []byte("HTTP/")) {
+		return nil
+	}
+	_, rest, _ := bytes.Cut(line, []byte(" "))
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(text), 10, 16)
 	if err != nil || len(text) != statusDigits || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
--- a/internal/answer/read.go
+++ b/internal/answer/read.go
@@ -1,12 +1,12 @@
 package answer
 
 import (
-	"errors"
+	"encoding/json"
 	"io"
 )
 
 // ErrTooLong is returned for answers that are longer than they may be.
-var ErrTooLong = errors.New("the answer is too long")
+var ErrTooLong = broken(TooLong, "the answer is too long")
 
 // ReadAll reads a body to its end. It fails with ErrTooLong if the body has more than maxBytes, and if it breaks off.
 func ReadAll(body io.Reader, maxBytes int) ([]byte, error) {
@@ -25,3 +25,11 @@
 	}
 	return err
 }
+
+// Decode decodes a whole body from JSON.
+func Decode(body []byte, value any) error {
+	if err := json.Unmarshal(body, value); err != nil {
+		return &BrokenError{Fault: Malformed, Err: err}
+	}
+	return nil
+}
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -163,6 +163,7 @@
 	processID    string
 	// shutdownDelay is how long a stopping daemon still accepts new requests.
 	shutdownDelay time.Duration
+	broken        *brokenAnswers
 	// serverOptions configure the client for backend servers.
 	serverOptions []platform.EngineClientOption
 	// balance is how the load of the engines is balanced; nil for the cheapest chain.
@@ -229,8 +230,9 @@
 	if err != nil {
 		return nil, err
 	}
+	broken := newBrokenAnswers(deps.Log)
 	d := &EdgeDaemon{
-		deps: deps, vm: vm, store: platform.NewStoreClient(vm.StoreAddress), processID: processID,
+		deps: deps, vm: vm, store: platform.NewStoreClient(vm.StoreAddress, platform.WithStoreObserver(broken)), broken: broken, processID: processID,
 		roster: roster.New(entryExpiryBeats*vm.HeartbeatInterval+entryExpiryMargin, lapsedEntryHold), loadBoard: board.New(), limits: limit.NewAllocator(base), daemonCount: 1, shutdownDelay: edgeShutdownDelay,
 		run: uint64(time.Now().UnixNano()),
 	}
--- a/internal/boot/edgeset.go
+++ b/internal/boot/edgeset.go
@@ -84,6 +84,8 @@
 	LimitedAnswers uint64 `json:"limited_answers"`
 	InvalidHeaders uint64 `json:"invalid_headers"`
 	ServersLimited int    `json:"servers_limited"`
+	// BrokenAnswers counts the answers of servers and of the key-value service that were broken, by what was wrong with them.
+	BrokenAnswers map[string]uint64 `json:"broken_answers"`
 	// BudgetDaemons is the number of daemons that the retry budget is shared by.
 	BudgetDaemons int `json:"budget_daemons"`
 	// RetryBudgets is how the services' retry budgets were used.
@@ -127,6 +129,7 @@
 			RequestsInProgress: d.edge.InProgress(), PlacementFence: d.duty.FencingToken(), LogLinesDropped: logWriter.DroppedLines(),
 			ServerPauses: d.pauses.Load(), ServersSaidLeaving: d.leaving.Load(),
 			Clients: d.ports.counts(), LimitedAnswers: d.limitedAnswers.Load(), InvalidHeaders: d.invalidHeaders.Load(), ServersLimited: d.edge.LimitedServers(),
+			BrokenAnswers: d.broken.Read(),
 		}
 		if routing := d.edge.Routing(); routing != nil {
 			vars.SettingsRevision = uint64(routing.Revision)
--- a/internal/boot/edgeview.go
+++ b/internal/boot/edgeview.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bulrushpond.example/bulrushpond/internal/answer"
 	"bulrushpond.example/bulrushpond/internal/core/elect"
 	"bulrushpond.example/bulrushpond/internal/core/limit"
 	"bulrushpond.example/bulrushpond/internal/core/route"
@@ -171,6 +172,11 @@
 	d.deps.Log.Info(evlog.HeaderInvalid, "server", server, "header", header, "value", value)
 }
 
+// AnswerBroken implements engine.Observer.
+func (d *EdgeDaemon) AnswerBroken(server string, fault answer.Fault, detail string) {
+	d.broken.AnswerBroken(server, fault, detail)
+}
+
 // distributeServers passes the backend servers to the components that use them. The
 // caller holds mu.
 func (d *EdgeDaemon) distributeServers(now time.Time) {
--- a/internal/boot/metrics.go
+++ b/internal/boot/metrics.go
@@ -47,11 +47,13 @@
 	// UnreadBytes and UnreadCut have the meaning they have in EdgeVars.
 	UnreadBytes int64  `json:"unread_bytes"`
 	UnreadCut   uint64 `json:"unread_cut"`
+	// BrokenAnswers has the meaning it has in EdgeVars.
+	BrokenAnswers map[string]uint64 `json:"broken_answers"`
 }
 
 // currentMetrics returns the current values of the metrics.
 func (d *Daemon) currentMetrics() Vars {
-	vars := Vars{SettingsRevision: uint64(d.keeper.Revision()), ShardsOwned: len(d.calls.OwnedShards()), Clients: d.ports.counts()}
+	vars := Vars{SettingsRevision: uint64(d.keeper.Revision()), ShardsOwned: len(d.calls.OwnedShards()), Clients: d.ports.counts(), BrokenAnswers: d.broken.Read()}
 	vars.UnreadBytes, vars.UnreadCut = d.streams.Unread()
 	d.View(func(c *core.Core) {
 		vars.RequestsInProgress, vars.EnginesKnown = c.InProgress(), c.ServerCount()
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -39,6 +39,7 @@
 	file         File
 	platform     *plat.HTTPClient
 	engines      *engine.HTTPClient
+	broken       *brokenAnswers
 	keeper       *force.Keeper
 	streams      *drive.StreamExecutor
 	calls        *drive.CallExecutor
@@ -84,10 +85,11 @@
 	if err != nil {
 		return nil, err
 	}
+	broken := newBrokenAnswers(deps.Log)
 	d := &Daemon{
-		deps: deps, file: file,
-		platform:           plat.NewHTTPClient(file.Platform),
-		engines:            engine.NewHTTPClient(),
+		deps: deps, file: file, broken: broken,
+		platform:           plat.NewHTTPClient(file.Platform, plat.WithObserver(broken)),
+		engines:            engine.NewHTTPClient(engine.WithObserver(broken)),
 		lastIncomingGossip: time.Now(),
 		gossipTrigger:      make(chan struct{}, 1),
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bulrushpond.example/bulrushpond/internal/answer"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
@@ -173,6 +174,7 @@
 // Observer learns what backend servers say about themselves in their answers. Its methods may be
 // called concurrently.
 type Observer interface {
+	answer.Observer
 	// ServerLeaves reports that a server will stop soon.
 	ServerLeaves(server string)
 	// ServerPauses reports that a server declined a request and wants none from this daemon
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -35,16 +35,29 @@
 
 // HTTPClient is the client of engines and plain services, over HTTP and JSON.
 type HTTPClient struct {
-	client *http.Client
+	client   *http.Client
+	observer answer.Observer
+}
+
+// HTTPClientOption configures an HTTPClient.
+type HTTPClientOption func(*HTTPClient)
+
+// WithObserver sets who learns of broken answers.
+func WithObserver(o answer.Observer) HTTPClientOption {
+	return func(h *HTTPClient) { h.observer = o }
 }
 
 // NewHTTPClient returns a client with a pool of idle connections for each server.
-func NewHTTPClient() *HTTPClient {
+func NewHTTPClient(opts ...HTTPClientOption) *HTTPClient {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &HTTPClient{client: &http.Client{Transport: answer.NewTransport(&http.Transport{
+	h := &HTTPClient{observer: answer.NoObserver{}, client: &http.Client{Transport: answer.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
 	})}}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
 }
 
 // Line is one line of an engine's streamed response: a token or a stage's failure.
@@ -61,12 +74,12 @@
 	firstHop := s.Route.Hops[0]
 	resp, err := h.postJSON(ctx, "http://"+firstHop.Address+"/v1/stream", s)
 	if err != nil {
-		return transportError(err, string(firstHop.Server))
+		return h.transportError(err, string(firstHop.Server))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		if err := answer.Discard(resp.Body, maxUnusedBytes); err != nil {
-			return transportError(err, string(firstHop.Server))
+			return h.transportError(err, string(firstHop.Server))
 		}
 		return statusError(resp.StatusCode, string(firstHop.Server))
 	}
@@ -75,7 +88,7 @@
 	for scanner.Scan() {
 		var line Line
 		if err := jsonv2.Unmarshal(scanner.Bytes(), &line); err != nil {
-			return verdt.New(verdt.MayHaveRun, verdt.StageFailed, "engine sent a malformed line", verdt.Server(string(firstHop.Server)))
+			return h.transportError(errMalformedLine, string(firstHop.Server))
 		}
 		if line.Error != "" {
 			return verdt.New(verdt.MayHaveRun, verdt.StageFailed, line.Error, verdt.Server(string(line.Server)))
@@ -85,7 +98,24 @@
 			return nil
 		}
 	}
-	return verdt.New(verdt.MayHaveRun, verdt.StageFailed, "engine ended the stream early", verdt.Server(string(firstHop.Server)))
+	return h.transportError(endOfLines(scanner.Err()), string(firstHop.Server))
+}
+
+// Errors of streams that are broken.
+var (
+	errMalformedLine = &answer.BrokenError{Fault: answer.Malformed, Err: errors.New("the engine sent a malformed line")}
+	errEndedEarly    = &answer.BrokenError{Fault: answer.Cut, Err: errors.New("the engine ended the stream early")}
+)
+
+// endOfLines returns the error of a stream that ended without its last line, with the error of the scanner.
+func endOfLines(err error) error {
+	switch {
+	case err == nil:
+		return errEndedEarly
+	case errors.Is(err, bufio.ErrTooLong):
+		return answer.ErrTooLong
+	}
+	return err
 }
 
 // statusError returns the error of a whole answer with another status than 200.
@@ -127,17 +157,18 @@
 	}
 	resp, err := h.client.Do(req)
 	if err != nil {
-		return r, transportError(err, server)
+		return r, h.transportError(err, server)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := answer.ReadAll(resp.Body, maxReportBytes)
 	if err != nil {
-		return r, transportError(err, server)
+		return r, h.transportError(err, server)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return r, statusError(resp.StatusCode, server)
 	}
-	if err := json.Unmarshal(raw, &r); err != nil {
+	if err := answer.Decode(raw, &r); err != nil {
+		answer.Observe(h.observer, server, err)
 		return r, verdt.New(verdt.Ran, verdt.StageFailed, "engine sent a malformed report", verdt.Server(server))
 	}
 	return r, nil
@@ -147,11 +178,11 @@
 func (h *HTTPClient) postExpectOK(ctx context.Context, url string, payload any, server string) error {
 	resp, err := h.postJSON(ctx, url, payload)
 	if err != nil {
-		return transportError(err, server)
+		return h.transportError(err, server)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := answer.Discard(resp.Body, maxUnusedBytes); err != nil {
-		return transportError(err, server)
+		return h.transportError(err, server)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp.StatusCode, server)
@@ -214,7 +245,7 @@
 	}
 	resp, err := h.client.Do(req)
 	if err != nil {
-		return Answer{}, transportError(err, c.Address)
+		return Answer{}, h.transportError(err, c.Address)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
@@ -224,9 +255,10 @@
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: raw}, nil
 }
 
-// transportError converts an error of the HTTP client. Its verdict is NotRun only if no
+// transportError converts an error of the HTTP client, and reports a broken answer. Its verdict is NotRun only if no
 // connection was made.
-func transportError(err error, server string) *verdt.Error {
+func (h *HTTPClient) transportError(err error, server string) *verdt.Error {
+	answer.Observe(h.observer, server, err)
 	verdict := verdt.MayHaveRun
 	var opErr *net.OpError
 	if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &opErr) && opErr.Op == "dial") {
--- a/internal/evlog/event_enumer.go
+++ b/internal/evlog/event_enumer.go
@@ -12,8 +12,8 @@
 	_EventLowerName_0 = "daemon_starteddaemon_stoppingdaemon_stoppeddaemon_stop_forcedpart_failedfile_reloadedfile_unreadablelines_droppedwork_failed"
 	_EventName_1      = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
 	_EventLowerName_1 = "settings_in_forcesettings_unreadablesettings_stalesettings_currentsettings_older"
-	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
-	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reached"
+	_EventName_2      = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reachedanswer_broken"
+	_EventLowerName_2 = "list_unreachablelist_emptiedserver_leavesserver_returnedserver_avoidedstream_movedtoken_droppedserver_stalledmember_unreadableserver_seenserver_goneserver_said_leavingserver_pausedserver_entry_heldpart_suspectedpart_blockedpart_unblockedblocks_unreadablefleet_unreadablevalue_not_storedserver_limitedheader_invalidrequest_suspectedrequest_blockedrequest_unblockedservice_cut_offservice_reachedanswer_broken"
 	_EventName_3      = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failedstore_history_skipped"
 	_EventLowerName_3 = "shard_ownedshard_lostshard_releasedshard_fullshard_corruptstore_downstore_uporder_givenorder_failedduty_ownedduty_loststore_restoredplan_failedtick_failedstore_history_skipped"
 	_EventName_4      = "peer_unreachable"
@@ -25,7 +25,7 @@
 var (
 	_EventIndex_0 = [...]uint8{0, 14, 29, 43, 61, 72, 85, 100, 113, 124}
 	_EventIndex_1 = [...]uint8{0, 17, 36, 50, 66, 80}
-	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314, 331, 346, 363, 378, 393}
+	_EventIndex_2 = [...]uint16{0, 16, 28, 41, 56, 70, 82, 95, 109, 126, 137, 148, 167, 180, 197, 211, 223, 237, 254, 270, 286, 300, 314, 331, 346, 363, 378, 393, 406}
 	_EventIndex_3 = [...]uint8{0, 11, 21, 35, 45, 58, 68, 76, 87, 99, 109, 118, 132, 143, 154, 175}
 	_EventIndex_4 = [...]uint8{0, 16}
 	_EventIndex_5 = [...]uint8{0, 14, 28, 44, 57, 70, 82, 96, 111, 131, 146, 163}
@@ -39,7 +39,7 @@
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _EventName_1[_EventIndex_1[i]:_EventIndex_1[i+1]]
-	case 300 <= i && i <= 326:
+	case 300 <= i && i <= 327:
 		i -= 300
 		return _EventName_2[_EventIndex_2[i]:_EventIndex_2[i+1]]
 	case 400 <= i && i <= 414:
@@ -100,6 +100,7 @@
 	_ = x[RequestUnblocked-(324)]
 	_ = x[ServiceCutOff-(325)]
 	_ = x[ServiceReached-(326)]
+	_ = x[AnswerBroken-(327)]
 	_ = x[ShardOwned-(400)]
 	_ = x[ShardLost-(401)]
 	_ = x[ShardReleased-(402)]
@@ -129,7 +130,7 @@
 	_ = x[RefusalsUnlogged-(610)]
 }
 
-var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, WorkFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PlanFailed, TickFailed, StoreHistorySkipped, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed, ClientsLimited, RefusalsUnlogged}
+var _EventValues = []Event{DaemonStarted, DaemonStopping, DaemonStopped, DaemonStopForced, PartFailed, FileReloaded, FileUnreadable, LinesDropped, WorkFailed, SettingsInForce, SettingsUnreadable, SettingsStale, SettingsCurrent, SettingsOlder, ListUnreachable, ListEmptied, ServerLeaves, ServerReturned, ServerAvoided, StreamMoved, TokenDropped, ServerStalled, MemberUnreadable, ServerSeen, ServerGone, ServerSaidLeaving, ServerPaused, ServerEntryHeld, PartSuspected, PartBlocked, PartUnblocked, BlocksUnreadable, FleetUnreadable, ValueNotStored, ServerLimited, HeaderInvalid, RequestSuspected, RequestBlocked, RequestUnblocked, ServiceCutOff, ServiceReached, AnswerBroken, ShardOwned, ShardLost, ShardReleased, ShardFull, ShardCorrupt, StoreDown, StoreUp, OrderGiven, OrderFailed, DutyOwned, DutyLost, StoreRestored, PlanFailed, TickFailed, StoreHistorySkipped, PeerUnreachable, RequestFailed, RequestServed, RequestRepeated, StreamOpened, StreamFailed, RequestSent, StreamStalled, RequestProxied, RequestProxyFailed, ClientsLimited, RefusalsUnlogged}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName_0[0:14]:    DaemonStarted,
@@ -173,6 +174,7 @@
 	_EventName_2[346:363]: RequestUnblocked,
 	_EventName_2[363:378]: ServiceCutOff,
 	_EventName_2[378:393]: ServiceReached,
+	_EventName_2[393:406]: AnswerBroken,
 	_EventName_3[0:11]:    ShardOwned,
 	_EventName_3[11:21]:   ShardLost,
 	_EventName_3[21:35]:   ShardReleased,
@@ -244,6 +246,7 @@
 	_EventLowerName_2[346:363]: RequestUnblocked,
 	_EventLowerName_2[363:378]: ServiceCutOff,
 	_EventLowerName_2[378:393]: ServiceReached,
+	_EventLowerName_2[393:406]: AnswerBroken,
 	_EventLowerName_3[0:11]:    ShardOwned,
 	_EventLowerName_3[11:21]:   ShardLost,
 	_EventLowerName_3[21:35]:   ShardReleased,
@@ -315,6 +318,7 @@
 	_EventName_2[346:363],
 	_EventName_2[363:378],
 	_EventName_2[378:393],
+	_EventName_2[393:406],
 	_EventName_3[0:11],
 	_EventName_3[11:21],
 	_EventName_3[21:35],
--- a/internal/evlog/events.go
+++ b/internal/evlog/events.go
@@ -104,6 +104,8 @@
 	ServiceCutOff Event = 325
 	// ServiceReached means that this daemon reaches the servers of a service again.
 	ServiceReached Event = 326
+	// AnswerBroken means that the answer of a server, or of the key-value service, was broken, and is not used.
+	AnswerBroken Event = 327
 	// ShardOwned means that this daemon became the owner of a journal shard.
 	ShardOwned Event = 400
 	// ShardLost means that this daemon lost the ownership of a shard.
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -30,8 +30,9 @@
 
 // HTTPClient is the client of the platform's services, over HTTP and JSON.
 type HTTPClient struct {
-	base   string
-	client *http.Client
+	base     string
+	client   *http.Client
+	observer answer.Observer
 
 	mu sync.Mutex
 	// listETag and cachedList hold the last membership list for conditional
@@ -40,10 +41,22 @@
 	cachedList []model.Member
 }
 
+// HTTPClientOption configures an HTTPClient.
+type HTTPClientOption func(*HTTPClient)
+
+// WithObserver sets who learns of broken answers.
+func WithObserver(o answer.Observer) HTTPClientOption {
+	return func(h *HTTPClient) { h.observer = o }
+}
+
 // NewHTTPClient returns a client of the service at an address, given as "IP:port".
-func NewHTTPClient(address string) *HTTPClient {
+func NewHTTPClient(address string, opts ...HTTPClientOption) *HTTPClient {
 	transport := answer.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns})
-	return &HTTPClient{base: "http://" + address, client: &http.Client{Transport: transport}}
+	h := &HTTPClient{base: "http://" + address, client: &http.Client{Transport: transport}, observer: answer.NoObserver{}}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
 }
 
 // RevisionAnswer is the response body of a write.
@@ -107,6 +120,7 @@
 	}
 	resp, err := h.client.Do(req)
 	if err != nil {
+		answer.Observe(h.observer, h.base, err)
 		return nil, trace.ConnectionProblem(err, "fetching the membership list")
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -119,10 +133,12 @@
 	}
 	raw, err := answer.ReadAll(resp.Body, maxMemberListBytes)
 	if err != nil {
+		answer.Observe(h.observer, h.base, err)
 		return nil, trace.ConnectionProblem(err, "reading the membership list")
 	}
 	var members []model.Member
-	if err := json.Unmarshal(raw, &members); err != nil {
+	if err := answer.Decode(raw, &members); err != nil {
+		answer.Observe(h.observer, h.base, err)
 		return nil, trace.BadParameter("decoding the membership list: %s", err.Error())
 	}
 	h.mu.Lock()
@@ -166,11 +182,13 @@
 	}
 	resp, err := h.client.Do(req)
 	if err != nil {
+		answer.Observe(h.observer, h.base, err)
 		return outcomeOfTransportError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := answer.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
+		answer.Observe(h.observer, h.base, err)
 		return model.Unknown
 	}
 	switch resp.StatusCode {
@@ -182,7 +200,8 @@
 	default:
 		return model.Unknown
 	}
-	if err := json.Unmarshal(raw, response); err != nil {
+	if err := answer.Decode(raw, response); err != nil {
+		answer.Observe(h.observer, h.base, err)
 		return model.Unknown
 	}
 	return model.Done
