Move the bound of long bodies to internal/quota

platform/ bounds what long bodies hold together; the project's own clients need the same, and so do heads and lines, which are no bodies. The budget is now quota.Bytes, with a holder for each reader, and answer.ReadLong reads an answer within it.

--- a/internal/answer/read.go
+++ b/internal/answer/read.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
+
+	"bulrushpond.example/bulrushpond/internal/quota"
 )
 
 // ErrTooLong is returned for answers that are longer than they may be.
@@ -17,6 +20,23 @@
 	return raw, err
 }
 
+// ErrNoRoom is returned for a long answer if all that are being read take too much together.
+var ErrNoRoom = &BrokenError{Fault: NoRoom, Err: quota.ErrUsedUp}
+
+// ReadLong is ReadAll for bodies that may be long: all readers of a room hold together what it allows, beyond quota.ShortBodyBytes each, and fail
+// with ErrNoRoom otherwise.
+func ReadLong(body io.Reader, maxBytes int, room *quota.Bytes) ([]byte, error) {
+	raw, release, err := room.Read(body, maxBytes, nil)
+	release()
+	switch {
+	case errors.Is(err, quota.ErrTooLong):
+		err = ErrTooLong
+	case errors.Is(err, quota.ErrUsedUp):
+		err = ErrNoRoom
+	}
+	return raw, err
+}
+
 // Discard reads a body that is not used to its end, and fails as ReadAll does.
 func Discard(body io.Reader, maxBytes int) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, int64(maxBytes)+1))
