Bound what heads of answers take together

A head was bounded by its bytes (64 KB on the platform's interface; 10 MB, the default of net/http, on the own one), but costs by its fields, and the sum over all was not bounded. Seen before, with 300 calls at once to engines that send 60 KB of the smallest fields and then nothing: the heap of the platform's client grew by 298 MB, by 276 MB for interim heads (a VM has 284 MB). The same with heads of one long line on the own interface: 4,150 MB in a trial.

internal/answer.Conn counts what a head takes, 128 bytes a field and its bytes, as it arrives. The first 16 KB are free; beyond, all heads take what is left of the room that long answers have together, until the connection is used for the next request or closed. A head that finds no room is given up as no_room, one of 64 KB or more as too_long, on both interfaces; the platform's key-value service has room of its own. Ordinary heads never lock or count.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"bulrushpond.example/bulrushpond/internal/quota"
 )
 
 // ErrReset is returned by reads from a connection that the server reset. It wraps ECONNRESET.
@@ -20,8 +22,8 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dialer returns a dial function whose connections are of type *Conn, or embed one.
-func Dialer(dial DialFunc) DialFunc {
+// Dialer returns a dial function whose connections are of type *Conn, or embed one. Heads of their answers take what room allows.
+func Dialer(dial DialFunc, room *quota.Bytes) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -30,7 +32,7 @@
 		if _, ok := conn.(exchangeConn); ok {
 			return conn, nil
 		}
-		return NewConn(conn), nil
+		return NewConn(conn, room), nil
 	}
 }
 
@@ -50,10 +52,22 @@
 	head headCheck
 	// broken is why reads failed, if they found a broken answer.
 	broken atomic.Pointer[BrokenError]
+
+	// holding guards the fields below: the connection may be closed during a read.
+	holding sync.Mutex
+	// headRoom holds headBytes, the memory of the current head and the interim ones before it.
+	headRoom  *quota.Holder
+	headBytes int64
+	closed    bool
 }
 
-// NewConn returns a connection to a server.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+// freeHeadBytes is the memory that a head may take whatever others take.
+const freeHeadBytes = 16 << 10
+
+// NewConn returns a connection to a server. Heads of its answers take what room allows.
+func NewConn(conn net.Conn, room *quota.Bytes) *Conn {
+	return &Conn{Conn: conn, headRoom: room.Holder(freeHeadBytes)}
+}
 
 // Read implements io.Reader.
 func (c *Conn) Read(b []byte) (int, error) {
@@ -61,9 +75,14 @@
 		return 0, c.head.failure
 	}
 	n, err := c.Conn.Read(b)
-	if n, failure := c.head.check(b[:n]); failure != nil {
+	valid, failure := c.head.check(b[:n])
+	if failure == nil {
+		failure = c.takeHeadRoom()
+	}
+	if failure != nil {
+		c.head.failure = failure
 		c.broken.Store(failure)
-		return n, failure
+		return valid, failure
 	}
 	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) && c.wasReset() {
 		c.broken.Store(&BrokenError{Fault: Reset, Err: ErrReset})
@@ -76,7 +95,46 @@
 func (c *Conn) brokenBy() *BrokenError { return c.broken.Load() }
 
 // expectHead prepares for the next answer. No read may be in progress.
-func (c *Conn) expectHead() { c.head.expect() }
+func (c *Conn) expectHead() {
+	c.head = headCheck{}
+	c.holding.Lock()
+	defer c.holding.Unlock()
+	c.releaseHead()
+}
+
+// takeHeadRoom takes the room that the head needs, as far as it has been read.
+func (c *Conn) takeHeadRoom() *BrokenError {
+	if c.head.bytes <= freeHeadBytes {
+		return nil
+	}
+	c.holding.Lock()
+	defer c.holding.Unlock()
+	if c.closed {
+		return nil
+	}
+	if err := c.headRoom.Take(c.head.bytes - c.headBytes); err != nil {
+		return ErrNoRoom
+	}
+	c.headBytes = c.head.bytes
+	return nil
+}
+
+// releaseHead gives back the room of a head. The caller holds holding.
+func (c *Conn) releaseHead() {
+	if c.headBytes > 0 {
+		c.headRoom.Release()
+		c.headBytes = 0
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.holding.Lock()
+	c.closed = true
+	c.releaseHead()
+	c.holding.Unlock()
+	return c.Conn.Close()
+}
 
 // Write implements io.Writer.
 func (c *Conn) Write(b []byte) (int, error) {
--- a/internal/answer/conn_test.go
+++ b/internal/answer/conn_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"bulrushpond.example/bulrushpond/internal/answer/stubs"
+	"bulrushpond.example/bulrushpond/internal/quota"
 )
 
 // TestConnTellsResetFromEnd checks that reads tell a reset from an end, whichever of a read and a write that is in progress notices it, and that
@@ -29,7 +30,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			address := stubs.ServeEarly(t, "answer", s.end)
 			for range 5 * stubs.Tries {
-				conn, err := Dialer((&net.Dialer{}).DialContext)(t.Context(), "tcp", address)
+				conn, err := Dialer((&net.Dialer{}).DialContext, quota.New(0))(t.Context(), "tcp", address)
 				assert.NilError(t, err)
 				written := make(chan struct{})
 				go func() {
@@ -54,7 +55,7 @@
 // TestConnWithoutState checks connections of which the kernel tells no state: a write that does not end must not keep a read from ending.
 func TestConnWithoutState(t *testing.T) {
 	ours, theirs := net.Pipe()
-	conn, err := Dialer(func(context.Context, string, string) (net.Conn, error) { return endingConn{ours}, nil })(t.Context(), "", "")
+	conn, err := Dialer(func(context.Context, string, string) (net.Conn, error) { return endingConn{ours}, nil }, quota.New(0))(t.Context(), "", "")
 	assert.NilError(t, err)
 	written := make(chan struct{})
 	go func() {
--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -15,12 +15,17 @@
 // the line begins with a blank, as a continued one does, which no server may send.
 var ErrFieldName = broken(FieldName, "the head of the answer has a line that does not begin with the name of a field")
 
+// MaxHeadBytes bounds the status line and headers of an answer together with all interim (1xx) answers before it.
+const MaxHeadBytes = 64 << 10
+
 const (
 	// maxStatusBytes is how many bytes of a status line are kept. The status is within them.
 	maxStatusBytes = 64
 	// statusDigits is the length of a status, and maxStatus the highest one.
 	statusDigits = 3
 	maxStatus    = 599
+	// fieldBytes is about the memory of a field beside its bytes.
+	fieldBytes = 128
 )
 
 // headPart is a part of an answer.
@@ -45,18 +50,23 @@
 	statusBytes int
 	// interim is set in the head of an interim answer.
 	interim bool
+	// read is how many bytes of the head, and of the interim ones before it, were read.
+	read int
+	// bytes is about the memory that the head takes, together with the interim ones before it.
+	bytes int64
 	// failure is what is wrong with the head.
 	failure *BrokenError
 }
 
-// expect prepares for the head of the next answer.
-func (h *headCheck) expect() { *h = headCheck{} }
-
 // check checks the next bytes of an answer. If they break its head, it sets failure and returns it, with how many of them come before.
 func (h *headCheck) check(b []byte) (valid int, failure *BrokenError) {
 	for valid < len(b) && h.part != afterHead && h.failure == nil {
 		valid += h.checkPart(b[valid:])
 	}
+	h.bytes += int64(valid)
+	if h.read += valid; h.read >= MaxHeadBytes && h.part != afterHead {
+		h.failure = ErrTooLong
+	}
 	if h.failure != nil {
 		return valid, h.failure
 	}
@@ -140,7 +150,7 @@
 func (h *headCheck) endLine() int {
 	h.part = afterHead
 	if h.interim {
-		h.expect()
+		*h = headCheck{read: h.read, bytes: h.bytes}
 	}
 	return 1
 }
@@ -151,6 +161,7 @@
 		switch {
 		case c == ':':
 			h.part = fieldValue
+			h.bytes += fieldBytes
 			return i + 1
 		case !isToken[c]:
 			h.failure = ErrFieldName
--- a/internal/answer/stubs/stubs.go
+++ b/internal/answer/stubs/stubs.go
@@ -3,9 +3,15 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/metrics"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -111,3 +117,55 @@
 	_ = conn.CloseWrite()
 	_, _ = io.Copy(io.Discard, r)
 }
+
+// ServePausing starts a server that answers a request with the given bytes, and then keeps the connection open until the client closes it.
+func ServePausing(t testing.TB, answer string) (address string) {
+	t.Helper()
+	raw := []byte(answer)
+	return Serve(t, func(r *bufio.Reader, conn *net.TCPConn) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = conn.Write(raw)
+		_, _ = r.ReadByte()
+	})
+}
+
+// Fields returns header lines of n bytes at least, of the smallest fields with names of their own.
+func Fields(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		b.WriteString("F" + strconv.Itoa(i) + ":\r\n")
+	}
+	return b.String()
+}
+
+// LiveHeapBytes returns the size of all reachable objects.
+func LiveHeapBytes() int64 {
+	runtime.GC()
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
+// HeapGrowth returns by how much the reachable objects grow at most within a second after calls were begun at once, each with a number. It then
+// cancels their context and waits for them.
+func HeapGrowth(ctx context.Context, calls int, call func(ctx context.Context, n int)) int64 {
+	const samples, interval = 10, 100 * time.Millisecond
+	ctx, cancel := context.WithCancel(ctx)
+	before := LiveHeapBytes()
+	var ended sync.WaitGroup
+	for n := range calls {
+		ended.Go(func() { call(ctx, n) })
+	}
+	var highest int64
+	for range samples {
+		time.Sleep(interval)
+		highest = max(highest, LiveHeapBytes())
+	}
+	cancel()
+	ended.Wait()
+	return highest - before
+}
--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"bulrushpond.example/bulrushpond/internal/quota"
 )
 
 // Transport is the http.RoundTripper of clients that tell broken answers from whole ones. The answers that it returns have a status from 200 to
@@ -17,13 +19,14 @@
 	Base *http.Transport
 }
 
-// NewTransport returns a Transport. It changes how base dials.
-func NewTransport(base *http.Transport) *Transport {
+// NewTransport returns a Transport. It changes how base dials, and sets the bound of heads. Heads of answers take what room allows.
+func NewTransport(base *http.Transport, room *quota.Bytes) *Transport {
 	dial := base.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	base.DialContext = Dialer(dial)
+	base.DialContext = Dialer(dial, room)
+	base.MaxResponseHeaderBytes = MaxHeadBytes
 	return &Transport{Base: base}
 }
 
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -17,6 +17,7 @@
 	jsonv2 "github.com/go-json-experiment/json"
 
 	"bulrushpond.example/bulrushpond/internal/answer"
+	"bulrushpond.example/bulrushpond/internal/quota"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
@@ -28,6 +29,9 @@
 	maxReportBytes = 1 << 20
 	// maxUnusedBytes bounds a body of which only the status counts.
 	maxUnusedBytes = 64 << 10
+	// maxLongAnswersBytes bounds what all answers that are being read take beyond what each may take whatever others do: eight of
+	// the longest.
+	maxLongAnswersBytes = 8 * maxResponseBytes
 	// maxResponseBytes bounds the response body of a plain service.
 	maxResponseBytes = 8 << 20
 	dialTimeout      = time.Second
@@ -37,6 +41,8 @@
 type HTTPClient struct {
 	client   *http.Client
 	observer answer.Observer
+	// room is what long answers, heads with many fields and streams may take together while they are read.
+	room *quota.Bytes
 }
 
 // HTTPClientOption configures an HTTPClient.
@@ -50,10 +56,11 @@
 // NewHTTPClient returns a client with a pool of idle connections for each server.
 func NewHTTPClient(opts ...HTTPClientOption) *HTTPClient {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	h := &HTTPClient{observer: answer.NoObserver{}, client: &http.Client{Transport: answer.NewTransport(&http.Transport{
+	room := quota.New(maxLongAnswersBytes)
+	h := &HTTPClient{room: room, observer: answer.NoObserver{}, client: &http.Client{Transport: answer.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
-	})}}
+	}, room)}}
 	for _, opt := range opts {
 		opt(h)
 	}
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"bulrushpond.example/bulrushpond/internal/answer"
+	"bulrushpond.example/bulrushpond/internal/quota"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -24,6 +25,10 @@
 // plus the other fields.
 const maxResponseBytes = 2 << 20
 
+// maxLongResponsesBytes bounds what all responses that are being read take beyond what each may take whatever others do:
+// 64 of the longest, as a takeover of several rings reads all their slots at once.
+const maxLongResponsesBytes = 64 * maxResponseBytes
+
 // maxIdleConns bounds the idle connections to the service: a takeover of a ring
 // reads the ring's slots concurrently.
 const maxIdleConns = 32
@@ -33,6 +38,8 @@
 	base     string
 	client   *http.Client
 	observer answer.Observer
+	// room is what long responses, and heads with many fields, may take together while they are read.
+	room *quota.Bytes
 
 	mu sync.Mutex
 	// listETag and cachedList hold the last membership list for conditional
@@ -51,8 +58,9 @@
 
 // NewHTTPClient returns a client of the service at an address, given as "IP:port".
 func NewHTTPClient(address string, opts ...HTTPClientOption) *HTTPClient {
-	transport := answer.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns})
-	h := &HTTPClient{base: "http://" + address, client: &http.Client{Transport: transport}, observer: answer.NoObserver{}}
+	room := quota.New(maxLongResponsesBytes)
+	transport := answer.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns}, room)
+	h := &HTTPClient{base: "http://" + address, client: &http.Client{Transport: transport}, room: room, observer: answer.NoObserver{}}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -131,7 +139,7 @@
 	default:
 		return nil, trace.ConnectionProblem(nil, "fetching the membership list: unexpected status %d", resp.StatusCode)
 	}
-	raw, err := answer.ReadAll(resp.Body, maxMemberListBytes)
+	raw, err := answer.ReadLong(resp.Body, maxMemberListBytes, h.room)
 	if err != nil {
 		answer.Observe(h.observer, h.base, err)
 		return nil, trace.ConnectionProblem(err, "reading the membership list")
@@ -186,7 +194,7 @@
 		return outcomeOfTransportError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := answer.ReadAll(resp.Body, maxResponseBytes)
+	raw, err := answer.ReadLong(resp.Body, maxResponseBytes, h.room)
 	if err != nil {
 		answer.Observe(h.observer, h.base, err)
 		return model.Unknown
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -38,32 +38,31 @@
 // Holder is what one reader holds. It must not be used concurrently.
 type Holder struct {
 	bytes *Bytes
-	// free is what the reader may still take whatever others hold, and held what it holds beyond that.
-	free, held int64
+	// free is how much the reader may hold whatever others hold, size how much it holds, and counted how much of that counts.
+	free, size, counted int64
 }
 
-// Holder returns a reader that holds nothing. Its first free bytes do not count.
+// Holder returns a reader that holds nothing. The first free bytes that it holds do not count.
 func (b *Bytes) Holder(free int64) *Holder { return &Holder{bytes: b, free: free} }
 
 // Take takes n bytes more. It fails with ErrUsedUp if the readers hold too much together; the reader then holds what it held before.
 func (h *Holder) Take(n int64) error {
-	free := min(n, h.free)
-	h.free, n = h.free-free, n-free
-	if n <= 0 {
-		return nil
-	}
-	if h.bytes.held.Add(n) > h.bytes.max {
-		h.bytes.held.Add(-n)
-		return ErrUsedUp
+	size := h.size + n
+	if more := size - h.free - h.counted; more > 0 {
+		if h.bytes.held.Add(more) > h.bytes.max {
+			h.bytes.held.Add(-more)
+			return ErrUsedUp
+		}
+		h.counted += more
 	}
-	h.held += n
+	h.size = size
 	return nil
 }
 
 // Release gives back all that the reader holds.
 func (h *Holder) Release() {
-	h.bytes.held.Add(-h.held)
-	h.held = 0
+	h.bytes.held.Add(-h.counted)
+	h.size, h.counted = 0, 0
 }
 
 // Read reads r to its end. It fails with ErrTooLong if r has more than maxBytes, with ErrUsedUp if a buffer beyond the first ShortBodyBytes
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -30,6 +30,8 @@
 	assert.NilError(t, late.Take(maxBytes-3*step))
 	holders[0].Release()
 	assert.NilError(t, late.Take(step))
+	late.Release()
+	assert.NilError(t, late.Take(free), "what is free is so again")
 	for _, h := range append(holders, late, late) {
 		h.Release()
 	}
