Bound what answers on the own interface hold together

Cause: each body was bounded (8 MB, a report and a line 1 MB), the sum over all never, and a stream not at all.

All answers that are being read share a room of 64 MB, eight of the longest, beyond 64 KB each: bodies, reports, the buffers of streams and the text of their tokens, which is kept until a stream ends. What finds no room is given up as no_room. A stream is given up as too long after 1 MB and 1 KB for each token that its request allows, as on the platform's interface (16 MB if it names no number).

--- a/internal/answer/stubs/stubs.go
+++ b/internal/answer/stubs/stubs.go
@@ -118,10 +118,10 @@
 	_, _ = io.Copy(io.Discard, r)
 }
 
-// ServePausing starts a server that answers a request with the given bytes, and then keeps the connection open until the client closes it.
-func ServePausing(t testing.TB, answer string) (address string) {
+// ServePausing starts a server that answers a request with a head and some bytes, repeated the given number of times, and then keeps the connection open until the client closes it.
+func ServePausing(t testing.TB, head, repeated string, times int) (address string) {
 	t.Helper()
-	raw := []byte(answer)
+	raw := []byte(head + strings.Repeat(repeated, times))
 	return Serve(t, func(r *bufio.Reader, conn *net.TCPConn) {
 		req, err := http.ReadRequest(r)
 		if err != nil {
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -14,8 +13,6 @@
 	"syscall"
 	"time"
 
-	jsonv2 "github.com/go-json-experiment/json"
-
 	"bulrushpond.example/bulrushpond/internal/answer"
 	"bulrushpond.example/bulrushpond/internal/quota"
 	"bulrushpond.example/bulrushpond/pkg/model"
@@ -23,8 +20,6 @@
 )
 
 const (
-	// maxLineBytes bounds a line of a stream.
-	maxLineBytes = 1 << 20
 	// maxReportBytes bounds a status report.
 	maxReportBytes = 1 << 20
 	// maxUnusedBytes bounds a body of which only the status counts.
@@ -67,15 +62,6 @@
 	return h
 }
 
-// Line is one line of an engine's streamed response: a token or a stage's failure.
-type Line struct {
-	model.Token
-	// Error is set on the last line of a stream that failed.
-	Error string `json:"error,omitempty"`
-	// Server is the server whose stage failed.
-	Server model.ServerID `json:"server,omitempty"`
-}
-
 // Open implements Engine.
 func (h *HTTPClient) Open(ctx context.Context, s Stream, sink func(model.Token)) error {
 	firstHop := s.Route.Hops[0]
@@ -90,37 +76,10 @@
 		}
 		return statusError(resp.StatusCode, string(firstHop.Server))
 	}
-	scanner := bufio.NewScanner(resp.Body)
-	scanner.Buffer(make([]byte, 4096), maxLineBytes)
-	for scanner.Scan() {
-		var line Line
-		if err := jsonv2.Unmarshal(scanner.Bytes(), &line); err != nil {
-			return h.transportError(errMalformedLine, string(firstHop.Server))
-		}
-		if line.Error != "" {
-			return verdt.New(verdt.MayHaveRun, verdt.StageFailed, line.Error, verdt.Server(string(line.Server)))
-		}
-		sink(line.Token)
-		if line.End {
-			return nil
-		}
-	}
-	return h.transportError(endOfLines(scanner.Err()), string(firstHop.Server))
-}
-
-// Errors of streams that are broken.
-var (
-	errMalformedLine = &answer.BrokenError{Fault: answer.Malformed, Err: errors.New("the engine sent a malformed line")}
-	errEndedEarly    = &answer.BrokenError{Fault: answer.Cut, Err: errors.New("the engine ended the stream early")}
-)
-
-// endOfLines returns the error of a stream that ended without its last line, with the error of the scanner.
-func endOfLines(err error) error {
-	switch {
-	case err == nil:
-		return errEndedEarly
-	case errors.Is(err, bufio.ErrTooLong):
-		return answer.ErrTooLong
+	err = readLines(resp.Body, s.MaxTokens, h.room, sink)
+	var failed *verdt.Error
+	if err != nil && !errors.As(err, &failed) {
+		return h.transportError(err, string(firstHop.Server))
 	}
 	return err
 }
@@ -167,7 +126,7 @@
 		return r, h.transportError(err, server)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := answer.ReadAll(resp.Body, maxReportBytes)
+	raw, err := answer.ReadLong(resp.Body, maxReportBytes, h.room)
 	if err != nil {
 		return r, h.transportError(err, server)
 	}
@@ -255,8 +214,9 @@
 		return Answer{}, h.transportError(err, c.Address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil || len(raw) > maxResponseBytes {
+	raw, err := answer.ReadLong(resp.Body, maxResponseBytes, h.room)
+	if err != nil {
+		answer.Observe(h.observer, c.Address, err)
 		return Answer{}, verdt.New(verdt.Ran, verdt.StageFailed, "the service's answer was cut or too large", verdt.Server(c.Address))
 	}
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: raw}, nil
--- a/internal/engine/orderkind_enumer.go
+++ b/internal/engine/orderkind_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _OrderKindNoOp() {
 	var x [1]struct{}
-	_ = x[LoadModel-(0)]
-	_ = x[LoadAdapter-(1)]
-	_ = x[SetRole-(2)]
+	_ = x[LoadModel-0]
+	_ = x[LoadAdapter-1]
+	_ = x[SetRole-2]
 }
 
 var _OrderKindValues = []OrderKind{LoadModel, LoadAdapter, SetRole}
