--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"bulrushpond.example/bulrushpond/internal/answer/stubs"
+	"bulrushpond.example/bulrushpond/internal/quota"
 	"bulrushpond.example/bulrushpond/pkg/model"
 )
 
@@ -93,3 +99,56 @@
 		assert.Assert(t, err != nil, "%q", line)
 	}
 }
+
+// TestManyEndlessAnswers guards against a memory use that grows with the number of answers that come at once and do not end.
+func TestManyEndlessAnswers(t *testing.T) {
+	const (
+		calls      = 300
+		block      = 64 << 10
+		maxHeapUse = maxLongResponsesBytes + calls*quota.ShortBodyBytes + 32<<20
+	)
+	text := strings.Repeat("x", block)
+	for _, s := range []struct {
+		name, head, repeated string
+		times                int
+		list                 bool
+	}{
+		{"value", "HTTP/1.1 200 OK\r\n\r\n{\"value\":\"", text, maxResponseBytes/block - 1, false},
+		{"refusal", "HTTP/1.1 503 Busy\r\n\r\n", text, maxResponseBytes/block - 1, false},
+		{"list", "HTTP/1.1 200 OK\r\n\r\n[{\"ID\":\"", text, maxMemberListBytes/block - 1, true},
+		{"header line", "HTTP/1.1 200 OK\r\nX: ", text, maxMemberListBytes / block, false},
+		{"small fields", "HTTP/1.1 200 OK\r\n", stubs.Fields(block - 1<<10), 1, false},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			endless := NewHTTPClient(stubs.ServePausing(t, s.head, s.repeated, s.times))
+			grown := stubs.HeapGrowth(t.Context(), calls, func(ctx context.Context, _ int) {
+				if s.list {
+					_, err := endless.List(ctx)
+					assert.Check(t, err != nil)
+					return
+				}
+				_, outcome := endless.Get(ctx, "k")
+				assert.Check(t, outcome == model.Unknown)
+			})
+			assert.Assert(t, grown < maxHeapUse, "the heap grew by %d MB", grown>>20)
+		})
+	}
+}
+
+// TestLongAnswersAtTheLimitAreServed guards against bounds that refuse what a takeover of several rings reads at once.
+func TestLongAnswersAtTheLimitAreServed(t *testing.T) {
+	const calls = maxLongResponsesBytes/maxResponseBytes - 1
+	value := bytes.Repeat([]byte("v"), maxResponseBytes/4*3-1<<10)
+	raw, err := json.Marshal(model.Entry{Key: "k", Value: value, Revision: 7})
+	assert.NilError(t, err)
+	client := NewHTTPClient(stubs.ServeBytes(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(raw), raw)))
+	var ended sync.WaitGroup
+	for range calls {
+		ended.Go(func() {
+			entry, outcome := client.Get(t.Context(), "k")
+			assert.Check(t, outcome == model.Done)
+			assert.Check(t, len(entry.Value) == len(value))
+		})
+	}
+	ended.Wait()
+}
