Check and bound answers that come through another daemon

A daemon took from another one a status such as 0 and names of fields with blanks, as a daemon of an earlier version passes them on while versions run side by side. And bytes without end were kept: 100 calls at once to a daemon that does not stop sending held 1,749 MB as messages, 1,476 MB as frames of proxied requests, as a message was bounded (16 MB), a frame and the sum over all were not.

peer.Client checks the heads in frames and the status of stored answers with answer.CheckHead; a broken one counts as a lost daemon, so the request may have run and has the usual fate. Messages and frames have at most 16 MB each and share 64 MB beyond 64 KB each. After an error the rest of a stream is cancelled, so that what still comes is not kept. Broken answers are counted and logged with the daemon's address.

TestCutMessagesAreNoAnswer, frames and stored answers cut at each byte, passed before: a QUIC stream tells a reset from an end, and the last frame ends the answer.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -121,10 +121,27 @@
 	_, rest, _ := bytes.Cut(line, []byte(" "))
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(text), 10, 16)
-	if err != nil || len(text) != statusDigits || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+	if err != nil || len(text) != statusDigits {
 		return ErrStatus
 	}
-	h.interim = status < http.StatusOK
+	h.interim = status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+	if !h.interim && !isFinal(int(status)) {
+		return ErrStatus
+	}
+	return nil
+}
+
+// isFinal reports whether a status is that of a final answer.
+func isFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// CheckHead returns what is wrong with the head of a final answer that was passed on, or nil.
+func CheckHead(status int, header http.Header) error {
+	switch {
+	case !isFinal(status):
+		return ErrStatus
+	case !hasFieldNames(header):
+		return ErrFieldName
+	}
 	return nil
 }
 
@@ -174,7 +191,7 @@
 // hasFieldNames reports whether all names of a header are those of fields.
 func hasFieldNames(header http.Header) bool {
 	for name := range header {
-		if strings.IndexFunc(name, func(r rune) bool { return r >= utf8.RuneSelf || !isToken[r] }) >= 0 {
+		if name == "" || strings.IndexFunc(name, func(r rune) bool { return r >= utf8.RuneSelf || !isToken[r] }) >= 0 {
 			return false
 		}
 	}
--- a/internal/boot/edge.go
+++ b/internal/boot/edge.go
@@ -277,7 +277,7 @@
 	if err != nil {
 		return err
 	}
-	d.client = peer.NewClient(tlsConfig, func(model.DaemonID) (string, bool) { return "", false })
+	d.client = peer.NewClient(tlsConfig, func(model.DaemonID) (string, bool) { return "", false }, peer.WithObserver(d))
 	if d.server, err = peer.Listen(d.vm.PeersAddress, tlsConfig, d, peer.WithRequestMemory(shareOf(d.vm.MemoryBytes, peersMemoryShare, defaultPeersMemory)), peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
 	}
--- a/internal/boot/node.go
+++ b/internal/boot/node.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	d.client = peer.NewClient(tlsConfig, d.peerAddress)
+	d.client = peer.NewClient(tlsConfig, d.peerAddress, peer.WithObserver(d.broken))
 	d.calls.Connect(d.client, d)
 	if d.server, err = peer.Listen(d.file.Peers, tlsConfig, d, peer.WithPanicHook(func(err error) { d.deps.Log.Error(err, evlog.WorkFailed, "part", "peers") })); err != nil {
 		return err
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,7 +10,9 @@
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
 
+	"bulrushpond.example/bulrushpond/internal/answer"
 	"bulrushpond.example/bulrushpond/internal/drive"
+	"bulrushpond.example/bulrushpond/internal/quota"
 	"bulrushpond.example/bulrushpond/internal/rings"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -23,18 +25,33 @@
 type Client struct {
 	tlsConfig *tls.Config
 	resolve   AddressResolver
+	observer  answer.Observer
+	// room is what long answers may take together while they are read.
+	room *quota.Bytes
 
 	mu sync.Mutex
 	// conns holds the connections by address; guarded by mu.
 	conns map[string]*quic.Conn
 }
 
+// ClientOption configures a Client.
+type ClientOption func(*Client)
+
+// WithObserver sets who learns of broken answers.
+func WithObserver(o answer.Observer) ClientOption {
+	return func(c *Client) { c.observer = o }
+}
+
 // NewClient returns a client that connects with a TLS configuration and looks up daemons
 // with resolve.
-func NewClient(tlsConfig *tls.Config, resolve AddressResolver) *Client {
+func NewClient(tlsConfig *tls.Config, resolve AddressResolver, opts ...ClientOption) *Client {
 	tlsConfig = tlsConfig.Clone()
 	tlsConfig.NextProtos = []string{alpnProtocol}
-	return &Client{tlsConfig: tlsConfig, resolve: resolve, conns: map[string]*quic.Conn{}}
+	c := &Client{tlsConfig: tlsConfig, resolve: resolve, observer: answer.NoObserver{}, room: quota.New(maxAnswersBytes), conns: map[string]*quic.Conn{}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // Close closes all connections.
@@ -78,17 +95,23 @@
 		stream.CancelWrite(1)
 	})
 	defer stop()
-	answer, err := roundTrip(stream, q)
+	a, err := c.roundTrip(stream, q)
 	if err != nil {
+		// What the daemon still sends is not kept.
+		stream.CancelRead(1)
+		answer.Observe(c.observer, address, err)
 		return Answer{}, peerLostError(verdt.MayHaveRun, "daemon at "+address+" gave no answer")
 	}
-	return answer, nil
+	return a, nil
 }
 
 const (
 	// probeInterval is how long a request waits for its response before its connection is
 	// probed, and the pause between two probes.
 	probeInterval = time.Second
+	// maxAnswersBytes bounds what all answers that are being read take beyond what each may take whatever others do: four of the
+	// longest.
+	maxAnswersBytes = 4 * maxMessageBytes
 	// probeTimeout bounds a probe. A daemon answers probes at once, whatever it executes.
 	probeTimeout = 3 * time.Second
 )
@@ -105,7 +128,7 @@
 			return
 		case <-ticker.C:
 		}
-		if err := probe(ctx, conn); err != nil && ctx.Err() == nil {
+		if err := c.probe(ctx, conn); err != nil && ctx.Err() == nil {
 			c.dropConn(address, conn)
 			return
 		}
@@ -113,7 +136,7 @@
 }
 
 // probe sends an empty request on a connection.
-func probe(ctx context.Context, conn *quic.Conn) error {
+func (c *Client) probe(ctx context.Context, conn *quic.Conn) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	stream, err := conn.OpenStreamSync(ctx)
@@ -125,7 +148,7 @@
 		stream.CancelWrite(1)
 	})
 	defer stop()
-	_, err = roundTrip(stream, Request{})
+	_, err = c.roundTrip(stream, Request{})
 	return err
 }
 
@@ -135,23 +158,26 @@
 }
 
 // roundTrip writes the request and reads the response of one stream.
-func roundTrip(stream *quic.Stream, q Request) (Answer, error) {
-	var answer Answer
+func (c *Client) roundTrip(stream *quic.Stream, q Request) (Answer, error) {
+	var a Answer
 	if err := writeMessage(stream, q); err != nil {
-		return answer, err
+		return a, err
 	}
 	if err := stream.Close(); err != nil {
-		return answer, trace.Wrap(err)
+		return a, trace.Wrap(err)
 	}
-	raw, err := readMessage(stream)
+	raw, err := answer.ReadLong(stream, maxMessageBytes, c.room)
 	if err != nil {
-		return answer, err
+		return a, trace.Wrap(err)
 	}
 	codec, err := sharedCodec()
 	if err != nil {
-		return answer, err
+		return a, err
+	}
+	if err := codec.dec.Unmarshal(raw, &a); err != nil {
+		return a, &answer.BrokenError{Fault: answer.Malformed, Err: err}
 	}
-	return answer, trace.Wrap(codec.dec.Unmarshal(raw, &answer))
+	return a, nil
 }
 
 // openStream opens a stream on the cached connection, or on a new one if the cached
@@ -196,15 +222,19 @@
 func (c *Client) Forward(ctx context.Context, to model.DaemonID, call drive.CallRequest) (rings.StoredAnswer, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	answer, err := c.Ask(ctx, to, Request{Call: &call})
+	a, err := c.Ask(ctx, to, Request{Call: &call})
 	if err != nil {
 		return rings.StoredAnswer{}, err
 	}
 	switch {
-	case answer.Failure != nil:
-		return rings.StoredAnswer{}, answer.Failure
-	case answer.Stored != nil:
-		return *answer.Stored, nil
+	case a.Failure != nil:
+		return rings.StoredAnswer{}, a.Failure
+	case a.Stored != nil:
+		if err := answer.CheckHead(a.Stored.Status, nil); err != nil {
+			answer.Observe(c.observer, string(to), err)
+			return rings.StoredAnswer{}, peerLostError(verdt.MayHaveRun, "daemon "+string(to)+" gave a broken answer")
+		}
+		return *a.Stored, nil
 	}
 	return rings.StoredAnswer{}, peerLostError(verdt.MayHaveRun, "daemon "+string(to)+" gave an empty answer")
 }
--- a/internal/peer/proxy.go
+++ b/internal/peer/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"os"
 	"sync"
 	"time"
@@ -11,7 +12,9 @@
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
 
+	"bulrushpond.example/bulrushpond/internal/answer"
 	"bulrushpond.example/bulrushpond/internal/drive"
+	"bulrushpond.example/bulrushpond/internal/quota"
 )
 
 const (
@@ -32,6 +35,7 @@
 	address string
 	conn    *quic.Conn
 	stream  *quic.Stream
+	frames  *frameReader
 	decoder *cbor.Decoder
 	// started is set once the first frame has come.
 	started bool
@@ -50,7 +54,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	p := &proxyStream{client: c, address: address, conn: conn, stream: stream, decoder: codec.dec.NewDecoder(stream)}
+	frames := &frameReader{stream: stream, holder: c.room.Holder(quota.ShortBodyBytes)}
+	p := &proxyStream{client: c, address: address, conn: conn, stream: stream, frames: frames, decoder: codec.dec.NewDecoder(frames)}
 	if err = stream.SetWriteDeadline(time.Now().Add(proxyWriteTimeout)); err == nil {
 		err = writeMessage(stream, Request{Proxy: &q})
 	}
@@ -75,18 +80,66 @@
 		return frame, trace.Wrap(err)
 	}
 	err := p.decoder.Decode(&frame)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		p.dropLostConn()
+	p.frames.begin()
+	if err == nil {
+		err = checkFrame(&frame)
+	}
+	if err != nil {
+		answer.Observe(p.client.observer, p.address, err)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			p.dropLostConn()
+		}
+		return drive.ProxyFrame{}, trace.Wrap(err)
+	}
+	p.started = true
+	return frame, nil
+}
+
+// checkFrame returns what is wrong with the answer of a server in a frame, or nil. The daemon that sent it may be of a version that passed on
+// broken answers.
+func checkFrame(f *drive.ProxyFrame) error {
+	if f.Head != nil {
+		if err := answer.CheckHead(f.Head.Status, f.Head.Header); err != nil {
+			return err
+		}
+	}
+	if f.Answer != nil {
+		return answer.CheckHead(f.Answer.Status, f.Answer.Header)
+	}
+	return nil
+}
+
+// frameReader reads the frames of a stream, within a bound for each and one for all that are being read.
+type frameReader struct {
+	stream io.Reader
+	// holder holds the bytes of the current frame, size is their number.
+	holder *quota.Holder
+	size   int
+}
+
+// begin begins the next frame.
+func (r *frameReader) begin() {
+	r.holder.Release()
+	r.size = 0
+}
+
+// Read implements io.Reader.
+func (r *frameReader) Read(p []byte) (int, error) {
+	n, err := r.stream.Read(p)
+	if r.size += n; r.size > maxMessageBytes {
+		return 0, answer.ErrTooLong
+	}
+	if r.holder.Take(int64(n)) != nil {
+		return 0, answer.ErrNoRoom
 	}
-	p.started = p.started || err == nil
-	return frame, trace.Wrap(err)
+	return n, err
 }
 
 // dropLostConn closes the connection if the other daemon does not answer on it any more, as after a restart.
 func (p *proxyStream) dropLostConn() {
 	ctx, cancel := context.WithTimeout(p.conn.Context(), lostConnProbeTimeout)
 	defer cancel()
-	if probe(ctx, p.conn) != nil {
+	if p.client.probe(ctx, p.conn) != nil {
 		p.client.dropConn(p.address, p.conn)
 	}
 }
