Quote little of what servers sent on the own interface, too

Errors that reach callers and the log held whole lines that a server had sent: on the own interface a length, a header line or the error and the server that an engine names in a stream (28 KB in the test, up to 1 MB), and in the errors of the platform's key-value service a header line. platform/ clips its own; the text of net/http's errors was not clipped elsewhere.

The text of answer.BrokenError is clipped where it is made, so that whatever wraps it is bounded; the own interface clips what an engine says of a failed stage and all errors of net/http.

--- a/internal/answer/fault.go
+++ b/internal/answer/fault.go
@@ -39,8 +39,8 @@
 	Err error
 }
 
-// Error implements error.
-func (b *BrokenError) Error() string { return b.Err.Error() }
+// Error implements error. It returns as much as Clip.
+func (b *BrokenError) Error() string { return Clip(b.Err.Error()) }
 
 // Unwrap returns what says more.
 func (b *BrokenError) Unwrap() error { return b.Err }
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -184,3 +185,35 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got.Body), "{}")
 }
+
+// TestForeignTextIsNotQuoted guards against errors, which reach callers and the log, that hold whatever a server sent.
+func TestForeignTextIsNotQuoted(t *testing.T) {
+	const maxErrorBytes = 1 << 10
+	long := strings.Repeat("secret ", 4<<10)
+	for _, response := range []string{
+		long + "\r\n\r\n",
+		"HTTP/1.1 " + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: " + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: \x01" + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n{\"error\":\"" + long + "\"}\n",
+		"HTTP/1.1 200 OK\r\n\r\n{\"error\":\"lost\",\"server\":\"" + long + "\"}\n",
+		"HTTP/1.1 200 OK\r\n\r\n{" + long + "}\n",
+		"HTTP/1.1 200 OK\r\n\r\n{\"Server\":" + long + "}\n",
+		"HTTP/1.1 500 " + long + "\r\nContent-Length: 0\r\n\r\n",
+	} {
+		address := stubs.ServeEarly(t, response, stubs.EndAndRead)
+		h := NewHTTPClient()
+		_, doErr := h.Do(t.Context(), Call{Address: address, Method: http.MethodPost, Path: "/"})
+		_, _, openErr := openLines(t.Context(), h, address, 100)
+		_, reportErr := h.Report(t.Context(), address)
+		for _, err := range []error{doErr, openErr, reportErr, h.Order(t.Context(), address, Order{})} {
+			if err != nil {
+				failure := verdt.AsError(err, verdt.Ran)
+				assert.Assert(t, len(err.Error()) < maxErrorBytes, "an error of %d bytes for %.60q", len(err.Error()), response)
+				assert.Assert(t, len(failure.Server) < maxErrorBytes, "a server of %d bytes", len(failure.Server))
+			}
+		}
+	}
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -231,5 +231,5 @@
 	if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &opErr) && opErr.Op == "dial") {
 		verdict = verdt.NotRun
 	}
-	return verdt.New(verdict, verdt.StageFailed, "backend server failed: "+err.Error(), verdt.Server(server))
+	return verdt.New(verdict, verdt.StageFailed, "backend server failed: "+answer.Clip(err.Error()), verdt.Server(server))
 }
--- a/internal/engine/lines.go
+++ b/internal/engine/lines.go
@@ -58,7 +58,7 @@
 			return errMalformedLine
 		}
 		if line.Error != "" {
-			return verdt.New(verdt.MayHaveRun, verdt.StageFailed, line.Error, verdt.Server(string(line.Server)))
+			return verdt.New(verdt.MayHaveRun, verdt.StageFailed, answer.Clip(line.Error), verdt.Server(answer.Clip(string(line.Server))))
 		}
 		if textBytes += len(line.Text); textBytes > maxText {
 			return &answer.BrokenError{Fault: answer.TooLong, Err: fmt.Errorf("a stream of over %d bytes for %d tokens", maxText, maxTokens)}
--- a/internal/plat/broken_test.go
+++ b/internal/plat/broken_test.go
@@ -152,3 +152,19 @@
 	}
 	ended.Wait()
 }
+
+// TestForeignTextIsNotQuoted guards against errors, which are logged, that hold whatever the platform sent.
+func TestForeignTextIsNotQuoted(t *testing.T) {
+	const maxErrorBytes = 1 << 10
+	long := strings.Repeat("secret ", 4<<10)
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nX: \x01" + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n[{\"" + long + "}]",
+		"HTTP/1.1 500 " + long + "\r\n\r\n",
+		long + "\r\n\r\n",
+	} {
+		_, err := NewHTTPClient(stubs.ServeEarly(t, response, stubs.EndAndRead)).List(t.Context())
+		assert.Assert(t, err != nil && len(err.Error()) < maxErrorBytes, "an error of %d bytes for %.60q", len(err.Error()), response)
+	}
+}
