Read whole answers that a reset follows

The twin of the check for resets: a server that answers a long upload early and closes its connection while the request still arrives resets it right behind its answer.

Cause: net/http closes a connection as soon as a write fails, and what has arrived of the answer and was not read yet is lost.

answer.Conn holds the failure of a write back until all that has arrived was read, that is, until a read fails, or the connection is closed; one second at most.

The heap tests collect garbage twice, since what is allocated during a collection outlives it.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -48,6 +49,9 @@
 	writing sync.Mutex
 	// resetSeen is set once a write has failed since the connection was reset; guarded by writing.
 	resetSeen bool
+	// ended is closed, by endOnce, when a read fails or the connection is closed.
+	ended   chan struct{}
+	endOnce sync.Once
 	// head checks what is read. Only the goroutine that reads uses it.
 	head headCheck
 	// broken is why reads failed, if they found a broken answer.
@@ -61,12 +65,15 @@
 	closed    bool
 }
 
+// writeFailureDelay is how long the failure of a write may be held back. What has arrived is read within milliseconds.
+const writeFailureDelay = time.Second
+
 // freeHeadBytes is the memory that a head may take whatever others take.
 const freeHeadBytes = 16 << 10
 
 // NewConn returns a connection to a server. Heads of its answers take what room allows.
 func NewConn(conn net.Conn, room *quota.Bytes) *Conn {
-	return &Conn{Conn: conn, headRoom: room.Holder(freeHeadBytes)}
+	return &Conn{Conn: conn, ended: make(chan struct{}), headRoom: room.Holder(freeHeadBytes)}
 }
 
 // Read implements io.Reader.
@@ -75,6 +82,9 @@
 		return 0, c.head.failure
 	}
 	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.endOnce.Do(func() { close(c.ended) })
+	}
 	valid, failure := c.head.check(b[:n])
 	if failure == nil {
 		failure = c.takeHeadRoom()
@@ -133,11 +143,27 @@
 	c.closed = true
 	c.releaseHead()
 	c.holding.Unlock()
+	c.endOnce.Do(func() { close(c.ended) })
 	return c.Conn.Close()
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. If the server has closed the connection, it fails only once all that has arrived was read, or after
+// writeFailureDelay: net/http closes a connection when a write fails, and an answer that is whole would be lost.
 func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.write(b)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		delay := time.NewTimer(writeFailureDelay)
+		defer delay.Stop()
+		select {
+		case <-c.ended:
+		case <-delay.C:
+		}
+	}
+	return n, err
+}
+
+// write writes to the connection, and keeps whether that found it reset.
+func (c *Conn) write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
--- a/internal/answer/stubs/stubs.go
+++ b/internal/answer/stubs/stubs.go
@@ -112,6 +112,12 @@
 	Reset(r, conn)
 }
 
+// EndAndResetAtOnce ends a connection and resets it without a pause.
+func EndAndResetAtOnce(r *bufio.Reader, conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	Reset(r, conn)
+}
+
 // EndAndRead ends the sending side of a connection and reads what is left of the request.
 func EndAndRead(r *bufio.Reader, conn *net.TCPConn) {
 	_ = conn.CloseWrite()
@@ -144,6 +150,8 @@
 
 // LiveHeapBytes returns the size of all reachable objects.
 func LiveHeapBytes() int64 {
+	// What was allocated during the first collection may outlive it.
+	runtime.GC()
 	runtime.GC()
 	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
 	metrics.Read(sample)
@@ -163,9 +171,9 @@
 	var highest int64
 	for range samples {
 		time.Sleep(interval)
-		highest = max(highest, LiveHeapBytes())
+		highest = max(highest, LiveHeapBytes()-before)
 	}
 	cancel()
 	ended.Wait()
-	return highest - before
+	return highest
 }
