Tighten the new bounds after runs under the race detector

- The rooms of the own clients are six of the longest answers (engines), 32 (key-value service) and three (daemons), and a frame counts twice, as the decoder's buffer doubles: TestManyLongStreams 132 MB, TestManyEndlessAnswers 196 and 206 MB, TestManyEndlessMessages 226 to 232 MB, each under the race detector.

--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -24,9 +24,9 @@
 	maxReportBytes = 1 << 20
 	// maxUnusedBytes bounds a body of which only the status counts.
 	maxUnusedBytes = 64 << 10
-	// maxLongAnswersBytes bounds what all answers that are being read take beyond what each may take whatever others do: eight of
+	// maxLongAnswersBytes bounds what all answers that are being read take beyond what each may take whatever others do: six of
 	// the longest.
-	maxLongAnswersBytes = 8 * maxResponseBytes
+	maxLongAnswersBytes = 6 * maxResponseBytes
 	// maxResponseBytes bounds the response body of a plain service.
 	maxResponseBytes = 8 << 20
 	dialTimeout      = time.Second
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -109,9 +109,9 @@
 	// probeInterval is how long a request waits for its response before its connection is
 	// probed, and the pause between two probes.
 	probeInterval = time.Second
-	// maxAnswersBytes bounds what all answers that are being read take beyond what each may take whatever others do: four of the
+	// maxAnswersBytes bounds what all answers that are being read take beyond what each may take whatever others do: three of the
 	// longest.
-	maxAnswersBytes = 4 * maxMessageBytes
+	maxAnswersBytes = 3 * maxMessageBytes
 	// probeTimeout bounds a probe. A daemon answers probes at once, whatever it executes.
 	probeTimeout = 3 * time.Second
 )
--- a/internal/peer/proxy.go
+++ b/internal/peer/proxy.go
@@ -109,10 +109,13 @@
 	return nil
 }
 
+// bufferCopies is how many times the decoder may hold the bytes of a frame: its buffer doubles.
+const bufferCopies = 2
+
 // frameReader reads the frames of a stream, within a bound for each and one for all that are being read.
 type frameReader struct {
 	stream io.Reader
-	// holder holds the bytes of the current frame, size is their number.
+	// holder holds the memory of the current frame, and size is the number of its bytes.
 	holder *quota.Holder
 	size   int
 }
@@ -129,7 +132,7 @@
 	if r.size += n; r.size > maxMessageBytes {
 		return 0, answer.ErrTooLong
 	}
-	if r.holder.Take(int64(n)) != nil {
+	if r.holder.Take(bufferCopies*int64(n)) != nil {
 		return 0, answer.ErrNoRoom
 	}
 	return n, err
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -26,8 +26,8 @@
 const maxResponseBytes = 2 << 20
 
 // maxLongResponsesBytes bounds what all responses that are being read take beyond what each may take whatever others do:
-// 64 of the longest, as a takeover of several rings reads all their slots at once.
-const maxLongResponsesBytes = 64 * maxResponseBytes
+// 32 of the longest, as a takeover of a ring reads all its slots at once.
+const maxLongResponsesBytes = 32 * maxResponseBytes
 
 // maxIdleConns bounds the idle connections to the service: a takeover of a ring
 // reads the ring's slots concurrently.
