--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -206,7 +206,7 @@
 		address := stubs.ServeEarly(t, response, stubs.EndAndRead)
 		h := NewHTTPClient()
 		_, doErr := h.Do(t.Context(), Call{Address: address, Method: http.MethodPost, Path: "/"})
-		_, _, openErr := openLines(t.Context(), h, address, 100)
+		_, _, openErr := openLines(t.Context(), h, address)
 		_, reportErr := h.Report(t.Context(), address)
 		for _, err := range []error{doErr, openErr, reportErr, h.Order(t.Context(), address, Order{})} {
 			if err != nil {
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -16,12 +16,15 @@
 	"bulrushpond.example/bulrushpond/pkg/verdt"
 )
 
+// linesMaxTokens is how many tokens the streams of openLines may have.
+const linesMaxTokens = 100
+
 // maxHeapUse bounds what the answers of many servers that do not stop sending may take together.
 const maxHeapUse = 120 << 20
 
 // openLines opens a stream and returns how many bytes of text it passed on, and whether an end was.
-func openLines(ctx context.Context, h *HTTPClient, address string, maxTokens int) (relayed int, ended bool, err error) {
-	err = h.Open(ctx, Stream{MaxTokens: maxTokens, Route: model.Route{Hops: []model.Hop{{Server: "e0", Address: address}}}}, func(tok model.Token) {
+func openLines(ctx context.Context, h *HTTPClient, address string) (relayed int, ended bool, err error) {
+	err = h.Open(ctx, Stream{MaxTokens: linesMaxTokens, Route: model.Route{Hops: []model.Hop{{Server: "e0", Address: address}}}}, func(tok model.Token) {
 		relayed += len(tok.Text)
 		ended = ended || tok.End
 	})
@@ -41,7 +44,7 @@
 		return err
 	}
 	open := func(ctx context.Context, h *HTTPClient, address string) error {
-		_, _, err := openLines(ctx, h, address, 100)
+		_, _, err := openLines(ctx, h, address)
 		return err
 	}
 	report := func(ctx context.Context, h *HTTPClient, address string) error {
@@ -81,7 +84,7 @@
 				}
 				time.Sleep(500 * time.Millisecond)
 				assert.Check(t, do(ctx, h, sound))
-				_, ended, err := openLines(ctx, h, sound, 100)
+				_, ended, err := openLines(ctx, h, sound)
 				assert.Check(t, err)
 				assert.Check(t, ended)
 			})
@@ -117,7 +120,7 @@
 	long := `{"text":"` + strings.Repeat("x", maxLineBytes-100) + `"}` + "\n" + `{"end":true}` + "\n"
 	address := stubs.ServePausing(t, "HTTP/1.1 200 OK\r\n\r\n", long, 1)
 	for range 3 {
-		relayed, ended, err := openLines(t.Context(), h, address, 100)
+		relayed, ended, err := openLines(t.Context(), h, address)
 		assert.NilError(t, err)
 		assert.Assert(t, ended && relayed == maxLineBytes-100)
 	}
@@ -127,14 +130,13 @@
 // passed on as complete.
 func TestEndlessTokens(t *testing.T) {
 	const (
-		maxTokens  = 100
-		maxRelayed = maxLineBytes + maxTokens*maxBytesPerToken
+		maxRelayed = maxLineBytes + linesMaxTokens*maxBytesPerToken
 		lines      = 64 << 10
 	)
 	for _, line := range []string{`{"text":"` + strings.Repeat("x", 100) + `"}` + "\n", `{"text":"` + strings.Repeat("x", 64<<10) + `"}` + "\n"} {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		relayed, ended, err := openLines(ctx, NewHTTPClient(), stubs.ServePausing(t, "HTTP/1.1 200 OK\r\n\r\n", line, min(lines, 16<<20/len(line))), maxTokens)
+		relayed, ended, err := openLines(ctx, NewHTTPClient(), stubs.ServePausing(t, "HTTP/1.1 200 OK\r\n\r\n", line, min(lines, 16<<20/len(line))))
 		assert.NilError(t, ctx.Err(), "%d bytes were passed on", relayed)
 		assert.Equal(t, verdt.AsError(err, verdt.NotRun).Verdict, verdt.MayHaveRun)
 		assert.Assert(t, relayed <= maxRelayed && !ended, "%d bytes were passed on", relayed)
