Refuse answers of HTTP/1.0 in chunks

Found while the ends of bodies were looked at: an answer of HTTP/1.0 that says "Transfer-Encoding: chunked" was passed on with the chunks and their lengths as its body, which is not the engine's. Cause: net/http drops the field for that version, and reads until the connection ends. The version has no chunks, and the protocol says that nobody knows then where the body ends.

answer.Conn refuses the head, on all clients. TestChunksOfEarlierVersionAreNoBody failed before; answers of HTTP/1.0 with a length, or that end with their connection, pass as before, and so do other fields.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -18,6 +18,12 @@
 // MaxHeadBytes bounds the status line and headers of an answer together with all interim (1xx) answers before it.
 const MaxHeadBytes = 64 << 10
 
+// ErrFraming is returned for an answer of HTTP/1.0 in chunks, which that version does not have: nobody knows where its body ends.
+var ErrFraming = broken(Malformed, "the answer is of HTTP/1.0 and in chunks")
+
+// lowerTransferEncoding is the name of the field that says that a body comes in chunks.
+const lowerTransferEncoding = "transfer-encoding"
+
 const (
 	// maxStatusBytes is how many bytes of a status line are kept. The status is within them.
 	maxStatusBytes = 64
@@ -50,6 +56,10 @@
 	statusBytes int
 	// interim is set in the head of an interim answer.
 	interim bool
+	// withoutChunks is set if the version of the answer has no chunks.
+	withoutChunks bool
+	// sameBytes is how many bytes of the current name are those of lowerTransferEncoding, below 0 once one is not.
+	sameBytes int
 	// read is how many bytes of the head, and of the interim ones before it, were read.
 	read int
 	// bytes is about the memory that the head takes, together with the interim ones before it.
@@ -118,7 +128,8 @@
 	if !bytes.HasPrefix(line, []byte("HTTP/")) {
 		return nil
 	}
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	h.withoutChunks = string(version) == "HTTP/1.0"
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(text), 10, 16)
 	if err != nil || len(text) != statusDigits {
@@ -157,7 +168,7 @@
 		h.failure = ErrFieldName
 		return 0
 	default:
-		h.part = fieldName
+		h.part, h.sameBytes = fieldName, 0
 		return 0
 	}
 	return 1
@@ -176,6 +187,9 @@
 func (h *headCheck) checkName(b []byte) int {
 	for i, c := range b {
 		switch {
+		case c == ':' && h.withoutChunks && h.sameBytes == len(lowerTransferEncoding):
+			h.failure = ErrFraming
+			return i
 		case c == ':':
 			h.part = fieldValue
 			h.bytes += fieldBytes
@@ -184,10 +198,24 @@
 			h.failure = ErrFieldName
 			return i
 		}
+		h.compare(c)
 	}
 	return len(b)
 }
 
+// compare compares the next byte of a name with lowerTransferEncoding.
+func (h *headCheck) compare(c byte) {
+	const upperToLower = 'a' - 'A'
+	if c >= 'A' && c <= 'Z' {
+		c += upperToLower
+	}
+	if h.sameBytes >= 0 && h.sameBytes < len(lowerTransferEncoding) && c == lowerTransferEncoding[h.sameBytes] {
+		h.sameBytes++
+	} else {
+		h.sameBytes = -1
+	}
+}
+
 // hasFieldNames reports whether all names of a header are those of fields.
 func hasFieldNames(header http.Header) bool {
 	for name := range header {
