--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -12,8 +12,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"bulrushpond.example/bulrushpond/internal/quota"
 )
 
@@ -54,8 +52,8 @@
 	endOnce sync.Once
 	// head checks what is read. Only the goroutine that reads uses it.
 	head headCheck
-	// broken is why reads failed, if they found a broken answer.
-	broken atomic.Pointer[BrokenError]
+	// failure is why reads failed, if they found a broken answer.
+	failure atomic.Pointer[BrokenError]
 
 	// holding guards the fields below: the connection may be closed during a read.
 	holding sync.Mutex
@@ -91,18 +89,18 @@
 	}
 	if failure != nil {
 		c.head.failure = failure
-		c.broken.Store(failure)
+		c.failure.Store(failure)
 		return valid, failure
 	}
 	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) && c.wasReset() {
-		c.broken.Store(&BrokenError{Fault: Reset, Err: ErrReset})
+		c.failure.Store(&BrokenError{Fault: Reset, Err: ErrReset})
 		err = ErrReset
 	}
 	return n, err
 }
 
-// brokenBy returns why reads failed, nil unless they found a broken answer. net/http may fail for what follows from it.
-func (c *Conn) brokenBy() *BrokenError { return c.broken.Load() }
+// readFailure returns why reads failed, nil unless they found a broken answer. The error of net/http may be a consequence of it.
+func (c *Conn) readFailure() *BrokenError { return c.failure.Load() }
 
 // expectHead prepares for the next answer. No read may be in progress.
 func (c *Conn) expectHead() {
@@ -174,34 +172,13 @@
 
 // wasReset reports, after a read has returned io.EOF, whether the connection was reset.
 func (c *Conn) wasReset() bool {
-	if tcpState(c.Conn) == tcpClosed {
+	if isClosed(c.Conn) {
 		// A write that is in progress ends at once.
 		c.writing.Lock()
 	} else if !c.writing.TryLock() {
+		// A write that is in progress may take long: the server has only ended its side.
 		return false
 	}
 	defer c.writing.Unlock()
 	return c.resetSeen
 }
-
-// tcpClosed is the state of a connection that was reset, in the kernel's numbering (TCP_CLOSE).
-const tcpClosed = 7
-
-// tcpState returns the state of a TCP connection, 0 if it is not known.
-func tcpState(conn net.Conn) uint8 {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	rawConn, err := raw.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	var state uint8
-	_ = rawConn.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			state = info.State
-		}
-	})
-	return state
-}
--- a/internal/answer/fault.go
+++ b/internal/answer/fault.go
@@ -56,7 +56,7 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	if cause := conn.brokenBy(); cause != nil {
+	if cause := conn.readFailure(); cause != nil {
 		return cause
 	}
 	var known *BrokenError
--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -15,12 +15,12 @@
 // the line begins with a blank, as a continued one does, which no server may send.
 var ErrFieldName = broken(FieldName, "the head of the answer has a line that does not begin with the name of a field")
 
-// MaxHeadBytes bounds the status line and headers of an answer together with all interim (1xx) answers before it.
-const MaxHeadBytes = 64 << 10
-
 // ErrFraming is returned for an answer of HTTP/1.0 in chunks, which that version does not have: nobody knows where its body ends.
 var ErrFraming = broken(Malformed, "the answer is of HTTP/1.0 and in chunks")
 
+// MaxHeadBytes bounds the status line and headers of an answer together with all interim (1xx) answers before it.
+const MaxHeadBytes = 64 << 10
+
 // lowerTransferEncoding is the name of the field that says that a body comes in chunks.
 const lowerTransferEncoding = "transfer-encoding"
 
@@ -56,10 +56,10 @@
 	statusBytes int
 	// interim is set in the head of an interim answer.
 	interim bool
-	// withoutChunks is set if the version of the answer has no chunks.
-	withoutChunks bool
-	// sameBytes is how many bytes of the current name are those of lowerTransferEncoding, below 0 once one is not.
-	sameBytes int
+	// http10 is set if the version of the answer is HTTP/1.0.
+	http10 bool
+	// matched is how many bytes of the current name match lowerTransferEncoding, below 0 once one does not.
+	matched int
 	// read is how many bytes of the head, and of the interim ones before it, were read.
 	read int
 	// bytes is about the memory that the head takes, together with the interim ones before it.
@@ -74,7 +74,7 @@
 		valid += h.checkPart(b[valid:])
 	}
 	h.bytes += int64(valid)
-	if h.read += valid; h.read >= MaxHeadBytes && h.part != afterHead {
+	if h.read += valid; h.failure == nil && h.part != afterHead && h.read >= MaxHeadBytes {
 		h.failure = ErrTooLong
 	}
 	if h.failure != nil {
@@ -129,7 +129,7 @@
 		return nil
 	}
 	version, rest, _ := bytes.Cut(line, []byte(" "))
-	h.withoutChunks = string(version) == "HTTP/1.0"
+	h.http10 = string(version) == "HTTP/1.0"
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(text), 10, 16)
 	if err != nil || len(text) != statusDigits {
@@ -168,7 +168,7 @@
 		h.failure = ErrFieldName
 		return 0
 	default:
-		h.part, h.sameBytes = fieldName, 0
+		h.part, h.matched = fieldName, 0
 		return 0
 	}
 	return 1
@@ -187,7 +187,7 @@
 func (h *headCheck) checkName(b []byte) int {
 	for i, c := range b {
 		switch {
-		case c == ':' && h.withoutChunks && h.sameBytes == len(lowerTransferEncoding):
+		case c == ':' && h.http10 && h.matched == len(lowerTransferEncoding):
 			h.failure = ErrFraming
 			return i
 		case c == ':':
@@ -198,21 +198,21 @@
 			h.failure = ErrFieldName
 			return i
 		}
-		h.compare(c)
+		h.matchTransferEncoding(c)
 	}
 	return len(b)
 }
 
-// compare compares the next byte of a name with lowerTransferEncoding.
-func (h *headCheck) compare(c byte) {
+// matchTransferEncoding compares the next byte of a name with lowerTransferEncoding.
+func (h *headCheck) matchTransferEncoding(c byte) {
 	const upperToLower = 'a' - 'A'
 	if c >= 'A' && c <= 'Z' {
 		c += upperToLower
 	}
-	if h.sameBytes >= 0 && h.sameBytes < len(lowerTransferEncoding) && c == lowerTransferEncoding[h.sameBytes] {
-		h.sameBytes++
+	if h.matched >= 0 && h.matched < len(lowerTransferEncoding) && c == lowerTransferEncoding[h.matched] {
+		h.matched++
 	} else {
-		h.sameBytes = -1
+		h.matched = -1
 	}
 }
 
--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -34,7 +34,7 @@
 type exchangeConn interface {
 	net.Conn
 	expectHead()
-	brokenBy() *BrokenError
+	readFailure() *BrokenError
 }
 
 // RoundTrip implements http.RoundTripper.
