--- a/internal/answer/stubs/stubs.go
+++ b/internal/answer/stubs/stubs.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -150,12 +151,16 @@
 
 // LiveHeapBytes returns the size of all reachable objects.
 func LiveHeapBytes() int64 {
-	// What was allocated during the first collection may outlive it.
-	runtime.GC()
-	runtime.GC()
+	// What is allocated during a collection outlives it, so the least of some counts.
+	const collections = 4
+	least := int64(math.MaxInt64)
 	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-	metrics.Read(sample)
-	return int64(sample[0].Value.Uint64())
+	for range collections {
+		runtime.GC()
+		metrics.Read(sample)
+		least = min(least, int64(sample[0].Value.Uint64()))
+	}
+	return least
 }
 
 // HeapGrowth returns by how much the reachable objects grow at most within a second after calls were begun at once, each with a number. It then
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -53,7 +53,8 @@
 
 // TestEndDuringUploadIsAnEnd guards against a check for resets that refuses answers that end with their connection.
 func TestEndDuringUploadIsAnEnd(t *testing.T) {
-	body := string(bytes.Repeat([]byte("whole"), 1<<15))
+	// More than a client's kernel keeps would be discarded by the reset if the client reads late.
+	body := string(bytes.Repeat([]byte("whole"), 4<<10))
 	for name, end := range map[string]stubs.EndFunc{"read on": stubs.EndAndRead, "reset after the end": stubs.EndAndReset} {
 		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut} {
 			t.Run(name+"/"+method, func(t *testing.T) {
