Close the connection of a malformed answer, too

Found on reading the change again: an answer that is whole by its length, but no JSON, counted as broken, and its connection was used again: reports and responses of the key-value services on both interfaces, and a stream whose malformed line ends its body. What a server sends behind such an answer need not be an answer either.

answer.Decode and the own interface's streams drop the connection.

--- a/internal/answer/read.go
+++ b/internal/answer/read.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 
 	"bulrushpond.example/bulrushpond/internal/quota"
 )
@@ -46,9 +47,10 @@
 	return err
 }
 
-// Decode decodes a whole body from JSON.
-func Decode(body []byte, value any) error {
+// Decode decodes the whole body of a response from JSON. If that fails, no request uses the connection again.
+func Decode(resp *http.Response, body []byte, value any) error {
 	if err := json.Unmarshal(body, value); err != nil {
+		DropConn(resp)
 		return &BrokenError{Fault: Malformed, Err: err}
 	}
 	return nil
--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -88,3 +88,10 @@
 
 // CloseIdleConnections closes the connections that are not in use. http.Client calls it.
 func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
+
+// DropConn closes the connection of an answer that is malformed though it is whole by its length, so that no request uses it again.
+func DropConn(resp *http.Response) {
+	if body, ok := resp.Body.(*bodyCheck); ok {
+		_ = body.conn.Close()
+	}
+}
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpond.example/bulrushpond/internal/answer"
 	"bulrushpond.example/bulrushpond/internal/answer/stubs"
 	"bulrushpond.example/bulrushpond/pkg/model"
 	"bulrushpond.example/bulrushpond/pkg/verdt"
@@ -218,3 +223,28 @@
 		}
 	}
 }
+
+// TestMalformedAnswerEndsConnection guards against a connection that is used again though the answer on it, whole by its length, was malformed.
+func TestMalformedAnswerEndsConnection(t *testing.T) {
+	for body, conns := range map[string]int64{"{\n": 3, "{\"end\":true}\n": 1} {
+		var opened atomic.Int64
+		h := NewHTTPClient()
+		base := h.client.Transport.(*answer.Transport).Base
+		dial := base.DialContext
+		base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			opened.Add(1)
+			return dial(ctx, network, address)
+		}
+		address := stubs.ServeBytes(t, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		for range 3 {
+			_, err := h.Report(t.Context(), address)
+			assert.Equal(t, err == nil, conns == 1, "%v", err)
+		}
+		assert.Equal(t, opened.Load(), conns, "reports")
+		for range 3 {
+			_, _, err := openLines(t.Context(), h, address)
+			assert.Equal(t, err == nil, conns == 1, "%v", err)
+		}
+		assert.Assert(t, conns == 1 || opened.Load() == 2*conns, "streams: %d connections", opened.Load())
+	}
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -79,6 +79,7 @@
 	err = readLines(resp.Body, s.MaxTokens, h.room, sink)
 	var failed *verdt.Error
 	if err != nil && !errors.As(err, &failed) {
+		answer.DropConn(resp)
 		return h.transportError(err, string(firstHop.Server))
 	}
 	return err
@@ -133,7 +134,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return r, statusError(resp.StatusCode, server)
 	}
-	if err := answer.Decode(raw, &r); err != nil {
+	if err := answer.Decode(resp, raw, &r); err != nil {
 		answer.Observe(h.observer, server, err)
 		return r, verdt.New(verdt.Ran, verdt.StageFailed, "engine sent a malformed report", verdt.Server(server))
 	}
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -145,7 +145,7 @@
 		return nil, trace.ConnectionProblem(err, "reading the membership list")
 	}
 	var members []model.Member
-	if err := answer.Decode(raw, &members); err != nil {
+	if err := answer.Decode(resp, raw, &members); err != nil {
 		answer.Observe(h.observer, h.base, err)
 		return nil, trace.BadParameter("decoding the membership list: %s", err.Error())
 	}
@@ -208,7 +208,7 @@
 	default:
 		return model.Unknown
 	}
-	if err := answer.Decode(raw, response); err != nil {
+	if err := answer.Decode(resp, raw, response); err != nil {
 		answer.Observe(h.observer, h.base, err)
 		return model.Unknown
 	}
