--- a/pkg/setts/reference.go
+++ b/pkg/setts/reference.go
@@ -53,5 +53,6 @@
 | ` + "`limits.memoryMb`" + ` in the VM's settings file | no limit: 64 MB for callers, 32 MB for events, 64 MB for other daemons, 32 MB for answers that are read | parts of the VM's memory: 0.2 for callers' heads, bodies and answers; 0.125 for answers that are read, at most 32 MB, with their heads, by fields, and the buffers of streams; 0.0625 for other daemons' requests; 0.05 for events that are not taken |
 | GOMEMLIMIT, on the product's own interface | no limit: 64 MB for callers | a third of it for callers' heads, bodies and answers |
 | fixed, on the product's own interface | | answers that are read, beyond 64 KB each: 48 MB for engines and services, 64 MB for the key-value service and the membership list, 48 MB for other daemons |
+| fixed, on the platform | | the same: 32 MB for the key-value service, 48 MB for other daemons |
 | the operators' ` + "`maxHeaderBytes`" + ` | 64 KB | a longer head is answered 431 before it was read whole |
 `
