Let the test of the longest messages answer probes as daemons do

A message that takes over a second has its connection probed by an empty request, and the stand-in answered that with 16 MB as well, a fourth message where three have room. Daemons answer probes with an empty message; so does the stand-in now. The bound and the number of messages are unchanged.

--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -194,12 +194,18 @@
 	)
 	authority := newTestAuthority(t)
 	body := bytes.Repeat([]byte("x"), maxMessageBytes-1<<10)
-	address := startServer(t, issueKeys(t, authority, "d1"), handlerFunc(func(context.Context, Request) Answer { return Answer{Burn: body} }))
+	address := startServer(t, issueKeys(t, authority, "d1"), handlerFunc(func(_ context.Context, q Request) Answer {
+		if q.Burn == nil {
+			// A probe of the connection, while a message takes long.
+			return Answer{}
+		}
+		return Answer{Burn: body}
+	}))
 	client := newTestClient(t, issueKeys(t, authority, "d0"), address)
 	results := make(chan error, 2*calls)
 	for range calls {
 		go func() {
-			answer, err := client.AskAddress(t.Context(), address, Request{})
+			answer, err := client.AskAddress(t.Context(), address, Request{Burn: &BurnRequest{}})
 			if err == nil && len(answer.Burn) != len(body) {
 				err = fmt.Errorf("%d bytes", len(answer.Burn))
 			}
