--- a/review/stand3/oversize.go
+++ b/review/stand3/oversize.go
@@ -11,7 +11,8 @@
 	longPrompt = 200_000
 	// ordinaryPause and longPause are the times between two requests of a tenant.
 	ordinaryPause, longPause = 250 * time.Millisecond, 125 * time.Millisecond
-	// steadyTime is how long requests are counted.
+	// quietTime is the time after the last change until requests are counted, and steadyTime for how long.
+	quietTime  = 5 * time.Second
 	steadyTime = 20 * time.Second
 	// minLater is how many requests on routes that were added later must come for the rule to count.
 	minLater = 20
@@ -42,6 +43,7 @@
 	if err := c.awaitDrafts(); err != nil {
 		return false, err
 	}
+	time.Sleep(quietTime)
 	until := time.Now().Add(steadyTime)
 	for _, tenant := range tenants[1:] {
 		c.flow(drafts, tenant, ordinaryPause, until)
