--- a/review/stand3/moved.go
+++ b/review/stand3/moved.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -46,6 +47,36 @@
 	return r.listener.Close()
 }
 
+// storeListener is the store's listener at its first address. Close ends its connections, too.
+type storeListener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *storeListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns = append(l.conns, conn)
+	}
+	return conn, err
+}
+
+// Close implements net.Listener.
+func (l *storeListener) Close() error {
+	err := l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.conns {
+		_ = conn.Close()
+	}
+	return err
+}
+
 // runMoved lets the store move to another address, and changes the configuration afterwards.
 func runMoved(r *rig, trouble bool) (bool, error) {
 	for _, id := range []string{"i-a0", "i-a1", "i-a2"} {
--- a/review/stand3/rig.go
+++ b/review/stand3/rig.go
@@ -86,8 +86,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{ports: free, store: fakes.NewStore(), address: l.Addr().String(), listener: l, dir: dir, began: time.Now(), record: record}
-	go func() { _ = r.store.Serve(l) }()
+	r := &rig{ports: free, store: fakes.NewStore(), address: l.Addr().String(), listener: &storeListener{Listener: l}, dir: dir, began: time.Now(), record: record}
+	go func() { _ = r.store.Serve(r.listener) }()
 	return r, nil
 }
 
